--- /dev/null
+++ b/src/rattanlug/errors/error.py
@@ -0,0 +1,66 @@
+"""The exception tree."""
+
+from rattanlug.errors import answer, kind, ran
+
+
+class RattanlugError(Exception):
+    """Base of every error that rattanlug raises on purpose.
+
+    Parameters
+    ----------
+    error_kind : kind.ErrorKind
+        Entry of the closed list.
+    detail : str
+        One sentence for the person who reads the answer.
+    ran_override : ran.Ran, optional
+        Statement about execution when it differs from the table.
+    """
+
+    def __init__(
+        self,
+        error_kind: kind.ErrorKind,
+        detail: str,
+        ran_override: ran.Ran | None = None,
+    ):
+        super().__init__(detail)
+        self._kind = error_kind
+        self._detail = detail
+        self._ran_override = ran_override
+
+    @property
+    def kind(self) -> kind.ErrorKind:
+        """Entry of the closed list."""
+        return self._kind
+
+    @property
+    def detail(self) -> str:
+        """One sentence for the person who reads the answer."""
+        return self._detail
+
+    @property
+    def answer(self) -> answer.Answer:
+        """Answer of the table, with the override applied."""
+        result = answer.answer_for(self._kind)
+        if self._ran_override is not None:
+            result = result._replace(ran=self._ran_override)
+        return result
+
+
+class RefusedError(RattanlugError):
+    """The request was refused before any byte went to an upstream."""
+
+
+class UpstreamError(RattanlugError):
+    """An upstream failed after it may have received the request."""
+
+
+class PlatformError(RattanlugError):
+    """The platform could not be reached or did not answer in time."""
+
+
+class ConflictError(RattanlugError):
+    """A conditional write found another version than it expected."""
+
+
+class InvalidInputError(RattanlugError):
+    """Rules or settings that an operator wrote are not valid."""
--- /dev/null
+++ b/src/rattanlug/model/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable configuration records."""
--- /dev/null
+++ b/src/rattanlug/model/link.py
@@ -0,0 +1,18 @@
+"""A link between two regions."""
+
+from typing import NamedTuple
+
+
+class Link(NamedTuple):
+    """Capacity between a pair of regions, in each direction.
+
+    Attributes
+    ----------
+    first_region : str
+    second_region : str
+    bits_per_second : float
+    """
+
+    first_region: str
+    second_region: str
+    bits_per_second: float
--- /dev/null
+++ b/src/rattanlug/model/upstream.py
@@ -0,0 +1,31 @@
+"""An upstream: one back end of a service."""
+
+from typing import NamedTuple
+
+
+class Upstream(NamedTuple):
+    """One upstream.
+
+    Attributes
+    ----------
+    name : str
+    service : str
+    version : str
+    data_centre : str
+    host : str
+        IP address.
+    port : int
+    slots : int
+        Requests that run at the same time.
+    connections : int
+        Connections that the upstream accepts.
+    """
+
+    name: str
+    service: str
+    version: str
+    data_centre: str
+    host: str
+    port: int
+    slots: int
+    connections: int
--- /dev/null
+++ b/src/rattanlug/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one process, read from a JSON file and checked."""
--- /dev/null
+++ b/src/rattanlug/settings/address.py
@@ -0,0 +1,18 @@
+"""An IP address with a port."""
+
+from typing import NamedTuple
+
+
+class Address(NamedTuple):
+    """Where a process listens or connects.
+
+    Attributes
+    ----------
+    host : str
+        IP address; names are not accepted, since VMs address each other by number.
+    port : int
+        TCP port, 1 to 65535.
+    """
+
+    host: str
+    port: int
--- /dev/null
+++ b/src/rattanlug/settings/settings.py
@@ -0,0 +1,39 @@
+"""Settings of the daemon."""
+
+from typing import NamedTuple
+
+from rattanlug.settings import address
+
+
+class Settings(NamedTuple):
+    """Everything that a daemon learns from its settings file.
+
+    Attributes
+    ----------
+    vm : str
+        Name of the VM, unique in the fleet.
+    data_centre : str
+    caller : address.Address
+        Where callers and operators connect; also the source of outgoing connections.
+    peer : address.Address
+        Where the daemon listens for other daemons.
+    platform : address.Address
+        The platform's service.
+    seeds : list of address.Address
+        Peer addresses of daemons to contact first.
+    peer_advertised : address.Address, optional
+        Peer address to give to other daemons when it differs from ``peer``.
+    operator_token_digest : str
+        SHA-256 of the token that operators' requests carry, 64 hexadecimal digits.
+    log_level : str
+    """
+
+    vm: str
+    data_centre: str
+    caller: address.Address
+    peer: address.Address
+    platform: address.Address
+    seeds: list[address.Address] = []
+    peer_advertised: address.Address | None = None
+    operator_token_digest: str = ""
+    log_level: str = "INFO"
