Add caller HTTP, upstream client and metrics

Cause: the thin path needs both HTTP sides before the decisions arrive. An answer is checked for length, framing and its Request-Id before its body is read, because httpcore returns a fully read connection to the pool, and a late second answer on it would reach the next request. Ruled out: streaming answers through, since a cut answer could then not be turned into an error. Not run end to end yet.

--- /dev/null
+++ b/src/rattanlug/caller/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and operators: an ASGI application and what it serves."""
--- /dev/null
+++ b/src/rattanlug/caller/request.py
@@ -0,0 +1,51 @@
+"""A whole request."""
+
+from typing import NamedTuple
+from urllib import parse
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Request(NamedTuple):
+    """One request from a caller.
+
+    Attributes
+    ----------
+    method : str
+    path : str
+        Decoded path.
+    raw_path : bytes
+        Path as it came.
+    query : bytes
+        Query string without the question mark.
+    headers : list of tuple of bytes
+        Names in lower case.
+    body : bytes
+    client : str
+        Address of the peer.
+    """
+
+    method: str
+    path: str
+    raw_path: bytes
+    query: bytes
+    headers: Headers
+    body: bytes
+    client: str
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first value of a header, or None."""
+        for header_name, value in self.headers:
+            if header_name == name:
+                return value.decode("latin-1")
+        return None
+
+    @property
+    def target(self) -> bytes:
+        """Path with query, as it came."""
+        return self.raw_path + (b"?" + self.query if self.query else b"")
+
+    @property
+    def parameters(self) -> dict[str, str]:
+        """Query parameters, the last value of each."""
+        return dict(parse.parse_qsl(self.query.decode("latin-1")))
--- /dev/null
+++ b/src/rattanlug/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and histograms of one process and their text exposition."""
--- /dev/null
+++ b/src/rattanlug/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Sends requests to upstreams over pooled HTTP connections."""
--- /dev/null
+++ b/src/rattanlug/upstream/client.py
@@ -0,0 +1,141 @@
+"""HTTP client for upstreams."""
+
+import httpcore
+import trio
+
+from rattanlug.errors import error, kind, ran
+from rattanlug.upstream import response
+
+_MAX_ANSWER_BYTES = 8 * 1024 * 1024
+_MAX_CONNECTIONS = 512
+_KEEPALIVE_SECONDS = 20.0
+_CONNECT_TIMEOUT_SECONDS = 1.0
+_REQUEST_ID = b"request-id"
+
+
+class UpstreamClient:
+    """Connection pool towards all upstreams.
+
+    Parameters
+    ----------
+    local_host : str
+        Source address of connections.
+    """
+
+    def __init__(self, local_host: str) -> None:
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            keepalive_expiry=_KEEPALIVE_SECONDS,
+            local_address=local_host,
+            retries=0,
+        )
+
+    async def send(
+        self,
+        host: str,
+        port: int,
+        method: str,
+        target: bytes,
+        headers: response.Headers,
+        body: bytes,
+        timeout: float,
+    ) -> response.Response:
+        """Send one request and return the whole answer.
+
+        Cancelling the call closes the connection, which the upstream sees as the
+        cancellation of the request.
+
+        Parameters
+        ----------
+        host : str
+        port : int
+        method : str
+        target : bytes
+            Path with query.
+        headers : list of tuple of bytes
+            Must hold ``Request-Id``; the answer has to return it.
+        body : bytes
+        timeout : float
+            Seconds for everything.
+
+        Returns
+        -------
+        response.Response
+
+        Raises
+        ------
+        error.UpstreamError
+            With ``ran`` NO when no byte can have left, else UNKNOWN.
+        """
+        url = httpcore.URL(scheme=b"http", host=host, port=port, target=target)
+        limits = {
+            "connect": min(_CONNECT_TIMEOUT_SECONDS, timeout),
+            "read": timeout,
+            "write": timeout,
+            "pool": timeout,
+        }
+        try:
+            with trio.fail_after(timeout):
+                async with self._pool.stream(
+                    method,
+                    url,
+                    headers=headers,
+                    content=body,
+                    extensions={"timeout": limits},
+                ) as answer:
+                    return await _read_whole(answer, headers)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            raise _failed("the connection could not be opened", ran.Ran.NO) from exc
+        except httpcore.PoolTimeout as exc:
+            raise _failed("no connection was free in time", ran.Ran.NO) from exc
+        except (trio.TooSlowError, httpcore.TimeoutException) as exc:
+            raise error.UpstreamError(
+                kind.ErrorKind.DEADLINE_EXCEEDED,
+                "the upstream did not answer within the deadline",
+            ) from exc
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            raise error.UpstreamError(
+                kind.ErrorKind.ANSWER_BROKEN,
+                "the connection broke before the whole answer arrived",
+            ) from exc
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._pool.aclose()
+
+
+def _failed(detail: str, did_run: ran.Ran) -> error.UpstreamError:
+    return error.UpstreamError(kind.ErrorKind.UPSTREAM_FAILED, detail, did_run)
+
+
+async def _read_whole(
+    answer: httpcore.Response, sent: response.Headers
+) -> response.Response:
+    headers = [(name.lower(), value) for name, value in answer.headers]
+    names = {name for name, _ in headers}
+    if not names & {b"content-length", b"transfer-encoding"} and (
+        answer.status not in (204, 304)
+    ):
+        # An answer framed by the end of the connection cannot be told from a cut one.
+        raise error.UpstreamError(
+            kind.ErrorKind.ANSWER_BROKEN, "the answer does not state its length"
+        )
+    head = response.Response(answer.status, headers, b"")
+    expected = next(value for name, value in sent if name.lower() == _REQUEST_ID)
+    if head.header(_REQUEST_ID) != expected:
+        # Raised before the body is read, so that the pool closes the connection:
+        # whatever else is buffered on it belongs to other requests as well.
+        raise error.UpstreamError(
+            kind.ErrorKind.ANSWER_BROKEN, "the answer belongs to another request"
+        )
+    chunks = []
+    size = 0
+    async for chunk in answer.aiter_stream():
+        size += len(chunk)
+        if size > _MAX_ANSWER_BYTES:
+            raise error.UpstreamError(
+                kind.ErrorKind.ANSWER_TOO_LARGE,
+                f"the answer is larger than {_MAX_ANSWER_BYTES} bytes",
+            )
+        chunks.append(chunk)
+    return head._replace(body=b"".join(chunks))
