--- /dev/null
+++ b/src/rattanlug/rules/__init__.py
@@ -0,0 +1,1 @@
+"""Rule text: parsing, checks across lines, rendering, editing and differences."""
--- /dev/null
+++ b/src/rattanlug/rules/document.py
@@ -0,0 +1,108 @@
+"""Rule text as lines that can be edited one at a time and rendered back."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from rattanlug.errors import error, kind
+from rattanlug.rules import line, parser, scanner
+
+
+class Document(NamedTuple):
+    """Lines of a rule text.
+
+    Untouched lines keep their spacing, so that a change of one rule shows as a
+    change of one line.
+
+    Attributes
+    ----------
+    lines : tuple of str
+    """
+
+    lines: tuple[str, ...]
+
+    @classmethod
+    def from_text(cls, text: str) -> "Document":
+        """Return the document of a rule text."""
+        return cls(tuple(parser.split_lines(text)))
+
+    def render(self) -> str:
+        """Return the text, with a line feed after every line."""
+        return "".join(f"{each}\n" for each in self.lines)
+
+    def find(self, rule_kind: str, name: str) -> line.RuleLine | None:
+        """Return the line of a rule, None when there is none."""
+        for number, text in enumerate(self.lines, 1):
+            scanned, _ = scanner.scan_line(text, number)
+            if scanned and (scanned.kind.text, scanned.name.text) == (rule_kind, name):
+                return scanned
+        return None
+
+    def add(self, text: str) -> "Document":
+        """Return the document with one more line.
+
+        The line goes after the last one of its kind, at the end when it is the
+        first.
+        """
+        rule_kind = text.split(maxsplit=1)[0]
+        place = len(self.lines)
+        for number, each in enumerate(self.lines, 1):
+            if each.split(maxsplit=1)[:1] == [rule_kind]:
+                place = number
+        return Document((*self.lines[:place], text, *self.lines[place:]))
+
+    def replace(self, rule_kind: str, name: str, text: str) -> "Document":
+        """Return the document with the line of a rule replaced.
+
+        Raises
+        ------
+        error.InvalidInputError
+            When there is no such rule.
+        """
+        place = self._require(rule_kind, name).number - 1
+        return Document((*self.lines[:place], text, *self.lines[place + 1 :]))
+
+    def remove(self, rule_kind: str, name: str) -> "Document":
+        """Return the document without the line of a rule.
+
+        Raises
+        ------
+        error.InvalidInputError
+            When there is no such rule.
+        """
+        place = self._require(rule_kind, name).number - 1
+        return Document((*self.lines[:place], *self.lines[place + 1 :]))
+
+    def _require(self, rule_kind, name):
+        found = self.find(rule_kind, name)
+        if found is None:
+            raise error.InvalidInputError(
+                kind.ErrorKind.RULE_INVALID, f"there is no rule '{rule_kind} {name}'"
+            )
+        return found
+
+
+def render_line(
+    rule_kind: str, name: str, fields: Mapping[str, str], comment: str
+) -> str:
+    """Return one rule line with single spaces.
+
+    Parameters
+    ----------
+    rule_kind, name : str
+    fields : Mapping
+        Text of the values by field name.
+    comment : str
+        Who asked and why.
+
+    Raises
+    ------
+    error.InvalidInputError
+        When the comment holds a line end or another control character.
+    """
+    if scanner.CONTROL.search(comment):
+        raise error.InvalidInputError(
+            kind.ErrorKind.RULE_INVALID,
+            f"comment: got {comment!r}; accepted: one line of printable text",
+        )
+    words = [rule_kind, name, *(f"{key}={value}" for key, value in fields.items())]
+    return f"{' '.join(words)}  # {comment}"
