--- /dev/null
+++ b/src/rattanlug/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At most one execution for each operation identity."""
--- /dev/null
+++ b/src/rattanlug/idempotency/read_record.py
@@ -0,0 +1,17 @@
+"""The step that reads a record."""
+
+from typing import NamedTuple
+
+
+class ReadRecord(NamedTuple):
+    """Read the row; the result is a ``store_result.StoreResult``.
+
+    Attributes
+    ----------
+    key : str
+    delay : float
+        Seconds to wait before reading.
+    """
+
+    key: str
+    delay: float = 0.0
--- /dev/null
+++ b/src/rattanlug/invariants/__init__.py
@@ -0,0 +1,1 @@
+"""Run-time checks of the invariants of the design page."""
--- /dev/null
+++ b/src/rattanlug/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Keys of organisations: lookup, freshness, and what upstreams may see."""
--- /dev/null
+++ b/src/rattanlug/seats/plan.py
@@ -0,0 +1,75 @@
+"""The division of global quantities among seats."""
+
+import functools
+import hashlib
+
+from rattanlug.model import configuration as model_configuration
+from rattanlug.model import link as model_link
+from rattanlug.seats import slot
+
+
+class SeatPlan:
+    """Seats of one configuration and what each of them owns.
+
+    The plan depends on the configuration only, so that two VMs with the same
+    configuration never assign the same share to two seats.
+
+    Parameters
+    ----------
+    configuration : configuration.Configuration
+    """
+
+    def __init__(self, configuration: model_configuration.Configuration):
+        self._configuration = configuration
+        self._regions = {
+            f"{name}/{index}": centre.region
+            for name, centre in sorted(configuration.data_centres.items())
+            for index in range(centre.vms)
+        }
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration."""
+        return self._configuration.version
+
+    @property
+    def seats(self) -> tuple[str, ...]:
+        """Names of all seats, ``<data centre>/<index>``."""
+        return tuple(self._regions)
+
+    def seats_of(self, data_centre: str) -> tuple[str, ...]:
+        """Return the names of the seats of one data centre."""
+        return tuple(s for s in self._regions if s.rpartition("/")[0] == data_centre)
+
+    def share(self, seat: str) -> float:
+        """Return the seat's share of each global quantity, 0 for an unknown seat."""
+        return 1 / len(self._regions) if seat in self._regions else 0.0
+
+    def slots(self, seat: str) -> frozenset[slot.Slot]:
+        """Return the slots that the seat owns, all in its own data centre."""
+        return self._slots_by_seat.get(seat, frozenset())
+
+    def link_bits_per_second(self, seat: str, link: model_link.Link) -> float:
+        """Return the seat's share of what its region may send over a link, bit/s."""
+        region = self._regions.get(seat)
+        if region not in (link.first_region, link.second_region):
+            return 0.0
+        peers = sum(other == region for other in self._regions.values())
+        return link.bits_per_second / peers
+
+    @functools.cached_property
+    def _slots_by_seat(self) -> dict[str, frozenset[slot.Slot]]:
+        owned = {seat: set() for seat in self._regions}
+        for upstream in self._configuration.upstreams.values():
+            seats = self.seats_of(upstream.data_centre)
+            if not seats:
+                continue
+            for index in range(upstream.slots):
+                entry = slot.Slot(upstream.name, index)
+                owned[max(seats, key=functools.partial(_weight, entry))].add(entry)
+        return {seat: frozenset(slots) for seat, slots in owned.items()}
+
+
+def _weight(entry: slot.Slot, seat: str) -> bytes:
+    text = f"{entry.upstream}\n{entry.index}\n{seat}"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
