--- /dev/null
+++ b/src/rattanlug/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons: codec, framing, client and server."""
