--- /dev/null
+++ b/src/rattanlug/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Slots, choice of an upstream, link and retry budgets, waiting requests."""
--- /dev/null
+++ b/src/rattanlug/routing/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Ways to pick an upstream; each module registers one."""
--- /dev/null
+++ b/src/rattanlug/routing/registry.py
@@ -0,0 +1,29 @@
+"""Registry of the ways to pick an upstream."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from rattanlug.routing import upstream_view
+
+
+class Policy(Protocol):
+    """A way to pick one of several upstreams that have a free slot."""
+
+    def pick(
+        self, views: Sequence[upstream_view.UpstreamView], rng: random.Random
+    ) -> upstream_view.UpstreamView:
+        """Return one of ``views``, which is not empty."""
+
+
+POLICIES: dict[str, type[Policy]] = {}
+
+
+def register(name: str) -> Callable[[type], type]:
+    """Enter a policy class under a name."""
+
+    def enter(policy_class: type) -> type:
+        POLICIES[name] = policy_class
+        return policy_class
+
+    return enter
