Add the platform client and the first trial stand-ins

Cause: the daemon needs the table service, the object store and the VM list, and something to run against on one machine.

The client notes the moment at which httpcore begins to send, so `maybe_applied` does not depend on the type of the exception. Ruled out: deriving it from exception types alone, because the overall timeout can end a request in any stage. Every 5xx counts as possibly applied, also the 503 of the platform's own limit.

--- /dev/null
+++ b/src/rattanlug/platform/client.py
@@ -0,0 +1,280 @@
+"""Client for the platform's HTTP interface."""
+
+import ipaddress
+import json
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+from urllib import parse
+
+import httpcore
+import trio
+
+from rattanlug.platform import error, listed_vm, row, write
+from rattanlug.settings import address
+
+# A connection inside a region opens in about 1 ms and between regions in about 60 ms.
+CONNECT_TIMEOUT_S = 0.5
+# Longer than a slow answer between regions, shorter than a request's usual deadline.
+REQUEST_TIMEOUT_S = 1.5
+# Shorter than the idle timeout of common HTTP servers, so that a write rarely meets
+# a connection that the server is closing, which would make its outcome unknown.
+KEEPALIVE_EXPIRY_S = 3.0
+MAX_CONNECTIONS = 16
+
+# Answers by which the platform states that it did not accept the request.
+_NOT_APPLIED = frozenset({400, 401, 403, 404, 405, 411, 413, 414, 415, 422, 429, 431})
+
+
+class _Reply(NamedTuple):
+    status: int
+    body: bytes
+
+
+class _SendWatch:
+    """Notes whether any byte of a request may have left."""
+
+    def __init__(self):
+        self._sent = False
+
+    @property
+    def sent(self) -> bool:
+        """True from the moment at which sending began."""
+        return self._sent
+
+    async def trace(self, event: str, info: dict[str, Any]) -> None:
+        """Receive httpcore's trace events."""
+        if event.endswith("send_request_headers.started"):
+            self._sent = True
+
+
+class PlatformClient:
+    """Speaks to the table service, the object store and the VM list.
+
+    Parameters
+    ----------
+    address : address.Address
+        The platform's service.
+    local_host : str
+        Source address of outgoing connections.
+    timeout : float, optional
+        Longest time for one request, seconds.
+
+    Notes
+    -----
+    Every coroutine takes ``timeout`` in seconds to replace the client's own, and
+    raises `error.PlatformError` when no usable answer arrives in that time.
+    """
+
+    def __init__(
+        self,
+        address: address.Address,
+        local_host: str,
+        *,
+        timeout: float = REQUEST_TIMEOUT_S,
+    ):
+        self._address = address
+        self._timeout = timeout
+        self._pool = httpcore.AsyncConnectionPool(
+            local_address=local_host,
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=MAX_CONNECTIONS,
+            keepalive_expiry=KEEPALIVE_EXPIRY_S,
+            retries=0,
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def get(
+        self, table: str, key: str, *, timeout: float | None = None
+    ) -> row.Row | None:
+        """Read one row, or return None when it is absent."""
+        target = f"/v1/tables/{_quote(table)}/{_quote(key)}"
+        reply = await self._read(target, timeout)
+        if reply.status == 404:
+            return None
+        found = _parse(reply, maybe_applied=False)
+        with _Malformed(False):
+            return row.Row(key, int(found["revision"]), found["value"])
+
+    async def scan(
+        self, table: str, prefix: str, *, timeout: float | None = None
+    ) -> list[row.Row]:
+        """Read all rows whose key begins with a prefix."""
+        target = f"/v1/tables/{_quote(table)}?prefix={_quote(prefix)}"
+        found = _parse(await self._read(target, timeout), maybe_applied=False)
+        with _Malformed(False):
+            return [
+                row.Row(str(each["key"]), int(each["revision"]), each["value"])
+                for each in found["rows"]
+            ]
+
+    async def commit(
+        self, writes: Sequence[write.Write], *, timeout: float | None = None
+    ) -> list[int]:
+        """Apply all writes in one transaction, or none of them.
+
+        Returns
+        -------
+        list of int
+            The new revision of each row.
+
+        Raises
+        ------
+        error.ConflictError
+            A row did not have the expected revision; nothing was written.
+        error.PlatformError
+            With ``maybe_applied`` true when the transaction may have taken effect.
+        """
+        body = json.dumps({"writes": [each._asdict() for each in writes]})
+        reply = await self._request(
+            "POST", "/v1/transactions", body.encode(), timeout, writes_data=True
+        )
+        if reply.status == 409:
+            raise _conflict(_parse(reply, maybe_applied=False, accepted=409))
+        found = _parse(reply, maybe_applied=True)
+        with _Malformed(True):
+            revisions = [int(each) for each in found["revisions"]]
+        if len(revisions) != len(writes):
+            raise error.PlatformError(
+                f"platform answered {len(revisions)} revisions for {len(writes)} "
+                "writes",
+                True,
+            )
+        return revisions
+
+    async def get_object(
+        self, name: str, *, timeout: float | None = None
+    ) -> bytes | None:
+        """Read one object, or return None when it is absent."""
+        reply = await self._read(f"/v1/objects/{_quote(name)}", timeout)
+        if reply.status == 404:
+            return None
+        _check_status(reply, maybe_applied=False)
+        return reply.body
+
+    async def put_object(
+        self, name: str, data: bytes, *, timeout: float | None = None
+    ) -> None:
+        """Store one object, replacing any that has the same name."""
+        reply = await self._request(
+            "PUT", f"/v1/objects/{_quote(name)}", data, timeout, writes_data=True
+        )
+        _check_status(reply, maybe_applied=True)
+
+    async def list_vms(
+        self, *, timeout: float | None = None
+    ) -> list[listed_vm.ListedVm]:
+        """Read the list of live and leaving VMs."""
+        found = _parse(await self._read("/v1/vms", timeout), maybe_applied=False)
+        with _Malformed(False):
+            return [
+                listed_vm.ListedVm(
+                    str(each["vm"]),
+                    str(each["data_centre"]),
+                    address.Address(str(each["host"]), int(each["port"])),
+                    address.Address(str(each["peer_host"]), int(each["peer_port"])),
+                    str(each["state"]),
+                )
+                for each in found
+            ]
+
+    async def _read(self, target: str, timeout: float | None) -> _Reply:
+        return await self._request("GET", target, None, timeout, writes_data=False)
+
+    async def _request(
+        self,
+        method: str,
+        target: str,
+        body: bytes | None,
+        timeout: float | None,
+        *,
+        writes_data: bool,
+    ) -> _Reply:
+        limit = self._timeout if timeout is None else timeout
+        watch = _SendWatch()
+        url = httpcore.URL(
+            scheme="http",
+            host=self._address.host,
+            port=self._address.port,
+            target=target,
+        )
+        try:
+            with trio.fail_after(limit):
+                response = await self._pool.request(
+                    method,
+                    url,
+                    headers={"Host": _host_header(self._address)},
+                    content=body,
+                    extensions={
+                        "timeout": {
+                            "connect": min(CONNECT_TIMEOUT_S, limit),
+                            "pool": limit,
+                        },
+                        "trace": watch.trace,
+                    },
+                )
+        except trio.TooSlowError as exc:
+            raise error.PlatformError(
+                f"platform did not answer {method} in {limit:g} s",
+                writes_data and watch.sent,
+            ) from exc
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as exc:
+            raise error.PlatformError(
+                f"platform request {method} failed: {type(exc).__name__} {exc}",
+                writes_data and watch.sent,
+            ) from exc
+        return _Reply(response.status, response.content)
+
+
+class _Malformed:
+    """Turns the errors of reading a malformed answer into a platform error."""
+
+    def __init__(self, maybe_applied: bool):
+        self._maybe_applied = maybe_applied
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, exc_type, exc, traceback):
+        if isinstance(exc, LookupError | TypeError | ValueError | AttributeError):
+            raise error.PlatformError(
+                f"platform answer is malformed: {exc}", self._maybe_applied
+            ) from exc
+
+
+def _check_status(reply: _Reply, *, maybe_applied: bool, accepted: int = 200) -> None:
+    if reply.status != accepted:
+        raise error.PlatformError(
+            f"platform answered with status {reply.status}",
+            maybe_applied and reply.status not in _NOT_APPLIED,
+            reply.status,
+        )
+
+
+def _parse(reply: _Reply, *, maybe_applied: bool, accepted: int = 200) -> Any:
+    _check_status(reply, maybe_applied=maybe_applied, accepted=accepted)
+    with _Malformed(maybe_applied):
+        return json.loads(reply.body)
+
+
+def _conflict(found: Any) -> error.ConflictError:
+    # A 409 states that nothing was written even if its details cannot be read.
+    with _Malformed(False):
+        winner = row.Row(str(found["key"]), int(found["revision"]), found["value"])
+        return error.ConflictError(int(found["index"]), winner)
+
+
+def _quote(text: str) -> str:
+    return parse.quote(text, safe="")
+
+
+def _host_header(target: address.Address) -> str:
+    if ipaddress.ip_address(target.host).version == 6:
+        return f"[{target.host}]:{target.port}"
+    return f"{target.host}:{target.port}"
--- /dev/null
+++ b/src/rattanlug/platform/row.py
@@ -0,0 +1,20 @@
+"""A row of the table service."""
+
+from typing import Any, NamedTuple
+
+
+class Row(NamedTuple):
+    """One row as the table service returned it.
+
+    Attributes
+    ----------
+    key : str
+    revision : int
+        Rises with each write of the row; 0 stands for an absent row.
+    value : object
+        JSON value.
+    """
+
+    key: str
+    revision: int
+    value: Any
--- /dev/null
+++ b/trial/__main__.py
@@ -0,0 +1,30 @@
+"""Entry point of ``python -m trial``."""
+
+import dataclasses
+import sys
+
+import cappa
+
+from trial.commands import platform, run, upstream
+
+
+@cappa.command(name="trial", description="Trials of rattanlug on one machine.")
+@dataclasses.dataclass
+class Trial:
+    """The command line.
+
+    Attributes
+    ----------
+    command : cappa.Subcommands
+    """
+
+    command: cappa.Subcommands[platform.Platform | upstream.Upstream | run.Run]
+
+
+def main() -> int:
+    """Run the chosen command and return its exit code."""
+    return cappa.invoke(Trial) or 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/trial/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of ``python -m trial``, one module each."""
--- /dev/null
+++ b/trial/http_client.py
@@ -0,0 +1,61 @@
+"""Requests of the launcher to the processes of a trial."""
+
+import json
+from typing import Any, NamedTuple
+
+import httpcore
+import trio
+
+
+class Reply(NamedTuple):
+    """Status, headers with lower-case names and body."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body as JSON data."""
+        return json.loads(self.body)
+
+
+async def request(
+    host: str,
+    port: int,
+    method: str,
+    target: str,
+    data: Any = None,
+    *,
+    headers: dict[str, str] | None = None,
+    source: str | None = None,
+    timeout: float = 5.0,
+) -> Reply:
+    """Send one request on a connection of its own.
+
+    Raises
+    ------
+    httpcore.NetworkError, httpcore.ProtocolError, trio.TooSlowError
+    """
+    body = None if data is None else json.dumps(data).encode()
+    url = httpcore.URL(scheme="http", host=host, port=port, target=target)
+    async with httpcore.AsyncConnectionPool(local_address=source) as pool:
+        with trio.fail_after(timeout):
+            response = await pool.request(
+                method,
+                url,
+                headers={"Host": f"{host}:{port}", **(headers or {})},
+                content=body,
+            )
+    found = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in response.headers
+    }
+    return Reply(response.status, found, response.content)
+
+
+FAILURES = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    trio.TooSlowError,
+)
--- /dev/null
+++ b/trial/launcher.py
@@ -0,0 +1,258 @@
+"""Starts all processes of a deployment."""
+
+import hashlib
+import json
+import pathlib
+import secrets
+import socket
+from typing import Any
+
+import trio
+
+from trial import deployment, http_client, processes
+
+_FIRST_OCTET = 10
+_LAST_OCTET = 250
+_RESERVATION_PORT = 8999
+_READY_TIMEOUT_S = 15.0
+
+
+class LaunchError(Exception):
+    """A process did not start or a rule was not accepted."""
+
+
+def reserve_octet() -> tuple[int, socket.socket]:
+    """Reserve a range of loopback addresses that no other trial uses.
+
+    Returns
+    -------
+    int
+        Second octet of the range.
+    socket.socket
+        Holds the reservation until it is closed.
+    """
+    for octet in range(_FIRST_OCTET, _LAST_OCTET, 2):
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"127.{octet}.0.1", _RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        reservation.listen()
+        return octet, reservation
+    raise LaunchError("no free range of loopback addresses")
+
+
+class Launcher:
+    """Starts the processes of a deployment and speaks to them.
+
+    Parameters
+    ----------
+    plan : deployment.Deployment
+    places : deployment.Places
+    started : processes.Processes
+    directory : pathlib.Path
+        For settings files.
+    seed : int
+    """
+
+    def __init__(
+        self,
+        plan: deployment.Deployment,
+        places: deployment.Places,
+        started: processes.Processes,
+        directory: pathlib.Path,
+        seed: int,
+    ):
+        self._plan = plan
+        self._places = places
+        self._processes = started
+        self._directory = directory
+        self._seed = seed
+        self._operator_token = secrets.token_hex(16)
+        self._keys = {
+            f"{each.name}/main": secrets.token_hex(20) for each in plan.organisations
+        }
+        first = plan.organisations[0].name
+        self._keys[f"{first}/old"] = secrets.token_hex(20)
+
+    @property
+    def keys(self) -> dict[str, str]:
+        """Key by name."""
+        return self._keys
+
+    @property
+    def operator_headers(self) -> dict[str, str]:
+        """Headers of operators' requests."""
+        return {"Authorization": f"Bearer {self._operator_token}"}
+
+    async def start_stand_ins(self) -> None:
+        """Start platform and upstreams and wait until they answer."""
+        self._processes.start(
+            "platform",
+            ["-m", "trial", "platform", "--host", self._places.platform_host]
+            + ["--port", str(deployment.PLATFORM_PORT)],
+        )
+        for each in self._places.upstreams:
+            arguments = ["-m", "trial", "upstream", "--host", each.host]
+            arguments += ["--port", str(deployment.UPSTREAM_PORT)]
+            arguments += ["--name", each.name, "--service", each.service]
+            arguments += ["--version", each.version, "--slots", str(each.slots)]
+            arguments += ["--connections", str(each.connections)]
+            arguments += ["--seed", str(self._seed)]
+            self._processes.start(each.name, arguments)
+        await self._wait_listening(
+            "platform", self._places.platform_host, deployment.PLATFORM_PORT
+        )
+        for each in self._places.upstreams:
+            await self._wait_listening(each.name, each.host, deployment.UPSTREAM_PORT)
+
+    async def start_daemons(self) -> None:
+        """Start the entry daemons and wait until they listen."""
+        for each in self._places.vms:
+            await self.list_vm(each, "live")
+            self.start_daemon(each)
+        for each in self._places.vms:
+            await self._wait_listening(each.vm, each.host, deployment.VM_PORT)
+
+    def start_daemon(self, place: deployment.VmPlace) -> int:
+        """Start one entry daemon and return its process id."""
+        path = self._directory / f"{place.vm}.json"
+        path.write_text(json.dumps(self.settings(place), indent=1))
+        return self._processes.start(
+            place.vm, ["-m", "rattanlug", "daemon", "--settings", str(path)]
+        )
+
+    def settings(self, place: deployment.VmPlace) -> dict[str, Any]:
+        """Return the settings of an entry daemon."""
+        seeds = [each for each in self._places.vms if each.vm != place.vm]
+        peer = deployment.PEER_PORT
+        return {
+            "vm": place.vm,
+            "data_centre": place.data_centre,
+            "caller": {"host": place.host, "port": deployment.VM_PORT},
+            "peer": {"host": place.host, "port": peer},
+            "platform": {
+                "host": self._places.advertised_platform_host,
+                "port": deployment.PLATFORM_PORT,
+            },
+            "seeds": [
+                {"host": each.advertised_host, "port": peer} for each in seeds[:4]
+            ],
+            "peer_advertised": {"host": place.advertised_host, "port": peer},
+            "operator_token_digest": hashlib.sha256(
+                self._operator_token.encode()
+            ).hexdigest(),
+        }
+
+    async def list_vm(self, place: deployment.VmPlace, state: str | None) -> None:
+        """Set the state of a VM in the platform's list, or remove it with None."""
+        entry: dict[str, Any] = {"vm": place.vm}
+        if state is not None:
+            entry |= {
+                "data_centre": place.data_centre,
+                "host": place.advertised_host,
+                "port": deployment.VM_PORT,
+                "peer_host": place.advertised_host,
+                "peer_port": deployment.PEER_PORT,
+                "state": state,
+            }
+        await http_client.request(
+            self._places.platform_host,
+            deployment.PLATFORM_PORT,
+            "POST",
+            "/.control/vms",
+            entry,
+        )
+
+    async def read_rules(self, place: deployment.VmPlace) -> dict[str, Any]:
+        """Return version and rules that a daemon has in force."""
+        reply = await http_client.request(
+            place.host,
+            deployment.VM_PORT,
+            "GET",
+            "/.rattanlug/rules",
+            headers=self.operator_headers,
+        )
+        if reply.status != 200:
+            raise LaunchError(f"reading rules: {reply.status} {reply.body[:300]!r}")
+        return reply.json()
+
+    async def post_rules(
+        self, place: deployment.VmPlace, expected_version: int, lines: list[str]
+    ) -> dict[str, Any]:
+        """Apply rules and return the daemon's answer."""
+        data = {
+            "expected_version": expected_version,
+            "rules": "\n".join(lines) + "\n",
+            "author": deployment.OPERATOR,
+        }
+        reply = await http_client.request(
+            place.host,
+            deployment.VM_PORT,
+            "POST",
+            "/.rattanlug/rules",
+            data,
+            headers={**self.operator_headers, "Content-Type": "application/json"},
+            timeout=10,
+        )
+        if reply.status != 200:
+            raise LaunchError(f"posting rules: {reply.status} {reply.body[:300]!r}")
+        return reply.json()
+
+    async def apply_initial_rules(self) -> dict[str, Any]:
+        """Apply the rules of the deployment, retrying while daemons form contact."""
+        lines = deployment.write_rules(self._plan, self._places, self._keys)
+        failure: Exception = LaunchError("no attempt was made")
+        with trio.move_on_after(_READY_TIMEOUT_S):
+            while True:
+                try:
+                    return await self.post_rules(self._places.vms[0], 0, lines)
+                except (LaunchError, *http_client.FAILURES) as exc:
+                    failure = exc
+                await trio.sleep(0.5)
+        raise LaunchError(f"initial rules were not accepted: {failure}")
+
+    async def wait_serving(self, timeout: float) -> None:
+        """Wait until every daemon reports that it serves."""
+        for each in self._places.vms:
+            status = ""
+            with trio.move_on_after(timeout):
+                while status != "serving":
+                    status = await self.read_state(each)
+                    await trio.sleep(0.1)
+            if status != "serving":
+                raise LaunchError(
+                    f"{each.vm} reports {status!r} after {timeout:g} s\n"
+                    + self._processes.read_log(each.vm)
+                )
+
+    async def read_state(self, place: deployment.VmPlace) -> str:
+        """Return what a daemon reports about itself, or why it cannot be read."""
+        try:
+            reply = await http_client.request(
+                place.host, deployment.VM_PORT, "GET", "/.rattanlug/ready"
+            )
+        except http_client.FAILURES as exc:
+            return f"unreachable: {type(exc).__name__}"
+        text = reply.body.decode("utf-8", "replace")
+        try:
+            found = json.loads(text)
+        except ValueError:
+            return text.strip()
+        return str(found.get("state", text)) if isinstance(found, dict) else str(found)
+
+    async def _wait_listening(self, name: str, host: str, port: int) -> None:
+        with trio.move_on_after(_READY_TIMEOUT_S):
+            while self._processes.exit_code(name) is None:
+                try:
+                    stream = await trio.open_tcp_stream(host, port)
+                except OSError:
+                    await trio.sleep(0.05)
+                    continue
+                await stream.aclose()
+                return
+        raise LaunchError(
+            f"{name} does not listen on {host}:{port}, exit code "
+            f"{self._processes.exit_code(name)}\n{self._processes.read_log(name)}"
+        )
--- /dev/null
+++ b/trial/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's table service, object store and VM list."""
--- /dev/null
+++ b/trial/platform/limits.py
@@ -0,0 +1,32 @@
+"""Request limits of the platform."""
+
+import collections
+
+
+class Limit:
+    """At most a number of requests in any window of one second.
+
+    Parameters
+    ----------
+    per_second : int
+    """
+
+    def __init__(self, per_second: int):
+        self._per_second = per_second
+        self._accepted: collections.deque[float] = collections.deque()
+        self._refused = 0
+
+    @property
+    def refused(self) -> int:
+        """Requests above the limit so far."""
+        return self._refused
+
+    def accept(self, now: float) -> bool:
+        """Count a request and return whether it is within the limit."""
+        while self._accepted and self._accepted[0] <= now - 1:
+            self._accepted.popleft()
+        if len(self._accepted) >= self._per_second:
+            self._refused += 1
+            return False
+        self._accepted.append(now)
+        return True
--- /dev/null
+++ b/trial/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for an upstream."""
--- /dev/null
+++ b/trial/upstream/behaviour.py
@@ -0,0 +1,80 @@
+"""How an upstream stand-in behaves."""
+
+from typing import NamedTuple
+
+STATES = ("ready", "draining")
+FAULTS = ("", "errors", "slow")
+ANSWERS = ("", "late", "short", "duplicate")
+
+
+class Behaviour(NamedTuple):
+    """Values that the command line and the control endpoint set.
+
+    Attributes
+    ----------
+    state : str
+        ``ready`` or ``draining``; a draining upstream refuses work after
+        `DRAIN_GRACE_S`.
+    service_ms : float
+        Median time of a request.
+    spread : float
+        Standard deviation of the logarithm of the time.
+    cold_s : float
+        Time after the start during which requests take longer.
+    cold_factor : float
+        Factor at the start; it falls linearly to 1 during ``cold_s``.
+    fault : str
+        ``errors`` answers 500, ``slow`` multiplies the time by ``slow_factor``.
+    fault_ratio : float
+        Part of the requests that the fault hits.
+    fault_after_s : float
+        The fault begins so long after the first request ran.
+    fault_min_in_flight : int
+        The fault shows only with so many requests in flight.
+    fault_route : str
+        The fault shows only on paths with this prefix.
+    slow_factor : float
+    answer : str
+        ``late`` answers 1 s after the deadline, ``short`` cuts the body,
+        ``duplicate`` sends the answer twice.
+    answer_count : int
+        Number of answers that ``answer`` changes.
+    body_bytes : int
+        Length of the filler in an answer.
+    """
+
+    state: str = "ready"
+    service_ms: float = 20.0
+    spread: float = 0.3
+    cold_s: float = 0.0
+    cold_factor: float = 4.0
+    fault: str = ""
+    fault_ratio: float = 1.0
+    fault_after_s: float = 0.0
+    fault_min_in_flight: int = 0
+    fault_route: str = ""
+    slow_factor: float = 10.0
+    answer: str = ""
+    answer_count: int = 0
+    body_bytes: int = 2000
+
+
+def change(current: Behaviour, data: dict) -> Behaviour:
+    """Return the behaviour with the given values replaced.
+
+    Raises
+    ------
+    ValueError
+        A name or a value is not accepted.
+    """
+    unknown = set(data) - set(Behaviour._fields)
+    if unknown:
+        raise ValueError(f"unknown: {', '.join(sorted(unknown))}")
+    result = current._replace(**data)
+    if (
+        result.state not in STATES
+        or result.fault not in FAULTS
+        or result.answer not in ANSWERS
+    ):
+        raise ValueError(f"accepted: {STATES}, {FAULTS}, {ANSWERS}")
+    return result
--- /dev/null
+++ b/trial/upstream/record.py
@@ -0,0 +1,83 @@
+"""What an upstream stand-in received."""
+
+import base64
+import collections
+from typing import Any, NamedTuple
+
+from trial import http_server
+
+
+class Execution(NamedTuple):
+    """One request that began to run.
+
+    Attributes
+    ----------
+    began : float
+        On `clock.now`, seconds.
+    path, request_id, identity : str
+        ``identity`` is the Idempotency-Key or empty.
+    """
+
+    began: float
+    path: str
+    request_id: str
+    identity: str
+
+
+class Record:
+    """Everything that an upstream received and ran.
+
+    Parameters
+    ----------
+    slots : int
+    """
+
+    def __init__(self, slots: int):
+        self._slots = slots
+        self._in_flight = 0
+        self._most_in_flight = 0
+        self._over_slots = 0
+        self._received: list[bytes] = []
+        self._executions: list[Execution] = []
+        self._outcomes: collections.Counter[str] = collections.Counter()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that arrived and have not ended."""
+        return self._in_flight
+
+    def arrive(self, request: http_server.Request) -> bool:
+        """Note a request; return whether there is a slot for it."""
+        head = f"{request.method} {request.path}?{request.query}\n"
+        lines = "".join(f"{name}: {value}\n" for name, value in request.headers)
+        self._received.append(f"{head}{lines}\n".encode() + request.body)
+        self._in_flight += 1
+        self._most_in_flight = max(self._most_in_flight, self._in_flight)
+        if self._in_flight > self._slots:
+            self._over_slots += 1
+            return False
+        return True
+
+    def begin(self, execution: Execution) -> None:
+        """Note that a request begins to run."""
+        self._executions.append(execution)
+
+    def leave(self, outcome: str) -> None:
+        """Note that a request ended."""
+        self._in_flight -= 1
+        self._outcomes[outcome] += 1
+
+    def report(self) -> dict[str, Any]:
+        """Return the record as JSON data; received bytes are in base64."""
+        identities = collections.Counter(
+            each.identity for each in self._executions if each.identity
+        )
+        return {
+            "slots": self._slots,
+            "most_in_flight": self._most_in_flight,
+            "over_slots": self._over_slots,
+            "outcomes": dict(self._outcomes),
+            "identities": dict(identities),
+            "executions": [list(each) for each in self._executions],
+            "received": [base64.b64encode(each).decode() for each in self._received],
+        }
--- /dev/null
+++ b/trial/upstream/server.py
@@ -0,0 +1,184 @@
+"""The HTTP interface of the upstream stand-in."""
+
+import hashlib
+import json
+import random
+from typing import NamedTuple
+
+import trio
+
+from trial import clock, http_server
+from trial.upstream import behaviour, body, load_report, record
+
+LOAD_REPORT_LAG_S = 0.5
+# Entry VMs may send work for a short time after an upstream reports that it drains.
+DRAIN_GRACE_S = 3.0
+LATE_S = 1.0
+
+_NOT_RUN = (("Rattanlug-Ran", "no"),)
+
+
+class Identity(NamedTuple):
+    """Fixed properties of an upstream.
+
+    Attributes
+    ----------
+    name, service, version : str
+    slots, connections : int
+    """
+
+    name: str
+    service: str
+    version: str
+    slots: int
+    connections: int
+
+
+class UpstreamServer:
+    """Runs requests for a random time within its slots.
+
+    Parameters
+    ----------
+    identity : Identity
+    initial : behaviour.Behaviour
+    seed : int
+    """
+
+    def __init__(self, identity: Identity, initial: behaviour.Behaviour, seed: int):
+        self._identity = identity
+        self._behaviour = initial
+        self._random = random.Random(f"{seed} {identity.name}")
+        self._record = record.Record(identity.slots)
+        self._load = load_report.LoadReport(LOAD_REPORT_LAG_S)
+        self._started = clock.now()
+        self._first_run_at: float | None = None
+        self._drained_at: float | None = None
+        self._note_load()
+
+    async def answer(self, request: http_server.Request) -> http_server.Response:
+        """Answer one request."""
+        if request.path == "/.load":
+            return http_server.json_response(self._load.read(clock.now()))
+        if request.path == "/.record":
+            return http_server.json_response(self._record.report())
+        if request.path == "/.control":
+            return self._control(request)
+        has_slot = self._record.arrive(request)
+        self._note_load()
+        outcome = "cancelled"
+        try:
+            if not has_slot:
+                response = http_server.Response(503, _NOT_RUN, b"no free slot")
+                outcome = "refused"
+            elif self._refuses_work():
+                response = http_server.Response(503, _NOT_RUN, b"draining")
+                outcome = "refused"
+            else:
+                response = await self._run(request)
+                outcome = str(response.status)
+        finally:
+            self._record.leave(outcome)
+            self._note_load()
+        request_id = request.header("request-id")
+        if request_id is not None:
+            echo = ("Request-Id", request_id)
+            response = response._replace(headers=(*response.headers, echo))
+        return response
+
+    async def _run(self, request: http_server.Request) -> http_server.Response:
+        request_id = request.header("request-id") or ""
+        identity = request.header("idempotency-key") or ""
+        began = clock.now()
+        if self._first_run_at is None:
+            self._first_run_at = began
+        self._record.begin(record.Execution(began, request.path, request_id, identity))
+        duration, failed = self._draw(request.path)
+        timeout = request.header("request-timeout")
+        limit = float(timeout) / 1000 if timeout else None
+        answer = self._take_answer()
+        if answer == "late":
+            await trio.sleep((limit or 0.0) + LATE_S)
+        elif limit is not None and duration > limit:
+            await trio.sleep(limit)
+            return http_server.Response(504, (("Rattanlug-Ran", "unknown"),))
+        else:
+            await trio.sleep(duration)
+        if failed:
+            return http_server.Response(500, (), b"fault")
+        fields = {
+            "request_id": request_id,
+            "identity": identity,
+            "method": request.method,
+            "target": f"{request.path}?{request.query}",
+            "body_digest": hashlib.sha256(request.body).hexdigest(),
+            "upstream": self._identity.name,
+            "version": self._identity.version,
+        }
+        content = body.build_body(fields, self._behaviour.body_bytes)
+        fault = answer if answer in ("short", "duplicate") else ""
+        return http_server.Response(200, (), content, fault)
+
+    def _draw(self, path: str) -> tuple[float, bool]:
+        """Return the seconds that a request takes and whether it fails."""
+        now = self._behaviour
+        age_s = clock.now() - self._started
+        duration = now.service_ms / 1000 * self._random.lognormvariate(0, now.spread)
+        if age_s < now.cold_s:
+            duration *= 1 + (now.cold_factor - 1) * (1 - age_s / now.cold_s)
+        faulty = (
+            clock.now() - self._first_run_at >= now.fault_after_s
+            and self._record.in_flight >= now.fault_min_in_flight
+            and path.startswith(now.fault_route)
+            and self._random.random() < now.fault_ratio
+        )
+        if faulty and now.fault == "slow":
+            duration *= now.slow_factor
+        return duration, faulty and now.fault == "errors"
+
+    def _take_answer(self) -> str:
+        now = self._behaviour
+        if not now.answer or now.answer_count <= 0:
+            return ""
+        self._behaviour = now._replace(answer_count=now.answer_count - 1)
+        return now.answer
+
+    def _refuses_work(self) -> bool:
+        return (
+            self._drained_at is not None
+            and clock.now() >= self._drained_at + DRAIN_GRACE_S
+        )
+
+    def _note_load(self) -> None:
+        values = {
+            "in_flight": self._record.in_flight,
+            "slots": self._identity.slots,
+            "state": self._behaviour.state,
+            "version": self._identity.version,
+        }
+        self._load.note(values, clock.now())
+
+    def _control(self, request: http_server.Request) -> http_server.Response:
+        try:
+            data = json.loads(request.body or b"{}")
+            self._behaviour = behaviour.change(self._behaviour, data)
+        except ValueError as exc:
+            return http_server.json_response({"detail": str(exc)}, 400)
+        if self._behaviour.state != "draining":
+            self._drained_at = None
+        elif self._drained_at is None:
+            self._drained_at = clock.now()
+        self._note_load()
+        return http_server.json_response(self._behaviour._asdict())
+
+
+async def run_server(
+    host: str,
+    port: int,
+    identity: Identity,
+    initial: behaviour.Behaviour,
+    seed: int,
+) -> None:
+    """Serve until cancelled."""
+    server = UpstreamServer(identity, initial, seed)
+    counter = http_server.Connections(identity.connections)
+    await http_server.serve(host, port, server.answer, connections=counter)
