--- /dev/null
+++ b/src/rattanlug/caller/forwarded_headers.py
@@ -0,0 +1,107 @@
+"""Headers that pass between callers and upstreams."""
+
+from rattanlug.keys import scrub
+
+Headers = list[tuple[bytes, bytes]]
+
+REQUEST_ID = b"request-id"
+REQUEST_TIMEOUT = b"request-timeout"
+ORGANISATION = b"rattanlug-organisation"
+
+# Hop-by-hop headers of RFC 9110, section 7.6.1, and those that are written anew.
+_NOT_FORWARDED = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        REQUEST_ID,
+        REQUEST_TIMEOUT,
+    }
+)
+_OWN_PREFIX = b"rattanlug-"
+_MILLISECONDS_PER_SECOND = 1000
+
+
+def to_upstream(
+    headers: Headers,
+    host: str,
+    body: bytes,
+    request_id: str,
+    remaining: float,
+    organisation: str,
+) -> Headers:
+    """Return the headers of a request to an upstream.
+
+    Parameters
+    ----------
+    headers : list of tuple of bytes
+        Headers of the caller.
+    host : str
+        Value of ``Host``.
+    body : bytes
+    request_id : str
+        Identifies this attempt; the upstream returns it.
+    remaining : float
+        Seconds until the deadline.
+    organisation : str
+        Organisation of the key, empty on open routes.
+
+    Returns
+    -------
+    list of tuple of bytes
+    """
+    result = _end_to_end(scrub.remove_key(headers))
+    result.append((b"host", host.encode()))
+    result.append((b"content-length", str(len(body)).encode()))
+    result.append((REQUEST_ID, request_id.encode()))
+    milliseconds = int(remaining * _MILLISECONDS_PER_SECOND)
+    result.append((REQUEST_TIMEOUT, str(milliseconds).encode()))
+    if organisation:
+        result.append((ORGANISATION, organisation.encode()))
+    return result
+
+
+def to_caller(headers: Headers, body: bytes, request_id: bytes | None) -> Headers:
+    """Return the headers of an answer to the caller.
+
+    Parameters
+    ----------
+    headers : list of tuple of bytes
+        Headers of the upstream.
+    body : bytes
+    request_id : bytes or None
+        The caller's own ``Request-Id``.
+
+    Returns
+    -------
+    list of tuple of bytes
+    """
+    result = _end_to_end(headers)
+    result.append((b"content-length", str(len(body)).encode()))
+    result.append((_OWN_PREFIX + b"ran", b"yes"))
+    if request_id is not None:
+        result.append((REQUEST_ID, request_id))
+    return result
+
+
+def _end_to_end(headers: Headers) -> Headers:
+    named = set()
+    for name, value in headers:
+        if name == b"connection":
+            named |= {token.strip().lower() for token in value.split(b",")}
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in _NOT_FORWARDED
+        and name not in named
+        and not name.startswith(_OWN_PREFIX)
+    ]
--- /dev/null
+++ b/src/rattanlug/daemon/configuration_sync.py
@@ -0,0 +1,183 @@
+"""Keeps the configuration of this VM at the newest version."""
+
+from collections.abc import Awaitable, Callable
+
+from rattanlug.daemon import (
+    active_configuration,
+    configuration_store,
+    stored_version,
+)
+from rattanlug.errors import error, kind
+from rattanlug.logs import state as log_state
+from rattanlug.rules import diff, parser
+
+Push = Callable[[stored_version.StoredVersion], Awaitable[list[str]]]
+
+
+class ConfigurationSync:
+    """Reads, proposes and applies versions.
+
+    Parameters
+    ----------
+    active : active_configuration.ActiveConfiguration
+    store : configuration_store.ConfigurationStore
+    may_accept : callable
+        ``may_accept(now)`` tells whether operators' changes may be taken.
+    push : callable
+        Sends a version to the other VMs and returns the names of those that have not
+        acknowledged it.
+    is_accepted : callable
+        ``is_accepted(version)`` tells whether a majority of data centres applied it.
+    clock, wall_clock : callable
+        Return the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        active: active_configuration.ActiveConfiguration,
+        store: configuration_store.ConfigurationStore,
+        may_accept: Callable[[float], bool],
+        push: Push,
+        is_accepted: Callable[[int], bool],
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._active = active
+        self._store = store
+        self._may_accept = may_accept
+        self._push = push
+        self._is_accepted = is_accepted
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._current = stored_version.StoredVersion(0, "", 0.0, "")
+        self._newest = self._current
+
+    @property
+    def newest(self) -> stored_version.StoredVersion:
+        """The newest version offered, which is being applied or in force."""
+        return self._newest
+
+    @property
+    def current(self) -> stored_version.StoredVersion:
+        """The version in force with its author and time."""
+        return self._current
+
+    async def refresh(self) -> int:
+        """Read the head of the store and apply the version that it names.
+
+        Returns
+        -------
+        int
+            Version that the head named.
+
+        Raises
+        ------
+        error.PlatformError
+        """
+        head = await self._store.read_head()
+        if head.version > self._active.configuration.version:
+            self.apply(await self._store.read_version(head.version, head.digest))
+        return head.version
+
+    def apply(self, found: stored_version.StoredVersion) -> bool:
+        """Put a version in force if it is newer."""
+        before = self._active.configuration.version
+        if found.version <= before:
+            return False
+        self._newest = found
+        if not self._active.apply(found.rules, found.version, self._clock()):
+            return False
+        self._current = found
+        log_state.changed(
+            "configuration_version", before, found.version, author=found.author
+        )
+        return True
+
+    async def propose(self, expected_version: int, rules: str, author: str) -> dict:
+        """Store an operator's change and put it in force.
+
+        Parameters
+        ----------
+        expected_version : int
+            Version that the operator edited.
+        rules : str
+        author : str
+
+        Returns
+        -------
+        dict
+            ``version``, ``in_force`` (whether a majority of data centres has applied
+            it) and ``missing`` (VMs that have not acknowledged it).
+
+        Raises
+        ------
+        error.InvalidInputError
+            ``rule_invalid``; nothing changes.
+        error.RefusedError
+            ``no_majority``; nothing changes.
+        error.ConflictError
+            Another change was stored first; its ``detail`` says by whom.
+        error.PlatformError
+        """
+        parser.parse_rules(rules)
+        if not self._may_accept(self._clock()):
+            raise error.RefusedError(
+                kind.ErrorKind.NO_MAJORITY,
+                "this VM is not in contact with a majority of the data centres",
+            )
+        head = await self._store.read_head()
+        if head.version > self._active.configuration.version:
+            self.apply(await self._store.read_version(head.version, head.digest))
+        if head.version != expected_version:
+            raise error.ConflictError(
+                kind.ErrorKind.VERSION_CONFLICT,
+                f"version {head.version} is in force, not {expected_version}",
+            )
+        candidate = stored_version.StoredVersion(
+            head.version + 1, author, self._wall_clock(), rules
+        )
+        await self._store.append(head, candidate)
+        self.apply(candidate)
+        missing = await self._push(candidate)
+        return {
+            "version": candidate.version,
+            "in_force": self._is_accepted(candidate.version),
+            "missing": missing,
+        }
+
+    async def describe_conflict(self, expected_version: int) -> dict:
+        """Return what changed since a version and who changed it.
+
+        Returns
+        -------
+        dict
+            ``version``, ``author`` and ``changes`` (lines added and removed).
+        """
+        try:
+            await self.refresh()
+            base_text = await self._text_of(expected_version)
+        except error.PlatformError:
+            base_text = None
+        changes: list[str] = []
+        if base_text is not None:
+            changes = diff.render_diff(
+                diff.diff_rules(base_text, self._active.text)
+            ).splitlines()
+        return {
+            "version": self._current.version,
+            "author": self._current.author,
+            "changes": changes,
+        }
+
+    async def history(self, limit: int) -> list[dict]:
+        """Return the newest versions, newest first."""
+        return await self._store.history(limit)
+
+    async def _text_of(self, version: int) -> str | None:
+        if version == 0:
+            return ""
+        for entry in await self._store.history(limit=1000):
+            if entry["version"] == version:
+                found = await self._store.read_version(version, entry["digest"])
+                return found.rules
+        return None
--- /dev/null
+++ b/src/rattanlug/daemon/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's own HTTP endpoints, one module per path."""
--- /dev/null
+++ b/src/rattanlug/daemon/endpoints/lookup.py
@@ -0,0 +1,34 @@
+"""Look-up: which VMs a client should use."""
+
+from rattanlug.caller import reply, request
+from rattanlug.daemon import clock
+from rattanlug.daemon import node as daemon_node
+from rattanlug.daemon.endpoints import registry
+from rattanlug.errors import error, kind
+
+LIFETIME_SECONDS = 5
+
+
+@registry.register("GET", "lookup")
+async def lookup(node: daemon_node.Node, incoming: request.Request) -> reply.Reply:
+    """Answer with up to three VMs and the time for which to keep the answer."""
+    client = incoming.parameters.get("client", incoming.client)
+    try:
+        vms = node.resolve(client, clock.now())
+    except ValueError as exc:
+        raise error.RefusedError(
+            kind.ErrorKind.REQUEST_MALFORMED, "client; accepted: an IP address"
+        ) from exc
+    if not vms:
+        raise error.RefusedError(
+            kind.ErrorKind.STARTING, "no VM that serves is known yet"
+        )
+    value = {
+        "vms": [
+            {"vm": item.vm, "host": item.address[0], "port": item.address[1]}
+            for item in vms
+        ],
+        "lifetime": LIFETIME_SECONDS,
+    }
+    headers = {"Cache-Control": f"max-age={LIFETIME_SECONDS}"}
+    return reply.from_json(value, headers=headers)
--- /dev/null
+++ b/src/rattanlug/daemon/gossip_header.py
@@ -0,0 +1,67 @@
+"""The part of gossip messages that does not concern membership."""
+
+import math
+
+from rattanlug.daemon import clock
+from rattanlug.daemon import node as daemon_node
+from rattanlug.membership import member_state
+from rattanlug.peer import information_ages
+from rattanlug.peer.generated import constants, ttypes
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+def fill(node: daemon_node.Node, message: ttypes.Gossip, by_name: bool = False) -> None:
+    """Write configuration version, evidence and information ages into a message.
+
+    Parameters
+    ----------
+    node : node.Node
+    message : ttypes.Gossip
+    by_name : bool
+        Whether the peer names other data centres than this VM.
+    """
+    now = clock.now()
+    current = node.active.configuration
+    message.config_version = current.version
+    message.evidence_version = current.version
+    age = node.evidence.age(now) * _MILLISECONDS_PER_SECOND
+    if age < constants.UNKNOWN_AGE_MS:
+        message.evidence_age_ms = math.ceil(age)
+    ages = node.contact.ages(now)
+    if node.members.own.state is member_state.MemberState.SERVING:
+        ages[node.settings.data_centre] = 0.0
+    information_ages.put_ages(message, ages, current.data_centres, by_name)
+    message.finished_moves = node.versions.finished_moves() or None
+
+
+def read(
+    node: daemon_node.Node, message: ttypes.Gossip, data_centre: str, asked_at: float
+) -> None:
+    """Take what the response of a peer says.
+
+    Parameters
+    ----------
+    node : node.Node
+    message : ttypes.Gossip
+    data_centre : str
+        Data centre of the peer, empty if it is not known.
+    asked_at : float
+        Moment just before the peer was asked; relayed ages count from it.
+    """
+    now = clock.now()
+    if message.evidence_age_ms < constants.UNKNOWN_AGE_MS:
+        node.evidence.observe_peer(
+            asked_at,
+            message.evidence_age_ms / _MILLISECONDS_PER_SECOND,
+            message.evidence_version,
+        )
+    ages = information_ages.get_ages(message, node.active.configuration.data_centres)
+    node.contact.observe(asked_at, ages, message.config_version)
+    if data_centre:
+        node.contact.observe_version(data_centre, message.config_version)
+        node.seats.accept(node.contact.accepted_version(), now)
+    if data_centre == node.settings.data_centre:
+        node.seats.record_contact(asked_at, now)
+    for result in message.finished_moves or ():
+        node.versions.finish(result.move, result.state)
--- /dev/null
+++ b/src/rattanlug/daemon/handlers/membership.py
@@ -0,0 +1,40 @@
+"""Gossip and member lists."""
+
+from rattanlug.daemon import clock, gossip_header
+from rattanlug.daemon import node as daemon_node
+from rattanlug.daemon.handlers import registry
+from rattanlug.peer import information_ages, sender
+from rattanlug.peer.generated import ttypes
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@registry.register(ttypes.Gossip)
+async def gossip(
+    node: daemon_node.Node, message: ttypes.Gossip, peer: sender.Sender
+) -> ttypes.Gossip:
+    """Answer with this VM's news."""
+    names = node.active.configuration.data_centres
+    by_name = message.data_centres_digest != information_ages.names_digest(names)
+    response = node.exchange.answer(message, peer.vm, clock.now())
+    gossip_header.fill(node, response, by_name)
+    return response
+
+
+@registry.register(ttypes.FetchMembers)
+async def fetch_members(
+    node: daemon_node.Node, message: ttypes.FetchMembers, peer: sender.Sender
+) -> ttypes.Members:
+    """Answer with a page of the member list."""
+    return node.exchange.page(message, clock.now())
+
+
+@registry.register(ttypes.FetchLastHeard)
+async def fetch_last_heard(
+    node: daemon_node.Node, message: ttypes.FetchLastHeard, peer: sender.Sender
+) -> ttypes.LastHeard:
+    """Answer how long this VM has been up without hearing from another one."""
+    seconds = node.unheard_for(message.vm, clock.now())
+    return ttypes.LastHeard(
+        message.vm, 0, int(min(seconds, 1e6) * _MILLISECONDS_PER_SECOND)
+    )
--- /dev/null
+++ b/src/rattanlug/daemon/loops/__init__.py
@@ -0,0 +1,1 @@
+"""Periodic work of the daemon, one module per loop."""
--- /dev/null
+++ b/src/rattanlug/daemon/loops/gossip.py
@@ -0,0 +1,53 @@
+"""Exchanges news with other VMs."""
+
+import trio
+
+from rattanlug.daemon import clock, gossip_header, push
+from rattanlug.daemon import node as daemon_node
+from rattanlug.daemon.loops import registry
+from rattanlug.errors import error as error_tree
+from rattanlug.membership import peer_choice
+from rattanlug.peer import error as peer_error
+from rattanlug.peer.generated import ttypes
+from rattanlug.settings import address
+
+_INTERVAL_SECONDS = 0.5
+_TIMEOUT_SECONDS = 0.45
+
+
+@registry.register("gossip", _INTERVAL_SECONDS)
+async def gossip(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+    """Contact the peers of this round."""
+    for choice in node.members.next_peers(clock.now(), node.rng):
+        nursery.start_soon(_exchange, node, choice)
+
+
+async def _exchange(node: daemon_node.Node, choice: peer_choice.PeerChoice) -> None:
+    asked_at = clock.now()
+    request = node.exchange.request(choice.vm, asked_at)
+    gossip_header.fill(node, request)
+    peer = address.Address(*choice.peer_address)
+    try:
+        response, sender = await node.peers.call_named(peer, request, _TIMEOUT_SECONDS)
+    except (peer_error.PeerError, error_tree.RattanlugError):
+        if choice.vm:
+            node.members.contact_failed(choice.vm, asked_at, clock.now())
+        return
+    node.exchange.accept(response, sender, asked_at, clock.now())
+    if response.config_version > node.active.configuration.version:
+        await _fetch_configuration(node, peer)
+    record = node.members.get(sender)
+    gossip_header.read(node, response, record.data_centre if record else "", asked_at)
+
+
+async def _fetch_configuration(node: daemon_node.Node, peer: address.Address) -> None:
+    message = ttypes.FetchConfiguration(
+        node.active.configuration.version, node.active.digest
+    )
+    try:
+        data = await node.peers.call(peer, message, _TIMEOUT_SECONDS)
+    except (peer_error.PeerError, error_tree.RattanlugError):
+        return
+    found = push.from_data(data)
+    if found is not None:
+        node.sync.apply(found)
--- /dev/null
+++ b/src/rattanlug/daemon/loops/head.py
@@ -0,0 +1,36 @@
+"""Reads the head of the configuration for this data centre."""
+
+import trio
+
+from rattanlug.daemon import clock
+from rattanlug.daemon import node as daemon_node
+from rattanlug.daemon.loops import registry
+from rattanlug.errors import error
+
+_INTERVAL_SECONDS = 0.5
+# Other VMs of the data centre read only when its reader seems not to.
+_OLD_EVIDENCE_SECONDS = 1.5
+
+
+@registry.register("head", _INTERVAL_SECONDS)
+async def read_head(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+    """Read the head if this VM is the reader or the evidence is old."""
+    now = clock.now()
+    if not _is_reader(node, now) and node.evidence.age(now) < _OLD_EVIDENCE_SECONDS:
+        return
+    try:
+        version = await node.sync.refresh()
+    except error.PlatformError:
+        node.counters.add("platform_failures", call="head")
+        return
+    except error.InvalidInputError:
+        # A newer release wrote rules that this one does not understand; the VM goes
+        # on with its version and its evidence grows old.
+        node.counters.add("configuration_rejected")
+        return
+    node.evidence.observe_read(now, version)
+
+
+def _is_reader(node: daemon_node.Node, now: float) -> bool:
+    live = node.members.live_members(now, node.settings.data_centre)
+    return node.settings.vm == min(record.vm for record in live)
--- /dev/null
+++ b/src/rattanlug/daemon/loops/seats.py
@@ -0,0 +1,123 @@
+"""Takes, renews and releases seats."""
+
+import trio
+
+from rattanlug.daemon import clock
+from rattanlug.daemon import node as daemon_node
+from rattanlug.daemon.loops import registry
+from rattanlug.errors import error as error_tree
+from rattanlug.peer import error as peer_error
+from rattanlug.peer.generated import ttypes
+from rattanlug.platform import error as platform_error
+from rattanlug.platform import write
+from rattanlug.seats import seat_row
+from rattanlug.settings import address
+
+_INTERVAL_SECONDS = 0.2
+_TIMEOUT_SECONDS = 0.5
+_ASK_INTERVAL_SECONDS = 2.0
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@registry.register("seats", _INTERVAL_SECONDS)
+async def keep_seats(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+    """Do what the seat holder wants to be read and written now."""
+    if not node.active.configuration.version:
+        return
+    now = clock.now()
+    if node.seats.wants_scan(now):
+        await _scan(node, now)
+    _finish_releases(node)
+    writes = node.seats.next_writes(clock.now(), await _unheard_for(node))
+    if writes:
+        await _commit(node, writes)
+    await _ask_for_seat(node)
+    node.advance(clock.now())
+
+
+async def _scan(node: daemon_node.Node, asked_at: float) -> None:
+    prefix = f"{node.settings.data_centre}/"
+    try:
+        rows = await node.platform.scan(seat_row.TABLE, prefix)
+    except error_tree.PlatformError:
+        node.counters.add("platform_failures", call="seats")
+        return
+    found = {
+        row.key: (row.revision, seat_row.SeatRow.from_json(row.value)) for row in rows
+    }
+    node.seats.scanned(found, asked_at, clock.now())
+
+
+async def _commit(node: daemon_node.Node, writes) -> None:
+    sent_at = clock.now()
+    rows = [
+        write.Write(seat_row.TABLE, item.seat, item.expected, item.row.to_json())
+        for item in writes
+    ]
+    try:
+        revisions = await node.platform.commit(rows)
+    except platform_error.ConflictError as exc:
+        value = exc.row.value
+        row = None if value is None else seat_row.SeatRow.from_json(value)
+        node.seats.conflicted(
+            writes[exc.index].seat, exc.row.revision, row, sent_at, clock.now()
+        )
+    except error_tree.PlatformError:
+        node.counters.add("platform_failures", call="seats")
+        node.seats.write_failed()
+    else:
+        node.seats.wrote(revisions, sent_at, clock.now())
+
+
+def _finish_releases(node: daemon_node.Node) -> None:
+    ledger = node.slots.ledger
+    for seat in node.seats.releasing:
+        if not ledger.in_use and not ledger.lent and not node.quotas.outstanding(seat):
+            node.seats.finish_release(seat)
+
+
+async def _unheard_for(node: daemon_node.Node) -> dict[str, list[float]]:
+    """Return, for each VM that may have lapsed, how long nobody heard from it."""
+    now = clock.now()
+    own = node.settings.vm
+    others = [
+        record
+        for record in node.members.live_members(now, node.settings.data_centre)
+        if record.vm != own
+    ]
+    live = {record.vm for record in others}
+    result: dict[str, list[float]] = {}
+    for vm in node.seats.holders():
+        if vm in live or vm == own:
+            continue
+        reports = [node.unheard_for(vm, now)]
+        for record in others:
+            reports.append(await _ask_last_heard(node, record.peer_address, vm))
+        result[vm] = reports
+    return result
+
+
+async def _ask_last_heard(node: daemon_node.Node, peer, vm: str) -> float:
+    try:
+        answer = await node.peers.call(
+            address.Address(*peer), ttypes.FetchLastHeard(vm), _TIMEOUT_SECONDS
+        )
+    except (peer_error.PeerError, error_tree.RattanlugError):
+        return 0.0
+    return answer.age_ms / _MILLISECONDS_PER_SECOND
+
+
+async def _ask_for_seat(node: daemon_node.Node) -> None:
+    now = clock.now()
+    vm = node.seats.vm_to_ask(now)
+    holder = node.members.get(vm) if vm is not None else None
+    if holder is None or not node.may_ask_for_seat(now, _ASK_INTERVAL_SECONDS):
+        return
+    try:
+        await node.peers.call(
+            address.Address(*holder.peer_address),
+            ttypes.ReleaseSeat(),
+            _TIMEOUT_SECONDS,
+        )
+    except (peer_error.PeerError, error_tree.RattanlugError):
+        return
--- /dev/null
+++ b/src/rattanlug/daemon/loops/vm_list.py
@@ -0,0 +1,25 @@
+"""Reads the platform's list of VMs."""
+
+import trio
+
+from rattanlug.daemon import node as daemon_node
+from rattanlug.daemon.loops import registry
+from rattanlug.errors import error
+
+_INTERVAL_SECONDS = 2.0
+
+
+@registry.register("vm_list", _INTERVAL_SECONDS)
+async def read_vm_list(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+    """Offer the listed VMs as peers; the list lags, so gossip decides who is live."""
+    try:
+        listed = await node.platform.list_vms()
+    except error.PlatformError:
+        node.counters.add("platform_failures", call="vm_list")
+        return
+    addresses = [tuple(seed) for seed in node.settings.seeds]
+    addresses += [tuple(item.peer_address) for item in listed]
+    own = tuple(node.settings.peer_advertised or node.settings.peer)
+    node.members.set_candidates(
+        [each for each in dict.fromkeys(addresses) if each != own]
+    )
--- /dev/null
+++ b/src/rattanlug/daemon/node.py
@@ -0,0 +1,429 @@
+"""All parts of one daemon."""
+
+import collections
+import random
+
+from rattanlug.coordination import contact, evidence
+from rattanlug.daemon import (
+    active_configuration,
+    clock,
+    configuration_store,
+    configuration_sync,
+    lookup_access,
+    operation_runner,
+    proxy,
+    push,
+    quota_access,
+    service_state,
+    slot_access,
+    slot_loans,
+    version_choice,
+)
+from rattanlug.invariants import violations
+from rattanlug.keys import freshness
+from rattanlug.logs import state as log_state
+from rattanlug.membership import member, member_state, view
+from rattanlug.metrics import counters, histograms
+from rattanlug.model import configuration
+from rattanlug.peer import client as peer_client
+from rattanlug.peer import codec, gossip_exchange
+from rattanlug.platform import client as platform_client
+from rattanlug.platform import group_commit
+from rattanlug.routing import link_budget, slot_ledger
+from rattanlug.seats import holder, share_history
+from rattanlug.settings import settings as settings_module
+from rattanlug.slo import recorder
+from rattanlug.upstream import client as upstream_client
+
+_MILLISECONDS_PER_SECOND = 1000
+_FAILED_STATUS = 500
+_OPEN_ORGANISATION = "-"
+# A version that was stored this long ago has been accepted or has lapsed everywhere;
+# the bound leaves room for wall clocks that differ.
+_SETTLED_AFTER_SECONDS = 60.0
+_START_LIMIT_SECONDS = 15.0
+
+
+class Node:
+    """Builds the parts of a daemon and connects them.
+
+    Parameters
+    ----------
+    settings : settings.Settings
+    """
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        now = clock.now()
+        self._settings = settings
+        self._incarnation = int(clock.wall_now() * _MILLISECONDS_PER_SECOND)
+        self._rng = random.Random(f"{settings.vm}:{self._incarnation}")
+        self._started_at = now
+        self._next_seat_request = now
+        self._state = service_state.ServiceState.STARTING
+        self._build_shared(now)
+        self._build_traffic(now)
+        self._resolver = lookup_access.LookupAccess(self._active, self._members)
+        self._active.observe(self._configuration_changed)
+
+    @property
+    def settings(self) -> settings_module.Settings:
+        """Settings of this daemon."""
+        return self._settings
+
+    @property
+    def incarnation(self) -> int:
+        """Number that rises with each start."""
+        return self._incarnation
+
+    @property
+    def rng(self) -> random.Random:
+        """Generator for choices that have to differ between VMs."""
+        return self._rng
+
+    @property
+    def state(self) -> service_state.ServiceState:
+        """What this daemon reports about itself."""
+        return self._state
+
+    @property
+    def counters(self) -> counters.Counters:
+        """Counters of this daemon."""
+        return self._counters
+
+    @property
+    def peer_counters(self) -> collections.Counter:
+        """Counters of the peer protocol."""
+        return self._peer_counters
+
+    @property
+    def histograms(self) -> histograms.Histograms:
+        """Latency histograms of this daemon."""
+        return self._histograms
+
+    @property
+    def violations(self) -> violations.Violations:
+        """Counts of violated invariants."""
+        return self._violations
+
+    @property
+    def active(self) -> active_configuration.ActiveConfiguration:
+        """Configuration in force."""
+        return self._active
+
+    @property
+    def evidence(self) -> evidence.PlatformEvidence:
+        """When the head of the store is known to have been read."""
+        return self._evidence
+
+    @property
+    def contact(self) -> contact.MajorityContact:
+        """Age of the information from each data centre."""
+        return self._contact
+
+    @property
+    def members(self) -> view.MembershipView:
+        """VMs that this one knows."""
+        return self._members
+
+    @property
+    def exchange(self) -> gossip_exchange.GossipExchange:
+        """Membership part of gossip messages."""
+        return self._exchange
+
+    @property
+    def seats(self) -> holder.SeatHolder:
+        """Seats that this VM holds."""
+        return self._seats
+
+    @property
+    def slots(self) -> slot_access.SlotAccess:
+        """Slots of upstreams."""
+        return self._slots
+
+    @property
+    def slot_loans(self) -> slot_loans.SlotLoans:
+        """Slots borrowed from other VMs."""
+        return self._slot_loans
+
+    @property
+    def quotas(self) -> quota_access.QuotaAccess:
+        """Rates of organisations."""
+        return self._quotas
+
+    @property
+    def versions(self) -> version_choice.VersionChoice:
+        """Version of each request."""
+        return self._versions
+
+    @property
+    def platform(self) -> platform_client.PlatformClient:
+        """Client of the platform."""
+        return self._platform
+
+    @property
+    def commits(self) -> group_commit.GroupCommit:
+        """Writes to the platform that wait at the same time."""
+        return self._commits
+
+    @property
+    def peers(self) -> peer_client.PeerClient:
+        """Client of other daemons."""
+        return self._peers
+
+    @property
+    def upstreams(self) -> upstream_client.UpstreamClient:
+        """Client of upstreams."""
+        return self._upstreams
+
+    @property
+    def operations(self) -> operation_runner.OperationRunner:
+        """Operations on ``once`` routes."""
+        return self._operations
+
+    @property
+    def sync(self) -> configuration_sync.ConfigurationSync:
+        """Reads and proposes configuration versions."""
+        return self._sync
+
+    @property
+    def proxy(self) -> proxy.Proxy:
+        """Path of requests on configured routes."""
+        return self._proxy
+
+    @property
+    def recorder(self) -> recorder.Recorder:
+        """Counts for service-level objectives."""
+        return self._recorder
+
+    def keyed_routes_allowed(self, now: float) -> bool:
+        """Tell whether keys are known well enough to serve keyed routes."""
+        return freshness.keyed_routes_allowed(
+            self._evidence.age(now), self._contact.in_contact(now)
+        )
+
+    def quota_seats(self, now: float) -> tuple:
+        """Return the seats whose tokens may be spent or lent."""
+        if not self.keyed_routes_allowed(now):
+            return ()
+        return self._seats.usable_seats(now)
+
+    def gauges(self) -> dict[str, float]:
+        """Return present values for the exposition."""
+        now = clock.now()
+        ledger = self._slots.ledger
+        values = {
+            "configuration_version": self._active.configuration.version,
+            "evidence_age_seconds": min(self._evidence.age(now), 1e9),
+            "majority_contact": float(self._contact.in_contact(now)),
+            "live_members": self._members.live_count,
+            "seats": len(self._seats.usable_seats(now)),
+            "slots_in_use": ledger.in_use,
+            "slots_lent": ledger.lent,
+            "slots_borrowed": ledger.borrowed,
+            "operations_active": self._operations.active,
+            "store_transactions": self._commits.transactions,
+        }
+        values.update({name: float(v) for name, v in self._peer_counters.items()})
+        return values
+
+    def advance(self, now: float) -> None:
+        """Bring the state, slots and link shares of this daemon up to date."""
+        self._update_slots(now)
+        self._update_state(now)
+
+    def unheard_for(self, vm: str, now: float) -> float:
+        """Return for how long this VM has been up without hearing from another."""
+        record = self._members.get(vm)
+        since = self._started_at
+        if record is not None:
+            since = max(since, record.last_contact)
+        return now - since
+
+    def may_ask_for_seat(self, now: float, interval: float) -> bool:
+        """Return whether to ask for a seat, once in an interval at most."""
+        if now < self._next_seat_request:
+            return False
+        self._next_seat_request = now + interval
+        return True
+
+    def resolve(self, client: str, now: float) -> list[member.Member]:
+        """Return up to three VMs for a client.
+
+        Parameters
+        ----------
+        client : str
+            IP address.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of member.Member
+
+        Raises
+        ------
+        ValueError
+            When ``client`` is no IP address.
+        """
+        return self._resolver.resolve(client, now)
+
+    def leave(self) -> None:
+        """Start a planned stop: look-ups no longer name this VM."""
+        self._change_state(service_state.ServiceState.LEAVING)
+        self._members.set_own(clock.now(), state=member_state.MemberState.LEAVING)
+
+    def _build_shared(self, now: float) -> None:
+        settings = self._settings
+        self._counters = counters.Counters()
+        self._peer_counters: collections.Counter = collections.Counter()
+        self._histograms = histograms.Histograms()
+        self._violations = violations.Violations()
+        self._active = active_configuration.ActiveConfiguration(settings.data_centre)
+        self._evidence = evidence.PlatformEvidence()
+        self._contact = contact.MajorityContact(settings.data_centre)
+        advertised = settings.peer_advertised or settings.peer
+        own = member.Member(
+            settings.vm,
+            settings.data_centre,
+            tuple(settings.caller),
+            tuple(advertised),
+            self._incarnation,
+            protocol_version=codec.PROTOCOL_VERSION,
+        )
+        self._members = view.MembershipView(own, now)
+        self._members.set_candidates([tuple(seed) for seed in settings.seeds])
+        self._exchange = gossip_exchange.GossipExchange(self._members, self._rng)
+        host = settings.caller.host
+        self._platform = platform_client.PlatformClient(settings.platform, host)
+        self._commits = group_commit.GroupCommit(self._platform)
+        self._peers = peer_client.PeerClient(settings.vm, host, self._peer_counters)
+        self._upstreams = upstream_client.UpstreamClient(host)
+        self._seats = holder.SeatHolder(
+            settings.vm, self._incarnation, settings.data_centre
+        )
+        self._sync = configuration_sync.ConfigurationSync(
+            self._active,
+            configuration_store.ConfigurationStore(self._platform),
+            self._contact.in_contact,
+            push.Push(self._members, self._peers, self._contact, clock.now),
+            lambda version: self._contact.accepted_version() >= version,
+            clock.now,
+            clock.wall_now,
+        )
+
+    def _build_traffic(self, now: float) -> None:
+        settings = self._settings
+        ledger = slot_ledger.SlotLedger(
+            slot_loans.prefix(settings.vm, self._incarnation)
+        )
+        self._links = link_budget.LinkBudget({}, now)
+        self._slots = slot_access.SlotAccess(ledger, clock.now, self._rng)
+        self._slot_loans = slot_loans.SlotLoans(
+            settings.vm,
+            self._incarnation,
+            self._active,
+            self._members,
+            self._peers,
+            ledger,
+            self._links.allows,
+            clock.now,
+        )
+        self._quotas = quota_access.QuotaAccess(
+            self.quota_seats, self._violations, clock.now
+        )
+        self._versions = version_choice.VersionChoice(
+            self._active, clock.now, self._rng
+        )
+        self._operations = operation_runner.OperationRunner(
+            self._platform, self._commits, clock.now
+        )
+        self._recorder = recorder.Recorder(settings.vm, now)
+        self._proxy = proxy.Proxy(
+            vm=settings.vm,
+            incarnation=self._incarnation,
+            active=self._active,
+            freshness=self,
+            admission=self._quotas,
+            versions=self._versions,
+            slots=self._slots,
+            borrow=self._slot_loans.borrow,
+            links=self._links,
+            operations=self._operations,
+            upstreams=self._upstreams,
+            all_violations=self._violations,
+            all_counters=self._counters,
+            all_histograms=self._histograms,
+            on_finished=self._record,
+            clock=clock.now,
+            wall_clock=clock.wall_now,
+        )
+
+    def _record(
+        self, organisation: str, route: str, status: int, latency: float
+    ) -> None:
+        self._recorder.record(
+            organisation or _OPEN_ORGANISATION,
+            route,
+            status < _FAILED_STATUS,
+            latency,
+            clock.now(),
+        )
+
+    def _configuration_changed(
+        self, current: configuration.Configuration, now: float
+    ) -> None:
+        self._evidence.apply(current.version)
+        self._contact.apply(current.version, current.data_centres)
+        self._members.set_own(now, config_version=current.version)
+        self._seats.apply(self._active.plan, self._accepted_at(current.version, now))
+        self._seats.accept(self._contact.accepted_version(), now)
+        self._slots.configure(current, now)
+        self._quotas.configure(current, now)
+        self._versions.configure(current)
+        self._recorder.set_objectives(current.objectives)
+
+    def _accepted_at(self, version: int, now: float) -> float | None:
+        """Return when a version was accepted, if that is known without peers."""
+        if version == 1:
+            # No earlier plan exists that another VM might follow.
+            return now - share_history.SETTLING_S
+        stored = self._sync.newest
+        age = clock.wall_now() - stored.at
+        return now - age if age >= _SETTLED_AFTER_SECONDS else None
+
+    def _update_slots(self, now: float) -> None:
+        owned: dict[str, set[int]] = {}
+        for item in self._seats.usable_slots(now):
+            owned.setdefault(item.upstream, set()).add(item.index)
+        self._slots.ledger.set_owned(owned, now, now)
+        seats = len(self._seats.usable_seats(now))
+        current = self._active.configuration
+        self._links.set_rates(
+            link_budget.share_rates(current, self._active.region, seats), now
+        )
+
+    def _update_state(self, now: float) -> None:
+        if self._state is service_state.ServiceState.LEAVING:
+            return
+        fresh = self.keyed_routes_allowed(now)
+        if self._state is service_state.ServiceState.STARTING:
+            if self._may_start(now, fresh):
+                self._change_state(service_state.ServiceState.SERVING)
+                self._members.set_own(now, state=member_state.MemberState.SERVING)
+            return
+        self._change_state(
+            service_state.ServiceState.SERVING
+            if fresh
+            else service_state.ServiceState.CUT_OFF
+        )
+
+    def _may_start(self, now: float, fresh: bool) -> bool:
+        if not fresh or not self._active.configuration.version:
+            return False
+        waited = now - self._started_at >= _START_LIMIT_SECONDS
+        return waited or bool(self._seats.usable_seats(now))
+
+    def _change_state(self, new: service_state.ServiceState) -> None:
+        if new is not self._state:
+            log_state.changed("service_state", self._state.value, new.value)
+            self._state = new
--- /dev/null
+++ b/src/rattanlug/daemon/operation_runner.py
@@ -0,0 +1,174 @@
+"""Performs the steps of operations on ``once`` routes."""
+
+import collections
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from rattanlug.errors import error
+from rattanlug.idempotency import (
+    await_answer,
+    operation,
+    outcome,
+    read_record,
+    record,
+    refuse,
+    reply,
+    send_request,
+    send_result,
+    store_result,
+    store_status,
+    write_record,
+)
+from rattanlug.platform import client, group_commit, write
+from rattanlug.platform import error as platform_error
+
+Send = Callable[[], Awaitable[send_result.SendResult]]
+
+_STORE_TIMEOUT_SECONDS = 1.5
+# About 50 MB at the usual answer size of a few kilobytes.
+_MAX_REMEMBERED = 10_000
+
+
+class OperationRunner:
+    """Runs operations to their end, also after the caller has gone.
+
+    Parameters
+    ----------
+    platform : client.PlatformClient
+    commits : group_commit.GroupCommit
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        platform: client.PlatformClient,
+        commits: group_commit.GroupCommit,
+        clock: Callable[[], float],
+    ) -> None:
+        self._platform = platform
+        self._commits = commits
+        self._clock = clock
+        self._nursery: trio.Nursery | None = None
+        self._active = 0
+        self._remembered: collections.OrderedDict[str, record.OperationRecord] = (
+            collections.OrderedDict()
+        )
+
+    @property
+    def active(self) -> int:
+        """Operations whose record is not final yet."""
+        return self._active
+
+    def remembered(self, key: str) -> record.OperationRecord | None:
+        """Return the final record of an operation that this VM holds in memory."""
+        return self._remembered.get(key)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Own the operations until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def perform(
+        self, key: str, steps: operation.Operation, send: Send
+    ) -> reply.Reply | refuse.Refuse:
+        """Perform an operation and return its answer.
+
+        Cancelling this call stops the waiting only: the operation goes on, so that
+        its record becomes final and a repeat gets the recorded answer.
+
+        Parameters
+        ----------
+        key : str
+            Key of the record.
+        steps : operation.Operation
+        send : callable
+            Coroutine function that sends the request once.
+
+        Returns
+        -------
+        reply.Reply or refuse.Refuse
+        """
+        sender, receiver = trio.open_memory_channel(1)
+        self._nursery.start_soon(self._drive, key, steps, send, sender)
+        return await receiver.receive()
+
+    async def _drive(
+        self,
+        key: str,
+        steps: operation.Operation,
+        send: Send,
+        answers: trio.MemorySendChannel,
+    ) -> None:
+        self._active += 1
+        try:
+            step = steps.start(self._clock())
+            late = send_result.SendResult(outcome.Outcome.UNKNOWN)
+            while step is not None:
+                result = None
+                if isinstance(step, reply.Reply | refuse.Refuse):
+                    answers.send_nowait(step)
+                elif isinstance(step, read_record.ReadRecord):
+                    result = await self._read(step)
+                elif isinstance(step, write_record.WriteRecord):
+                    result = await self._write(step)
+                elif isinstance(step, send_request.SendRequest):
+                    result = late = await send()
+                elif isinstance(step, await_answer.AwaitAnswer):
+                    # The connection is closed by now, so nothing more will arrive.
+                    result = late
+                step = steps.resume(result, self._clock())
+        finally:
+            self._active -= 1
+            if steps.done_record is not None:
+                self._remember(key, steps.done_record)
+
+    async def _read(self, step: read_record.ReadRecord) -> store_result.StoreResult:
+        try:
+            found = await self._platform.get(
+                record.TABLE, step.key, timeout=_STORE_TIMEOUT_SECONDS
+            )
+        except error.PlatformError:
+            return store_result.StoreResult(store_status.StoreStatus.FAILED)
+        if found is None:
+            return store_result.StoreResult(store_status.StoreStatus.OK)
+        return store_result.StoreResult(
+            store_status.StoreStatus.OK,
+            found.revision,
+            record.OperationRecord.from_json(found.value),
+        )
+
+    async def _write(self, step: write_record.WriteRecord) -> store_result.StoreResult:
+        await trio.sleep(step.delay)
+        wanted = write.Write(
+            record.TABLE, step.key, step.expected, step.value.to_json()
+        )
+        try:
+            revision = await self._commits.commit(
+                wanted, timeout=_STORE_TIMEOUT_SECONDS
+            )
+        except platform_error.ConflictError as exc:
+            value = None
+            if exc.row.value is not None:
+                value = record.OperationRecord.from_json(exc.row.value)
+            return store_result.StoreResult(
+                store_status.StoreStatus.CONFLICT, exc.row.revision, value
+            )
+        except platform_error.PlatformError as exc:
+            status = (
+                store_status.StoreStatus.LOST
+                if exc.maybe_applied
+                else store_status.StoreStatus.FAILED
+            )
+            return store_result.StoreResult(status)
+        return store_result.StoreResult(
+            store_status.StoreStatus.OK, revision, step.value
+        )
+
+    def _remember(self, key: str, final: record.OperationRecord) -> None:
+        self._remembered[key] = final
+        if len(self._remembered) > _MAX_REMEMBERED:
+            self._remembered.popitem(last=False)
--- /dev/null
+++ b/src/rattanlug/daemon/quota_access.py
@@ -0,0 +1,162 @@
+"""Admits requests within the rates of organisations."""
+
+import collections
+from collections.abc import Callable, Mapping, Sequence
+
+import trio
+
+from rattanlug.errors import error, kind
+from rattanlug.invariants import violations
+from rattanlug.model import configuration
+from rattanlug.quota import loan, quota, settlement
+from rattanlug.seats import held_seat
+
+_POLL_SECONDS = 0.005
+
+
+class TokenMessage:
+    """What to ask one lender for, over all organisations."""
+
+    def __init__(self) -> None:
+        self._tokens: dict[str, float] = {}
+        self._settlements: dict[str, tuple[settlement.Settlement, ...]] = {}
+
+    @property
+    def tokens(self) -> Mapping[str, float]:
+        """Tokens by organisation."""
+        return self._tokens
+
+    @property
+    def settlements(self) -> Mapping[str, tuple[settlement.Settlement, ...]]:
+        """Settlements by organisation."""
+        return self._settlements
+
+    def add(
+        self,
+        organisation: str,
+        tokens: float,
+        settlements: tuple[settlement.Settlement, ...],
+    ) -> None:
+        """Add the needs of one organisation."""
+        self._tokens[organisation] = tokens
+        if settlements:
+            self._settlements[organisation] = settlements
+
+
+class QuotaAccess:
+    """One quota for each organisation of the configuration.
+
+    Parameters
+    ----------
+    seats : callable
+        Returns the seats that may be used at a moment.
+    all_violations : violations.Violations
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        seats: Callable[[float], Sequence[held_seat.HeldSeat]],
+        all_violations: violations.Violations,
+        clock: Callable[[], float],
+    ) -> None:
+        self._seats = seats
+        self._violations = all_violations
+        self._clock = clock
+        self._quotas: dict[str, quota.OrganisationQuota] = {}
+
+    def configure(self, current: configuration.Configuration, now: float) -> None:
+        """Take the rates of a new configuration."""
+        for item in current.organisations.values():
+            known = self._quotas.get(item.name)
+            if known is None:
+                self._quotas[item.name] = quota.OrganisationQuota(
+                    item.rate, item.burst, self._seats, self._violations
+                )
+            else:
+                known.configure(item.rate, item.burst)
+        for name in self._quotas.keys() - current.organisations.keys():
+            del self._quotas[name]
+
+    async def admit(self, organisation: str, deadline: float) -> None:
+        """Admit one request, waiting a moment for tokens of other VMs.
+
+        Raises
+        ------
+        error.RefusedError
+            ``rate_limited``.
+        """
+        limits = self._quotas.get(organisation)
+        now = self._clock()
+        if limits is not None and limits.try_admit(now):
+            return
+        if limits is not None and await self._wait(limits, now, deadline):
+            return
+        raise error.RefusedError(
+            kind.ErrorKind.RATE_LIMITED,
+            f"organisation {organisation} is above its rate",
+        )
+
+    def plan_messages(self, lenders: Mapping[str, int]) -> dict[str, TokenMessage]:
+        """Return the messages to send now, by VM; see ``OrganisationQuota``."""
+        now = self._clock()
+        messages: dict[str, TokenMessage] = collections.defaultdict(TokenMessage)
+        for name, limits in self._quotas.items():
+            for needed in limits.plan_requests(now, lenders):
+                messages[needed.vm].add(name, needed.tokens, needed.settlements)
+        return messages
+
+    def accept(
+        self, vm: str, loans: Mapping[str, list[loan.Loan]], asked_at: float
+    ) -> None:
+        """Take a lender's answer: loans by organisation asked for."""
+        now = self._clock()
+        for name, granted in loans.items():
+            limits = self._quotas.get(name)
+            if limits is not None:
+                limits.accept(vm, granted, asked_at, now)
+
+    def ask_failed(self, vm: str, message: TokenMessage, asked_at: float) -> None:
+        """Note that a lender did not answer."""
+        for name in message.tokens:
+            if name in self._quotas:
+                self._quotas[name].ask_failed(vm, asked_at)
+
+    def lend(self, organisation: str, tokens: float) -> tuple[loan.Loan, ...]:
+        """Lend tokens to another VM."""
+        limits = self._quotas.get(organisation)
+        return limits.lend(tokens, self._clock()) if limits is not None else ()
+
+    def settle(
+        self, organisation: str, settlements: Sequence[settlement.Settlement]
+    ) -> None:
+        """Take settlements of a borrower."""
+        if organisation in self._quotas:
+            self._quotas[organisation].settle(settlements, self._clock())
+
+    def outstanding(self, seat: str) -> float:
+        """Return the tokens of a seat that are lent, over all organisations."""
+        now = self._clock()
+        return sum(limits.outstanding(seat, now) for limits in self._quotas.values())
+
+    def return_all(self) -> None:
+        """Settle every loan, before the VM stops."""
+        now = self._clock()
+        for limits in self._quotas.values():
+            limits.return_all(now)
+
+    async def _wait(
+        self, limits: quota.OrganisationQuota, now: float, deadline: float
+    ) -> bool:
+        give_up_at = min(now + quota.MAX_WAIT_S, deadline)
+        limits.begin_waiting()
+        admitted = False
+        try:
+            while not admitted and self._clock() < give_up_at:
+                await trio.sleep(_POLL_SECONDS)
+                admitted = limits.admit_waiting(self._clock())
+        finally:
+            if not admitted:
+                limits.stop_waiting()
+        return admitted
--- /dev/null
+++ b/src/rattanlug/daemon/slot_access.py
@@ -0,0 +1,255 @@
+"""Gives each request a slot of an upstream."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from rattanlug.errors import error, kind
+from rattanlug.model import configuration, drain, upstream
+from rattanlug.routing import (
+    fair_queue,
+    load_report,
+    policy,
+    registry,
+    slot_hold,
+    slot_ledger,
+    slot_loan,
+    upstream_state,
+)
+
+Borrow = Callable[[str, str, float], Awaitable[slot_hold.SlotHold | None]]
+GiveBack = Callable[[slot_loan.SlotLoan], Awaitable[None]]
+
+_GIVE_BACK_INTERVAL_SECONDS = 0.1
+
+
+class SlotAccess:
+    """Own slots, borrowed slots and the queue of requests that wait for one.
+
+    Parameters
+    ----------
+    ledger : slot_ledger.SlotLedger
+    clock : callable
+        Returns the present time in seconds.
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        ledger: slot_ledger.SlotLedger,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._ledger = ledger
+        self._clock = clock
+        self._rng = rng
+        self._policy: registry.Policy = policy.choose()
+        self._states: dict[str, upstream_state.UpstreamState] = {}
+        self._queues: dict[tuple[str, str], fair_queue.FairQueue] = {}
+        self._near: dict[tuple[str, str], tuple[upstream.Upstream, ...]] = {}
+        self._waiting: dict[int, tuple[trio.Event, list[slot_hold.SlotHold]]] = {}
+
+    @property
+    def ledger(self) -> slot_ledger.SlotLedger:
+        """Slots that this VM owns, uses, lends and borrows."""
+        return self._ledger
+
+    def state(self, name: str) -> upstream_state.UpstreamState:
+        """Return the state of an upstream."""
+        return self._states[name]
+
+    def configure(self, current: configuration.Configuration, now: float) -> None:
+        """Take the upstreams and drain rules of a new configuration."""
+        drained = {(rule.target, rule.name) for rule in current.drains}
+        known = bool(self._states)
+        self._near.clear()
+        for item in current.upstreams.values():
+            state = self._states.get(item.name)
+            if state is None:
+                # Upstreams that appear later start cold; at the start of the daemon
+                # nothing is known about them, and they are taken as warm.
+                state = upstream_state.UpstreamState(now, cold=known)
+                self._states[item.name] = state
+            leaving = (drain.DrainTarget.UPSTREAM, item.name) in drained or (
+                drain.DrainTarget.DATA_CENTRE,
+                item.data_centre,
+            ) in drained
+            state.set_leaving(upstream_state.LeavingSign.RULE, leaving, now)
+
+    def receive_report(
+        self, name: str, report: load_report.LoadReport, asked_at: float
+    ) -> None:
+        """Take a load report of an upstream."""
+        state = self._states.get(name)
+        if state is not None:
+            state.receive_report(report, asked_at)
+
+    def try_own(
+        self, upstreams: tuple[upstream.Upstream, ...], excluded: frozenset[str]
+    ) -> slot_hold.SlotHold | None:
+        """Take an own slot of the upstream that the policy prefers.
+
+        Parameters
+        ----------
+        upstreams : tuple of upstream.Upstream
+        excluded : frozenset of str
+            Upstreams that this request must not use again.
+
+        Returns
+        -------
+        slot_hold.SlotHold or None
+        """
+        name = self._pick(upstreams, excluded)
+        return self._ledger.acquire([name], self._clock()) if name else None
+
+    def lend(
+        self,
+        service: str,
+        version: str,
+        upstreams: tuple[upstream.Upstream, ...],
+        lasts: float,
+    ) -> slot_loan.SlotLoan | None:
+        """Lend an own slot unless requests of this VM wait for one."""
+        if len(self._queue(service, version)):
+            return None
+        name = self._pick(upstreams, frozenset())
+        if name is None:
+            return None
+        now = self._clock()
+        return self._ledger.lend(service, version, [name], now, now + lasts)
+
+    async def acquire(
+        self,
+        service: str,
+        version: str,
+        upstreams: tuple[upstream.Upstream, ...],
+        organisation: str,
+        weight: float,
+        deadline: float,
+        borrow: Borrow,
+        excluded: frozenset[str] = frozenset(),
+    ) -> slot_hold.SlotHold:
+        """Take an own slot, borrow one, or wait for one.
+
+        Parameters
+        ----------
+        service, version : str
+        upstreams : tuple of upstream.Upstream
+            Upstreams of the own data centre.
+        organisation : str
+        weight : float
+            Rate of the organisation; above 0.
+        deadline : float
+            Seconds.
+        borrow : callable
+            ``await borrow(service, version, deadline)`` asks other VMs.
+        excluded : frozenset of str
+            Upstreams that this request must not use again.
+
+        Returns
+        -------
+        slot_hold.SlotHold
+
+        Raises
+        ------
+        error.RefusedError
+            ``no_capacity``.
+        """
+        self._near[service, version] = upstreams
+        queue = self._queue(service, version)
+        if not len(queue):
+            hold = self.try_own(upstreams, excluded)
+            if hold is not None:
+                return hold
+        hold = await borrow(service, version, deadline)
+        if hold is None:
+            hold = await self._wait(
+                queue, service, version, organisation, weight, deadline
+            )
+        if hold is None:
+            raise error.RefusedError(
+                kind.ErrorKind.NO_CAPACITY,
+                f"no upstream of {service} {version} has a free slot",
+            )
+        return hold
+
+    def release(self, hold: slot_hold.SlotHold, *, answered: bool) -> None:
+        """Give a slot back."""
+        self._ledger.release(hold, self._clock(), answered=answered)
+
+    def serve_waiting(
+        self, service: str, version: str, upstreams: tuple[upstream.Upstream, ...]
+    ) -> None:
+        """Give free own slots to the requests that wait."""
+        queue = self._queue(service, version)
+        while len(queue):
+            name = self._pick(upstreams, frozenset())
+            if name is None:
+                return
+            now = self._clock()
+            item = queue.take(now)
+            if item is None:
+                return
+            event, holds = self._waiting[item.number]
+            hold = self._ledger.acquire([name], now)
+            if hold is not None:
+                holds.append(hold)
+            event.set()
+
+    def serve_upstream(self, name: str) -> None:
+        """Serve waiting requests after a slot of an upstream was returned."""
+        for (service, version), upstreams in self._near.items():
+            if any(item.name == name for item in upstreams):
+                self.serve_waiting(service, version, upstreams)
+
+    async def run_returns(self, give_back: GiveBack) -> None:
+        """Return borrowed slots to their lenders until cancelled."""
+        while True:
+            for loan in self._ledger.due_returns(self._clock()):
+                await give_back(loan)
+            await trio.sleep(_GIVE_BACK_INTERVAL_SECONDS)
+
+    async def _wait(
+        self,
+        queue: fair_queue.FairQueue,
+        service: str,
+        version: str,
+        organisation: str,
+        weight: float,
+        deadline: float,
+    ) -> slot_hold.SlotHold | None:
+        now = self._clock()
+        item = queue.put(organisation, weight, now, deadline)
+        if item is None:
+            return None
+        event = trio.Event()
+        holds: list[slot_hold.SlotHold] = []
+        self._waiting[item.number] = (event, holds)
+        try:
+            with trio.move_on_after(max(0.0, item.give_up_at - now)):
+                await event.wait()
+            return holds.pop() if holds else None
+        finally:
+            del self._waiting[item.number]
+            queue.remove(item)
+            for hold in holds:
+                # The caller gave up between the assignment and the wake-up.
+                self.release(hold, answered=True)
+
+    def _pick(
+        self, upstreams: tuple[upstream.Upstream, ...], excluded: frozenset[str]
+    ) -> str | None:
+        now = self._clock()
+        views = []
+        for item in upstreams:
+            state = self._states.get(item.name)
+            if state is None or item.name in excluded or not state.accepts_work(now):
+                continue
+            free = self._ledger.free(item.name, now)
+            if free > 0:
+                views.append(state.view(item.name, free, item.slots, now))
+        return self._policy.pick(views, self._rng).name if views else None
+
+    def _queue(self, service: str, version: str) -> fair_queue.FairQueue:
+        return self._queues.setdefault((service, version), fair_queue.FairQueue())
--- /dev/null
+++ b/src/rattanlug/daemon/slot_loans.py
@@ -0,0 +1,154 @@
+"""Borrows slots of other VMs and gives them back."""
+
+from collections.abc import Callable
+
+from rattanlug.daemon import active_configuration
+from rattanlug.errors import error as error_tree
+from rattanlug.membership import view
+from rattanlug.peer import client as peer_client
+from rattanlug.peer import error as peer_error
+from rattanlug.peer.generated import ttypes
+from rattanlug.routing import slot_hold, slot_ledger, slot_loan
+from rattanlug.settings import address
+
+# A peer without a free slot is not asked again for this long, so that an overload
+# does not multiply messages.
+_REFUSAL_MEMORY_SECONDS = 0.05
+_MAX_ASKED = 4
+_TIMEOUT_SECONDS = 0.3
+_MILLISECONDS_PER_SECOND = 1000
+_FAILURES = (peer_error.PeerError, error_tree.RattanlugError)
+
+
+class SlotLoans:
+    """Slots borrowed from the VMs that own them.
+
+    Parameters
+    ----------
+    vm : str
+    incarnation : int
+    active : active_configuration.ActiveConfiguration
+    members : view.MembershipView
+    peers : peer_client.PeerClient
+    ledger : slot_ledger.SlotLedger
+    link_allows : callable
+        ``link_allows(region, now)`` tells whether a request may go there.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        active: active_configuration.ActiveConfiguration,
+        members: view.MembershipView,
+        peers: peer_client.PeerClient,
+        ledger: slot_ledger.SlotLedger,
+        link_allows: Callable[[str, float], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        self._vm = vm
+        self._incarnation = incarnation
+        self._active = active
+        self._members = members
+        self._peers = peers
+        self._ledger = ledger
+        self._link_allows = link_allows
+        self._clock = clock
+        self._refused_until: dict[tuple[str, str, str], float] = {}
+        self._turn = 0
+
+    async def borrow(
+        self, service: str, version: str, deadline: float
+    ) -> slot_hold.SlotHold | None:
+        """Ask VMs in order of distance for a slot.
+
+        Returns
+        -------
+        slot_hold.SlotHold or None
+        """
+        for vm, peer in self._lenders(service, version)[:_MAX_ASKED]:
+            asked_at = self._clock()
+            remaining = deadline - asked_at
+            if remaining <= 0:
+                return None
+            message = ttypes.BorrowSlot(
+                service, version, int(remaining * _MILLISECONDS_PER_SECOND)
+            )
+            try:
+                answer = await self._peers.call(
+                    peer, message, min(_TIMEOUT_SECONDS, remaining)
+                )
+            except _FAILURES:
+                answer = ttypes.SlotLoan(granted=False)
+            now = self._clock()
+            if not answer.granted:
+                refused = (vm, service, version)
+                self._refused_until[refused] = now + _REFUSAL_MEMORY_SECONDS
+                continue
+            loan = slot_loan.SlotLoan(
+                loan_id(answer.loan),
+                service,
+                version,
+                answer.upstream,
+                answer.slot,
+                answer.life_ms / _MILLISECONDS_PER_SECOND,
+            )
+            hold = self._ledger.use_borrowed(loan, asked_at, now)
+            if hold is not None:
+                return hold
+        return None
+
+    async def give_back(self, loan: slot_loan.SlotLoan) -> None:
+        """Return a slot to its lender; a lost message lets the loan expire."""
+        identity = loan_identity(loan.loan_id)
+        lender = self._members.get(identity.seat)
+        if lender is None:
+            return
+        message = ttypes.ReturnSlot(identity, loan.upstream, loan.number)
+        try:
+            await self._peers.call(
+                address.Address(*lender.peer_address), message, _TIMEOUT_SECONDS
+            )
+        except _FAILURES:
+            return
+
+    def _lenders(self, service: str, version: str) -> list[tuple[str, address.Address]]:
+        now = self._clock()
+        self._turn += 1
+        found = []
+        for tier in self._active.tiers(service, version):
+            centres = sorted({item.data_centre for item in tier})
+            members = [
+                record
+                for centre in centres
+                if self._reachable(centre, now)
+                for record in self._members.live_members(now, centre)
+                if record.vm != self._vm
+                and self._refused_until.get((record.vm, service, version), now) <= now
+            ]
+            start = self._turn % len(members) if members else 0
+            found += members[start:] + members[:start]
+        return [(record.vm, address.Address(*record.peer_address)) for record in found]
+
+    def _reachable(self, data_centre: str, now: float) -> bool:
+        region = self._active.configuration.data_centres[data_centre].region
+        return region == self._active.region or self._link_allows(region, now)
+
+
+def prefix(vm: str, incarnation: int) -> str:
+    """Return the prefix of the loans of one VM and incarnation."""
+    return f"{vm}:{incarnation}"
+
+
+def loan_id(identity: ttypes.LoanIdentity) -> str:
+    """Return the ledger's name of a loan from its form in messages."""
+    return f"{prefix(identity.seat, identity.term)}/{identity.number}"
+
+
+def loan_identity(text: str) -> ttypes.LoanIdentity:
+    """Return the form in messages of the ledger's name of a loan."""
+    owner, _, number = text.rpartition("/")
+    vm, _, incarnation = owner.rpartition(":")
+    return ttypes.LoanIdentity(vm, int(incarnation), int(number))
