Add the membership view and the configuration state

Cause: daemons must agree on who lives without a heartbeat for each member in each message: at 200 members in one data centre, 10 updates a message could not renew every member within 3 s. A member is live until three contacts in a row failed and no VM heard from it for 3 s since the first failure; only changes travel, each a number of times that grows with log(members), and a digest of one of 64 buckets in each message finds what was missed. Ruled out: a suspicion after one failed contact (its rate would follow the rate of lost packets times the members), and a refresh of each record once an hour (an estimated 735 B/s at 4,900 members, growing with the members).

--- /dev/null
+++ b/src/rattanlug/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of the rule text: the newest one known and the steps between them."""
--- /dev/null
+++ b/src/rattanlug/membership/view.py
@@ -0,0 +1,432 @@
+"""The members that this VM knows of."""
+
+import collections
+import math
+import random
+from collections.abc import Iterable, Sequence
+
+from rattanlug.membership import (
+    dissemination,
+    member,
+    member_state,
+    member_table,
+    peer_choice,
+    update,
+)
+
+DEAD_AFTER_S = 3.0
+MAX_UPDATES = 10
+OWN_PEERS = 3
+#: One failed contact is often a lost packet. Suspicions spread to all members, so
+#: their rate must not follow the rate of lost packets.
+_FAILURES_UNTIL_SUSPECT = 3
+#: Added to the age of relayed signs of life, since a receiver cannot measure how
+#: long the message travelled. Ages must never be understated: old news would clear a
+#: newer suspicion.
+_TRANSIT_S = 0.1
+#: Dead members are kept this long, so that news sent before the death is recognised.
+FORGET_AFTER_S = 3600.0
+#: A longer time between two calls means that this VM was paused.
+_PAUSE_S = 1.5
+#: Dead members are tried now and then; otherwise two halves of a fleet that have
+#: declared each other dead would never meet again.
+_RETRY_DEAD_S = 5.0
+_RETRY_CANDIDATE_S = 2.0
+_CANDIDATES_PER_ROUND = 32
+_FORGET_INTERVAL_S = 60.0
+
+
+class MembershipView:
+    """Merges news about members and decides whom to contact.
+
+    A member is live until contacts to it have failed and no VM has heard from it for
+    ``DEAD_AFTER_S`` since the first failure. Only changes travel, so that the bytes
+    do not depend on the number of members; digests of the table find what was missed.
+
+    Parameters
+    ----------
+    own : member.Member
+        Record of this VM.
+    now : float
+    """
+
+    def __init__(self, own: member.Member, now: float):
+        self._own = own.vm
+        self._table = member_table.MemberTable()
+        self._news = dissemination.Dissemination()
+        self._failures: dict[str, tuple[int, float]] = {}
+        self._suspects: set[str] = set()
+        self._candidates: collections.deque[tuple[str, int]] = collections.deque()
+        self._next_candidate_at = now
+        self._turn: list[str] = []
+        self._bucket = member_table.bucket_of(own.vm)
+        self._last_now = now
+        self._next_retry_dead = now
+        self._next_forget = now
+        self._store(own._replace(last_heard=now, last_contact=now))
+
+    @property
+    def own(self) -> member.Member:
+        """Record of this VM."""
+        return self._table.get(self._own)
+
+    @property
+    def live_count(self) -> int:
+        """Number of members that are not dead, this VM included."""
+        return self._table.live_count
+
+    @property
+    def pending_updates(self) -> int:
+        """Number of members about which news still has to be sent."""
+        return len(self._news)
+
+    def get(self, vm: str) -> member.Member | None:
+        """Return a member, dead or alive, or None."""
+        return self._table.get(vm)
+
+    def live_members(self, now: float, data_centre: str | None = None):
+        """Return the members that are not dead, this VM and leaving ones included.
+
+        Parameters
+        ----------
+        now : float
+        data_centre : str, optional
+            All data centres if None.
+
+        Returns
+        -------
+        list of member.Member
+        """
+        self._advance(now)
+        centres = (
+            self._table.live_data_centres() if data_centre is None else [data_centre]
+        )
+        return [
+            self._table.get(vm)
+            for centre in centres
+            for vm in self._table.live_names(centre)
+        ]
+
+    def serving_members(self, now: float, data_centre: str) -> list[member.Member]:
+        """Return the live members of a data centre that take new callers."""
+        return [
+            record
+            for record in self.live_members(now, data_centre)
+            if record.state is member_state.MemberState.SERVING
+        ]
+
+    def supports(self, protocol_version: int, now: float) -> bool:
+        """Return whether every live member understands ``protocol_version``."""
+        self._advance(now)
+        return self._table.lowest_protocol_version >= protocol_version
+
+    def set_own(self, now: float, **fields) -> None:
+        """Change fields of the own record; a new state is sent to the peers.
+
+        Parameters
+        ----------
+        now : float
+        **fields
+            ``state`` or ``config_version``.
+        """
+        own = self.own
+        changed = own._replace(last_heard=now, last_contact=now, **fields)
+        if changed.state < own.state:
+            raise ValueError(f"state {changed.state!r} after {own.state!r}")
+        if changed.state != own.state:
+            self._store(changed)
+        else:
+            # Configuration versions travel in each message's header; as news they
+            # would cost one update per member and version.
+            self._table.put(changed)
+
+    def set_candidates(self, addresses: Iterable[tuple[str, int]]) -> None:
+        """Replace the addresses of the seeds and of the platform's list.
+
+        They are contacted in turn unless a live member listens there.
+        """
+        self._candidates = collections.deque(tuple(address) for address in addresses)
+
+    def heard(
+        self,
+        vm: str,
+        incarnation: int,
+        now: float,
+        new_state: member_state.MemberState | None = None,
+        config_version: int = 0,
+    ) -> bool:
+        """Note a direct sign of life.
+
+        Parameters
+        ----------
+        vm : str
+        incarnation : int
+        now : float
+            When the message arrived; for a response, when the request was sent.
+        new_state : member_state.MemberState, optional
+        config_version : int
+
+        Returns
+        -------
+        bool
+            False if the sender's record is not known and should be asked for.
+        """
+        old = self._table.get(vm)
+        self._failures.pop(vm, None)
+        if vm == self._own or old is None or old.incarnation < incarnation:
+            return vm == self._own
+        if old.incarnation > incarnation:
+            return True
+        new_state = max(old.state, new_state or old.state)
+        last_heard = max(old.last_heard, now)
+        record = old._replace(
+            state=new_state,
+            config_version=max(old.config_version, config_version),
+            last_heard=last_heard,
+            last_contact=max(old.last_contact, now),
+        )
+        revived = _is_after_suspicion(old, now)
+        if revived:
+            record = record._replace(suspect_since=None, dead=False)
+        if revived or new_state != old.state:
+            self._store(record)
+        else:
+            self._table.put(record)
+        return True
+
+    def contact_failed(self, vm: str, asked_at: float, now: float) -> None:
+        """Note that a message to a member stayed without response.
+
+        Parameters
+        ----------
+        vm : str
+        asked_at : float
+            When the message was sent.
+        now : float
+        """
+        self._advance(now)
+        old = self._table.get(vm)
+        if old is None or old.suspect_since is not None or old.last_heard > asked_at:
+            self._failures.pop(vm, None)
+            return
+        if now - asked_at > _PAUSE_S:
+            # This VM was paused or starved: it may have missed the response.
+            return
+        count, first = self._failures.get(vm, (0, asked_at))
+        self._failures[vm] = (count + 1, first)
+        if count + 1 >= _FAILURES_UNTIL_SUSPECT:
+            del self._failures[vm]
+            self._store(old._replace(suspect_since=max(first, old.last_heard)))
+
+    def merge(
+        self, updates: Sequence[update.Update], now: float, bootstrap: bool = False
+    ) -> None:
+        """Merge news that a peer sent.
+
+        Parameters
+        ----------
+        updates : sequence of update.Update
+        now : float
+        bootstrap : bool
+            Whether this is the member list that a starting VM asked for. It holds
+            signs of life of any age; otherwise an unknown member is taken only from
+            news that is younger than the memory of dead members.
+        """
+        self._advance(now)
+        for item in updates:
+            if item.vm == self._own:
+                if item.suspect and item.incarnation == self.own.incarnation:
+                    self.send_own_record(now)
+                continue
+            old = self._table.get(item.vm)
+            if old is None or old.incarnation < item.incarnation:
+                self._merge_new(old, item, now, bootstrap)
+            elif old.incarnation == item.incarnation:
+                if item.suspect:
+                    self._merge_suspicion(old, now - item.age)
+                else:
+                    self._merge_sign_of_life(old, item, now - item.age - _TRANSIT_S)
+
+    def send_own_record(self, now: float) -> None:
+        """Send the own record to the peers again, for instance to deny a suspicion."""
+        self._table.put(self.own._replace(last_heard=now, last_contact=now))
+        self._news.add(self._own)
+
+    def next_peers(
+        self, now: float, rng: random.Random
+    ) -> list[peer_choice.PeerChoice]:
+        """Choose whom to contact in this round.
+
+        Parameters
+        ----------
+        now : float
+        rng : random.Random
+
+        Returns
+        -------
+        list of peer_choice.PeerChoice
+            Three VMs of the own data centre at random, one of another data centre
+            in turn, those whose last contact failed, and now and then a candidate and
+            a dead member.
+        """
+        self._advance(now)
+        own = self.own
+        near = [vm for vm in self._table.live_names(own.data_centre) if vm != own.vm]
+        names = dict.fromkeys(rng.sample(near, min(OWN_PEERS, len(near))))
+        far = self._next_data_centre(own.data_centre, rng)
+        if far is not None:
+            names[rng.choice(list(self._table.live_names(far)))] = None
+        names.update(dict.fromkeys(list(self._failures)[:OWN_PEERS]))
+        if self._table.dead and now >= self._next_retry_dead:
+            self._next_retry_dead = now + _RETRY_DEAD_S
+            names[rng.choice(list(self._table.dead))] = None
+        choices = [
+            peer_choice.PeerChoice(vm, self._table.get(vm).peer_address)
+            for vm in names
+            if self._table.get(vm) is not None
+        ]
+        return choices + self._next_candidate(now)
+
+    def take_updates(self, now: float, limit: int = MAX_UPDATES) -> list[update.Update]:
+        """Return the news for the next message, newest first."""
+        self._advance(now)
+        if not self._news:
+            return []
+        records = map(self._table.get, self._news.take(limit, self._table.live_count))
+        return [
+            self._as_update(record, now) for record in records if record is not None
+        ]
+
+    def own_update(self, now: float) -> update.Update:
+        """Return the own record, for a peer that does not know it."""
+        return self._as_update(self.own, now)
+
+    def next_bucket(self) -> int:
+        """Return the bucket to compare in the next exchange."""
+        self._bucket = (self._bucket + 1) % member_table.BUCKETS
+        return self._bucket
+
+    def bucket_digest(self, bucket: int) -> int:
+        """Return the digest of a bucket's live members, signed 32-bit."""
+        return self._table.digest(bucket % member_table.BUCKETS)
+
+    def bucket_updates(
+        self, bucket: int, now: float, rng: random.Random, limit: int = MAX_UPDATES
+    ) -> list[update.Update]:
+        """Return records of a bucket that differs at a peer, some at random."""
+        records = list(self._table.bucket(bucket % member_table.BUCKETS))
+        chosen = rng.sample(records, min(max(limit, 0), len(records)))
+        return [self._as_update(record, now) for record in chosen]
+
+    def page(self, after: str, now: float, size: int) -> list[update.Update]:
+        """Return the live members whose names follow ``after``, in order."""
+        records = sorted(
+            record for record in self.live_members(now) if record.vm > after
+        )
+        return [self._as_update(record, now) for record in records[:size]]
+
+    def _advance(self, now: float) -> None:
+        gap, self._last_now = now - self._last_now, max(now, self._last_now)
+        if gap > _PAUSE_S:
+            # The failures date from before the pause and prove nothing now.
+            self._failures.clear()
+            for vm in self._suspects:
+                record = self._table.get(vm)
+                self._table.put(record._replace(suspect_since=now))
+        for vm in list(self._suspects):
+            record = self._table.get(vm)
+            if now - record.suspect_since >= DEAD_AFTER_S:
+                self._suspects.discard(vm)
+                self._table.put(record._replace(dead=True))
+        if now < self._next_forget:
+            return
+        self._next_forget = now + _FORGET_INTERVAL_S
+        for vm in list(self._table.dead):
+            if now - self._table.get(vm).suspect_since >= FORGET_AFTER_S:
+                self._table.remove(vm)
+                self._news.discard(vm)
+
+    def _store(self, record: member.Member) -> None:
+        # Keeps a changed record and sends it to the peers.
+        self._table.put(record)
+        self._news.add(record.vm)
+        if record.suspect_since is not None and not record.dead:
+            self._suspects.add(record.vm)
+        else:
+            self._suspects.discard(record.vm)
+
+    def _merge_new(self, old, item, now, bootstrap):
+        if item.suspect or item.record is None:
+            return
+        if old is None and item.age >= FORGET_AFTER_S and not bootstrap:
+            return
+        self._failures.pop(item.vm, None)
+        record = item.record._replace(
+            last_heard=now - item.age - _TRANSIT_S,
+            last_contact=-math.inf,
+            suspect_since=None,
+            dead=False,
+        )
+        if bootstrap:
+            # The others know the list already; only this VM is new to them.
+            self._table.put(record)
+        else:
+            self._store(record)
+
+    def _merge_suspicion(self, old, since):
+        if since <= old.last_heard:
+            if old.suspect_since is None:
+                # This VM has newer news, which ends the suspicion elsewhere.
+                self._news.add(old.vm)
+        elif old.suspect_since is None:
+            self._store(old._replace(suspect_since=since))
+        elif since < old.suspect_since and not old.dead:
+            self._table.put(old._replace(suspect_since=since))
+
+    def _merge_sign_of_life(self, old, item, heard_at):
+        record = old._replace(last_heard=max(old.last_heard, heard_at))
+        if item.record is not None:
+            record = record._replace(
+                state=max(old.state, item.record.state),
+                config_version=max(old.config_version, item.record.config_version),
+            )
+        revived = _is_after_suspicion(old, heard_at)
+        if revived:
+            record = record._replace(suspect_since=None, dead=False)
+        if revived or record.state != old.state:
+            self._store(record)
+        else:
+            self._table.put(record)
+
+    def _next_data_centre(self, own, rng):
+        live = set(self._table.live_data_centres()) - {own}
+        if not live:
+            return None
+        self._turn = [centre for centre in self._turn if centre in live]
+        if not self._turn:
+            self._turn = sorted(live)
+            rng.shuffle(self._turn)
+        return self._turn.pop()
+
+    def _next_candidate(self, now):
+        if now < self._next_candidate_at:
+            return []
+        for _ in range(min(_CANDIDATES_PER_ROUND, len(self._candidates))):
+            address = self._candidates[0]
+            self._candidates.rotate(-1)
+            if not self._table.has_live_address(address):
+                if self._table.live_count > 1:
+                    self._next_candidate_at = now + _RETRY_CANDIDATE_S
+                return [peer_choice.PeerChoice("", address)]
+        return []
+
+    def _as_update(self, record, now):
+        if record.suspect_since is not None:
+            age = now - record.suspect_since
+            return update.Update(record.vm, record.incarnation, age, suspect=True)
+        age = 0.0 if record.vm == self._own else now - record.last_heard
+        return update.Update(record.vm, record.incarnation, age, record=record)
+
+
+def _is_after_suspicion(record: member.Member, heard_at: float) -> bool:
+    return record.suspect_since is not None and heard_at > record.suspect_since
--- /dev/null
+++ b/src/rattanlug/peer/information_ages.py
@@ -0,0 +1,88 @@
+"""Ages of the newest state of each data centre, as gossip messages carry them.
+
+Names and 32-bit numbers would make 13 to 20 bytes for each data centre in every
+message. While both ends list the same data centres, one byte is enough.
+"""
+
+import math
+import zlib
+from collections.abc import Iterable, Mapping
+
+from rattanlug.peer.generated import ttypes
+
+#: Ages are rounded up to whole steps: a relayed age may be over-, never understated.
+_STEP_S = 0.02
+_UNKNOWN = 255
+
+
+def names_digest(data_centres: Iterable[str]) -> int:
+    """Return a signed 32-bit digest of the sorted names."""
+    return zlib.crc32("\n".join(sorted(data_centres)).encode()) - 2**31
+
+
+def put_ages(
+    message: ttypes.Gossip,
+    ages: Mapping[str, float],
+    data_centres: Iterable[str],
+    by_name: bool = False,
+) -> None:
+    """Write ages into a message.
+
+    Parameters
+    ----------
+    message : ttypes.Gossip
+    ages : Mapping
+        Seconds by data centre; absent means unknown.
+    data_centres : iterable of str
+        Names in the configuration in force.
+    by_name : bool
+        Whether the peer's last message named other data centres, so that positions
+        would be read wrongly.
+    """
+    names = sorted(data_centres)
+    message.data_centres_digest = names_digest(names)
+    if by_name:
+        message.ages_by_name_ms = {
+            name: math.ceil(ages[name] * 1000)
+            for name in names
+            if ages.get(name, math.inf) < 60.0
+        }
+    else:
+        message.ages = bytes(_steps(ages.get(name, math.inf)) for name in names)
+
+
+def get_ages(message: ttypes.Gossip, data_centres: Iterable[str]) -> dict[str, float]:
+    """Read ages from a message.
+
+    Parameters
+    ----------
+    message : ttypes.Gossip
+    data_centres : iterable of str
+        Names in the configuration in force.
+
+    Returns
+    -------
+    dict
+        Seconds by data centre, without those that the sender does not know.
+    """
+    names = sorted(data_centres)
+    if message.ages_by_name_ms is not None:
+        return {
+            name: ms / 1000
+            for name, ms in message.ages_by_name_ms.items()
+            if name in names and ms >= 0
+        }
+    ages = message.ages or b""
+    if len(ages) != len(names) or message.data_centres_digest != names_digest(names):
+        return {}
+    return {
+        name: steps * _STEP_S
+        for name, steps in zip(names, ages, strict=True)
+        if steps != _UNKNOWN
+    }
+
+
+def _steps(age: float) -> int:
+    if age >= _UNKNOWN * _STEP_S:
+        return _UNKNOWN
+    return min(_UNKNOWN, max(0, math.ceil(age / _STEP_S)))
--- /dev/null
+++ b/tests/peer/test_messages.py
@@ -0,0 +1,125 @@
+"""Conversions between decision state and messages."""
+
+import random
+import zlib
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from rattanlug.configuration import delta, history, offer_result
+from rattanlug.membership import member, member_state, view
+from rattanlug.peer import (
+    codec,
+    configuration_messages,
+    error,
+    gossip_exchange,
+    information_ages,
+)
+from rattanlug.peer.generated import ttypes
+
+
+def _over_the_wire(message):
+    return codec.decode(codec.encode(1, "a", message)).message
+
+
+def _state(texts):
+    state = history.ConfigurationState()
+    for version, (old, new) in enumerate(zip(["", *texts], texts, strict=False)):
+        step = delta.make_delta(old, new, version)
+        state.offer(version + 1, step.digest, step, 0.0)
+    return state
+
+
+@pytest.mark.parametrize("known", [0, 1, 3])
+def test_a_peer_catches_up_by_deltas_or_by_the_full_text(known):
+    # Fails if either form loses the text, or the base digest of a chain is mixed up.
+    texts = ["a\n", "a\nb\n", "b\n"]
+    newest, behind = _state(texts), _state(texts[:known])
+    for version, digest in ((behind.version, behind.digest), (0, "other")):
+        target = _state(texts[:known])
+        message = _over_the_wire(
+            configuration_messages.to_message(newest, version, digest)
+        )
+        assert (message.deltas is None) == (digest == "other")
+        configuration_messages.offer_message(target, message, 0.0)
+        assert (target.version, target.text) == (3, "b\n")
+
+
+def test_a_broken_chain_asks_for_the_full_text():
+    # Fails if a VM stayed behind silently after a push that it cannot apply.
+    message = configuration_messages.to_message(_state(["a\n", "b\n"]))
+    message = ttypes.ConfigurationData(2, message.digest, deltas=[])
+    result = configuration_messages.offer_message(_state([]), message, 0.0)
+    assert result is offer_result.OfferResult.NEEDS_TEXT
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"x", zlib.compress(b"\xff"), zlib.compress(bytes(17 << 20))]
+)
+def test_texts_that_expand_too_far_are_refused(data):
+    # Fails if one message could exhaust the memory of a VM.
+    message = ttypes.ConfigurationData(1, "", compressed_text=data)
+    with pytest.raises(error.MalformedMessageError):
+        configuration_messages.offer_message(_state([]), message, 0.0)
+
+
+@hypothesis.given(
+    st.dictionaries(st.sampled_from("abcd"), st.floats(0, 100)), st.booleans()
+)
+def test_ages_are_never_understated(ages, by_name):
+    # Fails if relaying could make old state look fresh: majority contact counts on it.
+    message = ttypes.Gossip()
+    information_ages.put_ages(message, ages, "dbca", by_name)
+    received = information_ages.get_ages(_over_the_wire(message), "abcd")
+    for name, age in received.items():
+        assert ages[name] <= age <= ages[name] + 0.0201
+    assert all(name in received for name, age in ages.items() if age <= 5.0)
+
+
+def test_positions_are_not_read_against_other_names():
+    # Fails if the age of one data centre counted for another during a change of rules.
+    message = ttypes.Gossip()
+    information_ages.put_ages(message, {"a": 0.1}, ["a", "b"])
+    assert information_ages.get_ages(message, ["a", "c"]) == {}
+    assert information_ages.get_ages(message, ["a", "b"]) == {"a": pytest.approx(0.1)}
+
+
+def _exchange(name, rng):
+    address = (f"127.0.0.{ord(name) - 96}", 9)
+    record = member.Member(
+        name, "x", address, address, 1, member_state.MemberState.SERVING
+    )
+    members = view.MembershipView(record, 0.0)
+    return members, gossip_exchange.GossipExchange(members, rng)
+
+
+def test_two_unknown_vms_know_each_other_after_two_exchanges():
+    # Fails if a VM that missed a record had no way to ask for it.
+    rng = random.Random(1)
+    (a, from_a), (b, from_b) = _exchange("a", rng), _exchange("b", rng)
+    for members in (a, b):
+        while members.pending_updates:
+            members.take_updates(0.0)
+    for now in (0.0, 0.5):
+        request = _over_the_wire(from_a.request("", now))
+        response = _over_the_wire(from_b.answer(request, "a", now))
+        from_a.accept(response, "b", now, now)
+    assert a.get("b") is not None
+    assert b.get("a") is not None
+
+
+def test_a_digest_finds_what_gossip_missed():
+    # Fails if a lost update left two views different for ever.
+    rng = random.Random(1)
+    (a, from_a), (b, from_b) = _exchange("a", rng), _exchange("b", rng)
+    c, _ = _exchange("c", rng)
+    b.merge(c.take_updates(0.0), 0.0, bootstrap=True)
+    for turn in range(70):
+        now = turn * 0.5
+        request = _over_the_wire(from_a.request("b", now))
+        response = _over_the_wire(from_b.answer(request, "a", now))
+        from_a.accept(response, "b", now, now)
+    assert a.get("c") == b.get("c")._replace(last_heard=a.get("c").last_heard)
+    page = _over_the_wire(from_b.page(ttypes.FetchMembers("a"), 40.0))
+    assert [item.vm for item in page.members] == ["b", "c"]
