Add moves between versions: exposure, judgement, steps, lease

Ruled out: a binomial comparison per report, because one VM's report holds too few old requests to bet on; reports are joined into periods. A single test over the whole move, because a fault that begins late would have to make up for the good time before; tests start again every 5 s. Telling VMs 'taken back' before the record is stored, because a successor could still finish the move.

--- /dev/null
+++ b/src/rattanlug/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of traffic between versions: exposure, judgement, steps."""
--- /dev/null
+++ b/src/rattanlug/rollout/exposure.py
@@ -0,0 +1,91 @@
+"""How much one VM may send to the new version."""
+
+import collections
+import random
+
+from rattanlug.model import move
+from rattanlug.rollout import move_state, shares
+
+LIFETIME_SECONDS = 3.0
+
+
+class ExposureBudget:
+    """Chooses the version of each request of one service under one move.
+
+    Parameters
+    ----------
+    planned : move.Move
+    """
+
+    def __init__(self, planned: move.Move):
+        self._planned = planned
+        self._final: move_state.MoveState | None = None
+        self._share = 0.0
+        self._valid_until = float("-inf")
+        self._allowances: dict[str, collections.deque[list[float]]] = {}
+        self._stopped = False
+
+    @property
+    def final(self) -> move_state.MoveState | None:
+        """Final state if the VM knows it."""
+        return self._final
+
+    def finish(self, state: move_state.MoveState) -> None:
+        """Note a final state, from the steering VM or gossip; the first one stands."""
+        if state.final and self._final is None:
+            self._final = state
+
+    def stop(self) -> None:
+        """Send nothing more to the new version unless the move ends as done."""
+        self._stopped = True
+
+    def renew(self, given: shares.Shares, asked_at: float) -> None:
+        """Take a response of the steering VM.
+
+        Parameters
+        ----------
+        given : shares.Shares
+        asked_at : float
+            Moment just before the VM asked, seconds.
+        """
+        self.finish(given.state)
+        valid_until = asked_at + LIFETIME_SECONDS
+        if given.state is not move_state.MoveState.CANARY:
+            self._allowances.clear()
+        if valid_until >= self._valid_until:
+            ramping = given.state is move_state.MoveState.RAMPING
+            self._share = given.share if ramping else 0.0
+            self._valid_until = valid_until
+        for route, allowance in given.allowances.items():
+            entries = self._allowances.setdefault(route, collections.deque())
+            entries.append([valid_until, allowance])
+
+    def choose(self, route: str, now: float, rng: random.Random) -> str:
+        """Return the version for one request.
+
+        Parameters
+        ----------
+        route : str
+        now : float
+            Seconds.
+        rng : random.Random
+
+        Returns
+        -------
+        str
+            The new version uses up an allowance in the canary stage.
+        """
+        old, new = self._planned.from_version, self._planned.to_version
+        if self._final is not None:
+            return new if self._final is move_state.MoveState.DONE else old
+        if self._stopped or now >= self._valid_until:
+            return old
+        if self._share > 0:
+            return new if rng.random() < self._share else old
+        entries = self._allowances.get(route)
+        while entries and (entries[0][0] <= now or entries[0][1] < 1):
+            entries.popleft()
+        if not entries:
+            return old
+        entries[0][1] -= 1
+        return new
--- /dev/null
+++ b/src/rattanlug/rollout/judge.py
@@ -0,0 +1,137 @@
+"""Judgement of the new version on one route."""
+
+from rattanlug.rollout import outcome_counts, sequential_test, verdict
+
+# What a good version may do worse: errors up to 1.5 times the old share plus 0.2% of
+# requests, slow answers up to twice the old share plus 2%, and on upstreams that have
+# just started, with cold caches, slow answers on half of the requests.
+ERROR_RATIO = 1.5
+ERROR_EXCESS = 0.002
+SLOW_RATIO = 2.0
+SLOW_EXCESS = 0.02
+COLD_SLOW_EXCESS = 0.5
+# A period ends when there are enough old requests for the largest bet, or after 1 s.
+# Without new requests, old ones are kept for 5 s for comparison with the next new one.
+OLD_PER_NEW = 160
+PERIOD_SECONDS = 1.0
+LONGEST_PERIOD_SECONDS = 5.0
+
+
+class RouteJudge:
+    """Collects the evidence on one route.
+
+    Parameters
+    ----------
+    starts : int
+        Starts of each sequential test, see ``sequential_test.SequentialTest``.
+    """
+
+    def __init__(self, starts: int = 1):
+        self._errors = sequential_test.SequentialTest(ERROR_RATIO, starts)
+        self._slow = sequential_test.SequentialTest(SLOW_RATIO, starts)
+        self._new = outcome_counts.OutcomeCounts()
+        self._old = outcome_counts.OutcomeCounts()
+        self._period_new = outcome_counts.OutcomeCounts()
+        self._period_old = outcome_counts.OutcomeCounts()
+        self._period_started: float | None = None
+
+    @property
+    def new(self) -> outcome_counts.OutcomeCounts:
+        """Sum of the new version's counts."""
+        return self._new
+
+    @property
+    def old(self) -> outcome_counts.OutcomeCounts:
+        """Sum of the old version's counts."""
+        return self._old
+
+    @property
+    def log_evidence(self) -> float:
+        """Larger logarithm of the evidence of the two tests."""
+        return max(self._errors.log_evidence, self._slow.log_evidence)
+
+    @property
+    def worse(self) -> str:
+        """Name of the quantity with more evidence against the new version."""
+        if self._errors.log_evidence >= self._slow.log_evidence:
+            return "errors"
+        return "slow answers"
+
+    def start_again(self) -> None:
+        """Begin further tests now, to notice faults that begin late."""
+        self._errors.start_again()
+        self._slow.start_again()
+
+    def add(
+        self,
+        old: outcome_counts.OutcomeCounts,
+        new: outcome_counts.OutcomeCounts,
+        now: float,
+    ) -> None:
+        """Take counts of both versions since the previous call.
+
+        Parameters
+        ----------
+        old, new : outcome_counts.OutcomeCounts
+        now : float
+            Seconds.
+        """
+        self._old = self._old.plus(old)
+        self._new = self._new.plus(new)
+        if self._period_started is None:
+            self._period_started = now
+        age = now - self._period_started
+        if age > LONGEST_PERIOD_SECONDS and self._period_new.requests == 0:
+            self._period_old = outcome_counts.OutcomeCounts()
+            self._period_started, age = now, 0.0
+        self._period_old = self._period_old.plus(old)
+        self._period_new = self._period_new.plus(new)
+        # The end of a period depends on numbers of requests only, never on their
+        # outcome; otherwise the test's bound would not hold.
+        if self._period_new.requests and self._period_old.requests:
+            enough = OLD_PER_NEW * self._period_new.requests
+            if self._period_old.requests >= enough or age >= PERIOD_SECONDS:
+                self._end_period(now)
+
+    def _end_period(self, now: float) -> None:
+        old, new = self._period_old, self._period_new
+        self._period_old = self._period_new = outcome_counts.OutcomeCounts()
+        self._period_started = now
+        self._errors.add(
+            ERROR_EXCESS * new.requests,
+            new.requests,
+            new.errors,
+            old.requests,
+            old.errors,
+        )
+        cold = min(new.cold, new.requests)
+        self._slow.add(
+            SLOW_EXCESS * (new.requests - cold) + COLD_SLOW_EXCESS * cold,
+            new.requests,
+            new.slow,
+            old.requests,
+            old.slow,
+        )
+
+
+def judge(route: str, evidence: RouteJudge, log_limit: float) -> verdict.Verdict:
+    """Judge the new version on one route.
+
+    Parameters
+    ----------
+    route : str
+    evidence : RouteJudge
+    log_limit : float
+        Logarithm of the tests' number over the false-alarm probability.
+
+    Returns
+    -------
+    verdict.Verdict
+    """
+    bad = evidence.log_evidence >= log_limit
+    new, old = evidence.new, evidence.old
+    reason = (
+        f"{evidence.worse} on {route}: new {new.errors} errors, {new.slow} slow of "
+        f"{new.requests}; old {old.errors}, {old.slow} of {old.requests}"
+    )
+    return verdict.Verdict(bad, evidence.log_evidence / log_limit, reason)
--- /dev/null
+++ b/src/rattanlug/rollout/move_record.py
@@ -0,0 +1,59 @@
+"""The stored row of a move."""
+
+import json
+from typing import NamedTuple
+
+from rattanlug.model import move as planned_move
+from rattanlug.rollout import move_state
+
+
+class MoveRecord(NamedTuple):
+    """Row ``moves/<name>``.
+
+    Attributes
+    ----------
+    state : move_state.MoveState
+    share : float
+        Share of requests that the new version should get while ramping, 0 to 1.
+    term : int
+        Term of the steering lease under which the row was written.
+    started : float
+        When the move left the waiting state, seconds since the epoch; 0 before.
+    deadline : float
+        Seconds since the epoch.
+    reason : str
+        Why the move is in its state.
+    """
+
+    state: move_state.MoveState
+    share: float
+    term: int
+    started: float
+    deadline: float
+    reason: str = ""
+
+    def to_json(self) -> str:
+        """Return the value of the row."""
+        return json.dumps({**self._asdict(), "state": self.state.value})
+
+    @classmethod
+    def from_json(cls, text: str) -> "MoveRecord":
+        """Read the value of a row.
+
+        Raises
+        ------
+        ValueError
+            If the text is no move record.
+        """
+        try:
+            fields = json.loads(text)
+            return cls(**{**fields, "state": move_state.MoveState(fields["state"])})
+        except (TypeError, KeyError) as error:
+            raise ValueError(f"not a move record: {error}") from error
+
+
+def new_record(planned: planned_move.Move, term: int) -> MoveRecord:
+    """Return the first record of a planned move."""
+    return MoveRecord(
+        move_state.MoveState.WAITING, 0.0, term, 0.0, planned.deadline, "planned"
+    )
--- /dev/null
+++ b/src/rattanlug/rollout/move_state.py
@@ -0,0 +1,18 @@
+"""States of a move."""
+
+import enum
+
+
+class MoveState(enum.Enum):
+    """Where a move is; the last two states are final."""
+
+    WAITING = "waiting"
+    CANARY = "canary"
+    RAMPING = "ramping"
+    DONE = "done"
+    TAKEN_BACK = "taken_back"
+
+    @property
+    def final(self) -> bool:
+        """True when the move never changes again."""
+        return self in (MoveState.DONE, MoveState.TAKEN_BACK)
--- /dev/null
+++ b/src/rattanlug/rollout/shares.py
@@ -0,0 +1,25 @@
+"""The steering VM's response to a report."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from rattanlug.rollout import move_state
+
+
+class Shares(NamedTuple):
+    """What a VM may send to the new version.
+
+    Valid for 3 s from just before the VM asked.
+
+    Attributes
+    ----------
+    state : move_state.MoveState
+    share : float
+        Share of each route's requests while ramping, 0 to 1.
+    allowances : Mapping
+        Whole requests by route in the canary stage, on top of earlier ones.
+    """
+
+    state: move_state.MoveState
+    share: float = 0.0
+    allowances: Mapping[str, int] = {}
--- /dev/null
+++ b/src/rattanlug/rollout/steering_lease.py
@@ -0,0 +1,79 @@
+"""Which VM steers the moves."""
+
+from rattanlug.rollout import lease_row
+
+LEASE_SECONDS = 5.0
+# Added by others before a takeover, for clocks that run at different speeds.
+CLOCK_MARGIN_SECONDS = 1.0
+RENEW_SECONDS = 1.0
+
+
+class SteeringLease:
+    """One VM's view of the steering lease.
+
+    The caller reads the row, passes it to ``observe``, writes what ``wanted`` returns
+    with the observed revision as expectation, calls ``attempt`` just before the write
+    and reads again afterwards, whatever the write's outcome was. A move row is written
+    in one transaction with a renewal of the lease, which fences earlier holders.
+
+    Parameters
+    ----------
+    vm : str
+    incarnation : int
+    """
+
+    def __init__(self, vm: str, incarnation: int):
+        self._vm = vm
+        self._incarnation = incarnation
+        self._row: lease_row.LeaseRow | None = None
+        self._seen = False
+        self._unchanged_since = float("inf")
+        self._attempts: dict[lease_row.LeaseRow, float] = {}
+        self._valid_until = float("-inf")
+        self._renewed_at = float("-inf")
+
+    @property
+    def term(self) -> int:
+        """Term in the row that was last observed; 0 without a row."""
+        return self._row.term if self._row else 0
+
+    def held(self, now: float) -> bool:
+        """Tell whether this VM may steer; check it at every decision."""
+        return now < self._valid_until
+
+    def observe(self, row: lease_row.LeaseRow | None, now: float) -> None:
+        """Take the row as read; ``now`` is the moment of the response."""
+        if not self._seen or row != self._row:
+            self._seen, self._row, self._unchanged_since = True, row, now
+        sent_at = self._attempts.get(row) if row else None
+        if sent_at is not None:
+            self._valid_until = max(self._valid_until, sent_at + LEASE_SECONDS)
+            self._renewed_at = max(self._renewed_at, sent_at)
+        elif row is None or not self._own(row):
+            self._valid_until = float("-inf")
+            self._attempts.clear()
+
+    def wanted(self, now: float) -> lease_row.LeaseRow | None:
+        """Return the row to write now, or None."""
+        row = self._row
+        if not self._seen:
+            return None
+        if row is None:
+            return lease_row.LeaseRow(self._vm, self._incarnation, 1, 0)
+        if self._own(row) and self.held(now):
+            if now - self._renewed_at < RENEW_SECONDS:
+                return None
+            return row._replace(renewals=row.renewals + 1)
+        if now - self._unchanged_since < LEASE_SECONDS + CLOCK_MARGIN_SECONDS:
+            return None
+        return lease_row.LeaseRow(self._vm, self._incarnation, row.term + 1, 0)
+
+    def attempt(self, row: lease_row.LeaseRow, now: float) -> None:
+        """Note that a write of ``row`` is about to be sent."""
+        # An earlier attempt at the same row may be the one that took effect.
+        self._attempts.setdefault(row, now)
+        while len(self._attempts) > 8:
+            self._attempts.pop(next(iter(self._attempts)))
+
+    def _own(self, row: lease_row.LeaseRow) -> bool:
+        return (row.vm, row.incarnation) == (self._vm, self._incarnation)
--- /dev/null
+++ b/tests/rollout/test_controller.py
@@ -0,0 +1,95 @@
+"""Guards against a move that never ends or that an outdated steering VM changes."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from rattanlug.rollout import (
+    controller,
+    move_evidence,
+    move_record,
+    move_state,
+    outcome_counts,
+    outcome_report,
+)
+
+WAITING = move_record.MoveRecord(move_state.MoveState.WAITING, 0.0, 0, 0.0, 300.0)
+
+
+def run_move(kills=frozenset(), bad_from=float("inf"), rate=200.0, capped=False):
+    """Run one move with reports of one VM; return the records by time."""
+    record, term, evidence = WAITING, 0, None
+    history = []
+    for step in range(700):
+        now = step * 0.5
+        if evidence is None or step in kills:
+            evidence = move_evidence.MoveEvidence(1, now, record.deadline - now)
+            term += 1
+        record = controller.next_step(record, evidence, now, now, term)
+        history.append((now, record))
+        if record.state.final:
+            break
+        share = record.share if record.state is move_state.MoveState.RAMPING else 0.005
+        new = round(rate / 2 * share)
+        report = outcome_report.OutcomeReport(
+            "vm",
+            {"r": outcome_counts.OutcomeCounts(round(rate / 2) - new)},
+            {"r": outcome_counts.OutcomeCounts(new, new if now >= bad_from else 0)},
+            capped=capped,
+        )
+        evidence.add(report, now)
+    return history
+
+
+@hypothesis.settings(max_examples=40, deadline=None, database=None)
+@hypothesis.given(
+    kills=st.frozensets(st.integers(0, 650), max_size=12),
+    bad_from=st.one_of(st.just(float("inf")), st.floats(0, 400)),
+    rate=st.sampled_from([0.0, 2.0, 200.0]),
+)
+def test_every_move_ends_by_its_deadline(kills, bad_from, rate):
+    """Steering VMs that die could leave a move half done for ever."""
+    now, record = run_move(kills, bad_from, rate)[-1]
+    assert record.state.final
+    assert now <= WAITING.deadline + 0.5
+
+
+def test_good_move_is_done_in_time_despite_takeovers():
+    """A new steering VM that starts over would miss the deadline."""
+    now, record = run_move(frozenset(range(60, 300, 60)))[-1]
+    assert record.state is move_state.MoveState.DONE
+    assert now < 270
+
+
+def test_bad_version_is_taken_back_within_two_seconds_during_the_ramp():
+    """A fault under load would be exposed until the deadline."""
+    history = run_move(bad_from=150.0)
+    assert dict(history)[149.5].state is move_state.MoveState.RAMPING
+    assert history[-1][1].state is move_state.MoveState.TAKEN_BACK
+    assert history[-1][0] <= 152.0
+
+
+def test_share_never_falls_back_and_rises_by_steps():
+    """A skipped step would expose more than the previous one was judged for."""
+    shares = [record.share for _, record in run_move()]
+    steps = list(dict.fromkeys(share for share in shares if share))
+    assert steps == list(controller.LADDER)
+
+
+def test_move_is_not_done_while_the_cap_holds_requests_back():
+    """Done would send all traffic to the new version at once, above the cap."""
+    record = run_move(capped=True)[-1][1]
+    assert record.state is move_state.MoveState.TAKEN_BACK
+    assert "cap" in record.reason
+
+
+def test_outdated_term_changes_nothing():
+    """A paused steering VM would overwrite its successor's record."""
+    record = WAITING._replace(term=5)
+    evidence = move_evidence.MoveEvidence(1, 0.0, 300.0)
+    assert controller.next_step(record, evidence, 0.0, 400.0, 4) == record
+    assert controller.next_step(record, evidence, 0.0, 400.0, 5).state.final
+
+
+def test_record_survives_storage():
+    """A row that can't be read back would stop every move."""
+    assert move_record.MoveRecord.from_json(WAITING.to_json()) == WAITING
--- /dev/null
+++ b/tests/rollout/test_judge.py
@@ -0,0 +1,85 @@
+"""Guards against a judgement that stops good versions or misses bad ones."""
+
+import math
+import random
+
+import pytest
+
+from rattanlug.rollout import judge, outcome_counts
+
+LOG_LIMIT = math.log(6 / 0.005)
+
+
+def binomial(rng, number, share):
+    return sum(rng.random() < share for _ in range(number))
+
+
+def judge_until_bad(rng, old_errors, new_errors, new_per_step, steps):
+    """Return the number of new requests at the bad verdict, or None."""
+    evidence = judge.RouteJudge(starts=60)
+    for step in range(steps):
+        if step % 10 == 0:
+            evidence.start_again()
+        sizes = 60, new_per_step
+        old, new = (
+            outcome_counts.OutcomeCounts(n, binomial(rng, n, share))
+            for n, share in zip(sizes, (old_errors, new_errors), strict=True)
+        )
+        evidence.add(old, new, step * 0.5)
+        if judge.judge("r", evidence, LOG_LIMIT).bad:
+            return evidence.new.requests
+    return None
+
+
+@pytest.mark.parametrize("new_per_step", [1, 60])
+@pytest.mark.parametrize("errors", [0.001, 0.05])
+def test_false_alarms_stay_below_one_in_a_hundred(new_per_step, errors):
+    """A good version would be rolled back by chance."""
+    rng = random.Random(1)
+    alarms = sum(
+        judge_until_bad(rng, errors, errors, new_per_step, 200) is not None
+        for _ in range(60)
+    )
+    assert alarms == 0
+
+
+@pytest.mark.parametrize(("share", "most"), [(1.0, 6), (0.2, 60), (0.05, 400)])
+def test_bad_version_is_found_in_few_requests(share, most):
+    """A bad version would be exposed for long."""
+    rng = random.Random(2)
+    needed = [judge_until_bad(rng, 0.001, share, 1, 800) for _ in range(20)]
+    assert None not in needed
+    assert sorted(needed)[10] <= most
+
+
+def test_late_fault_is_found():
+    """A long good time would hide a fault that begins later."""
+    evidence = judge.RouteJudge(starts=120)
+    for step in range(1000):
+        if step % 10 == 0:
+            evidence.start_again()
+        evidence.add(
+            outcome_counts.OutcomeCounts(50),
+            outcome_counts.OutcomeCounts(50),
+            step * 0.5,
+        )
+    for step in range(8):
+        evidence.add(
+            outcome_counts.OutcomeCounts(50),
+            outcome_counts.OutcomeCounts(50, 25),
+            500 + step * 0.5,
+        )
+    assert judge.judge("r", evidence, LOG_LIMIT).bad
+
+
+def test_errors_that_hit_both_versions_are_no_evidence():
+    """A fault outside the new version would roll it back."""
+    evidence = judge.RouteJudge()
+    for step in range(100):
+        failing = 50 <= step < 60
+        evidence.add(
+            outcome_counts.OutcomeCounts(100, 50 * failing),
+            outcome_counts.OutcomeCounts(20, 10 * failing),
+            step * 0.5,
+        )
+    assert not judge.judge("r", evidence, LOG_LIMIT).bad
--- /dev/null
+++ b/tests/rollout/test_steering_lease.py
@@ -0,0 +1,47 @@
+"""Guards against two VMs that steer at the same time."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from rattanlug.rollout import steering_lease
+
+STEPS = st.lists(
+    st.tuples(st.integers(0, 2), st.floats(0.0, 4.0), st.floats(0.0, 2.0)),
+    max_size=60,
+)
+
+
+@hypothesis.settings(max_examples=200, deadline=None, database=None)
+@hypothesis.given(STEPS)
+def test_at_most_one_holder(steps):
+    """Writes that take long, lost responses and pauses could overlap two leases."""
+    now, row = 0.0, None
+    leases = [steering_lease.SteeringLease(f"vm{n}", 1) for n in range(3)]
+    for index, pause, delay in steps:
+        now += pause
+        lease = leases[index]
+        lease.observe(row, now)
+        wanted = lease.wanted(now)
+        assert sum(item.held(now) for item in leases) <= 1
+        if wanted is not None:
+            lease.attempt(wanted, now)
+            row = wanted
+            now += delay
+            if delay < 1.5:  # A longer delay stands for a lost response.
+                lease.observe(row, now)
+        assert sum(item.held(now) for item in leases) <= 1
+
+
+def test_dead_holder_is_replaced_with_a_higher_term():
+    """Moves would stop for ever with the VM that steered them."""
+    first = steering_lease.SteeringLease("a", 1)
+    first.observe(None, 0.0)
+    row = first.wanted(0.0)
+    first.attempt(row, 0.0)
+    first.observe(row, 0.1)
+    assert first.held(4.9)
+    assert not first.held(5.0)
+    second = steering_lease.SteeringLease("b", 1)
+    second.observe(row, 0.2)
+    assert second.wanted(6.1) is None
+    assert second.wanted(6.2).term == 2
