--- a/src/rattanlug/routing/link_budget.py
+++ b/src/rattanlug/routing/link_budget.py
@@ -29,10 +29,9 @@
     def __init__(self, rates: Mapping[str, float], now: float):
         self._rates = dict(rates)
         self._answer_bytes = FIRST_ANSWER_BYTES
+        # Empty, because an earlier holder of the same seats may have used the burst.
         self._levels = {
-            (region, sent): rate * BURST_SECONDS
-            for region, rate in rates.items()
-            for sent in (True, False)
+            (region, sent): 0.0 for region in rates for sent in (True, False)
         }
         self._filled_at = now
 
@@ -53,6 +52,10 @@
         self._fill(now)
         return all(self._levels.get((region, sent), 0.0) > 0 for sent in (True, False))
 
+    def level(self, region: str) -> float:
+        """Return the lower level of both directions, bytes; below 0 in debt."""
+        return min(self._levels.get((region, sent), 0.0) for sent in (True, False))
+
     def start(self, region: str, request_bytes: int, now: float) -> float:
         """Charge a request and its expected answer.
 
