Add service-level counts, burn rates and their reports

Cause: operators need to see which organisation loses its objective on which route, and how fast, from the same latencies that the metrics export.

--- /dev/null
+++ b/src/rattanlug/slo/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level counts, multi-window burn rates and reports."""
