Fix name clashes between properties and modules in the daemon

Cause: a property named like an imported module shadows it inside the class body, where annotations are evaluated. Annotations are deferred instead.

--- a/src/rattanlug/daemon/active_configuration.py
+++ b/src/rattanlug/daemon/active_configuration.py
@@ -1,5 +1,7 @@
 """The configuration in force and what is derived from it."""
 
+from __future__ import annotations
+
 import hashlib
 from collections.abc import Callable
 
--- a/src/rattanlug/daemon/loops/gossip.py
+++ b/src/rattanlug/daemon/loops/gossip.py
@@ -28,11 +28,14 @@
     gossip_header.fill(node, request)
     peer = address.Address(*choice.peer_address)
     try:
-        response, sender = await node.peers.call_named(peer, request, _TIMEOUT_SECONDS)
+        response = await node.peers.call(peer, request, _TIMEOUT_SECONDS)
     except (peer_error.PeerError, error_tree.RattanlugError):
         if choice.vm:
             node.members.contact_failed(choice.vm, asked_at, clock.now())
         return
+    sender = node.peers.vm_at(peer)
+    if not sender:
+        return
     node.exchange.accept(response, sender, asked_at, clock.now())
     if response.config_version > node.active.configuration.version:
         await _fetch_configuration(node, peer)
--- a/src/rattanlug/daemon/node.py
+++ b/src/rattanlug/daemon/node.py
@@ -1,5 +1,7 @@
 """All parts of one daemon."""
 
+from __future__ import annotations
+
 import collections
 import random
 
--- a/src/rattanlug/peer/client.py
+++ b/src/rattanlug/peer/client.py
@@ -99,6 +99,11 @@
         finally:
             self._calls -= 1
 
+    def vm_at(self, peer: address.Address) -> str:
+        """Return the name of the VM that answered at an address, or empty."""
+        link = self._connections.get(address.Address(*peer))
+        return "" if link is None else link.peer
+
     async def _connect(self, peer: address.Address) -> connection.Connection:
         link = self._connections.get(peer)
         if link is not None and not link.closed:
--- a/src/rattanlug/peer/connection.py
+++ b/src/rattanlug/peer/connection.py
@@ -29,9 +29,15 @@
         self._pending: dict[int, _Pending] = {}
         self._outgoing, self._outgoing_receiver = trio.open_memory_channel(math.inf)
         self._closed = False
+        self._peer = ""
         self._last_received = -math.inf
         self.last_used = trio.current_time()
 
+    @property
+    def peer(self) -> str:
+        """Name of the VM that sent the newest response, empty before the first."""
+        return self._peer
+
     @property
     def closed(self) -> bool:
         """Whether calls can no longer use the connection."""
@@ -120,6 +126,7 @@
         while (data := await reader.receive()) is not None:
             self._last_received = trio.current_time()
             response = codec.decode(data)
+            self._peer = response.sender
             pending = self._pending.get(response.id)
             if pending is None:
                 self._counters["peer_responses_late"] += 1
