--- a/src/rattanlug/slo/report.py
+++ b/src/rattanlug/slo/report.py
@@ -125,12 +125,12 @@
         each.series.organisation,
         each.series.route,
         f"{held.target:g}" if held else "-",
-        _milliseconds(held.latency * 1e6) if held else "-",
+        _duration(held.latency * 1e6) if held else "-",
         str(counted.total),
         str(counted.failed),
         str(counted.slow),
-        _milliseconds(each.series.latency.get_value_at_percentile(50)),
-        _milliseconds(each.series.latency.get_value_at_percentile(99)),
+        _duration(each.series.latency.get_value_at_percentile(50)),
+        _duration(each.series.latency.get_value_at_percentile(99)),
         *rates,
     )
 
@@ -152,8 +152,10 @@
     )
 
 
-def _milliseconds(micros):
-    return f"{micros / 1000:.3g} ms"
+def _duration(micros):
+    if micros < 1e6:
+        return f"{micros / 1e3:.3g} ms"
+    return f"{micros / 1e6:.3g} s"
 
 
 def _time(seconds, form):
--- a/tests/slo/test_report.py
+++ b/tests/slo/test_report.py
@@ -106,3 +106,9 @@
 def test_no_requests_burn_nothing():
     """A quiet night is no outage."""
     assert burn.burn_rate(evaluation.merged.counts.Counts(), 0.999) == 0.0
+
+
+def test_long_limits_are_shown_in_seconds():
+    """A limit of one second was once shown as 1e+03 ms."""
+    general = (OBJECTIVES[0]._replace(latency=1.0),)
+    assert "  1 s  " in report.render_text([filled("a", 0.0, 1)], general, 0.0)
