--- /dev/null
+++ b/src/rattanlug/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines as JSON."""
--- /dev/null
+++ b/src/rattanlug/logs/setup.py
@@ -0,0 +1,45 @@
+"""Sets up logging of the process."""
+
+import logging
+import sys
+
+from pythonjsonlogger import json
+
+LOGGER_NAME = "rattanlug"
+
+
+def configure(level: str, vm: str) -> logging.Logger:
+    """Write log records as JSON lines to standard error.
+
+    A second call replaces the first. Records of libraries go the same way, from
+    ``WARNING`` on.
+
+    Parameters
+    ----------
+    level : str
+        Lowest level that is written, such as ``INFO``.
+    vm : str
+        Name of the VM, part of every line.
+
+    Returns
+    -------
+    logging.Logger
+        Logger of rattanlug.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        json.JsonFormatter(
+            ["message", "levelname", "name"],
+            rename_fields={"levelname": "level", "name": "logger"},
+            static_fields={"vm": vm},
+            timestamp="time",
+        )
+    )
+    root = logging.getLogger()
+    for each in root.handlers[:]:
+        root.removeHandler(each)
+    root.addHandler(handler)
+    root.setLevel(logging.WARNING)
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.setLevel(level)
+    return logger
