--- /dev/null
+++ b/src/rattanlug/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Rates of organisations: lending buckets and borrowed tokens."""
--- a/src/rattanlug/seats/plan.py
+++ b/src/rattanlug/seats/plan.py
@@ -49,13 +49,12 @@
         """Return the slots that the seat owns, all in its own data centre."""
         return self._slots_by_seat.get(seat, frozenset())
 
-    def link_bits_per_second(self, seat: str, link: model_link.Link) -> float:
-        """Return the seat's share of what its region may send over a link, bit/s."""
+    def link_share(self, seat: str, link: model_link.Link) -> float:
+        """Return the seat's share of what its region may send over a link."""
         region = self._regions.get(seat)
         if region not in (link.first_region, link.second_region):
             return 0.0
-        peers = sum(other == region for other in self._regions.values())
-        return link.bits_per_second / peers
+        return 1 / sum(other == region for other in self._regions.values())
 
     @functools.cached_property
     def _slots_by_seat(self) -> dict[str, frozenset[slot.Slot]]:
--- /dev/null
+++ b/src/rattanlug/seats/seat_write.py
@@ -0,0 +1,21 @@
+"""A conditional write of a seat's row."""
+
+from typing import NamedTuple
+
+from rattanlug.seats import seat_row
+
+
+class SeatWrite(NamedTuple):
+    """One write.
+
+    Attributes
+    ----------
+    seat : str
+    expected : int
+        Revision that the row must have, 0 when it must be absent.
+    row : seat_row.SeatRow
+    """
+
+    seat: str
+    expected: int
+    row: seat_row.SeatRow
--- /dev/null
+++ b/tests/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs of the decision packages in virtual time."""
