--- a/src/rattanlug/daemon/loops/registry.py
+++ b/src/rattanlug/daemon/loops/registry.py
@@ -1,5 +1,6 @@
 """Registry of periodic work."""
 
+import logging
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -7,6 +8,8 @@
 
 from rattanlug.daemon import node as daemon_node
 
+_LOG = logging.getLogger(__name__)
+
 Round = Callable[[daemon_node.Node, trio.Nursery], Awaitable[None]]
 
 
@@ -50,6 +53,11 @@
     async with trio.open_nursery() as nursery:
         while True:
             start = trio.current_time()
-            await loop.run_round(node, nursery)
+            try:
+                await loop.run_round(node, nursery)
+            except Exception:
+                # A fault in periodic work must not end requests that are served.
+                node.counters.add("loop_failures", loop=loop.name)
+                _LOG.exception("a round of loop %s failed", loop.name)
             elapsed = trio.current_time() - start
             await trio.sleep(max(0.0, loop.interval - elapsed))
--- a/src/rattanlug/daemon/loops/seats.py
+++ b/src/rattanlug/daemon/loops/seats.py
@@ -87,7 +87,7 @@
     ]
     live = {record.vm for record in others}
     result: dict[str, list[float]] = {}
-    for vm in node.seats.holders():
+    for vm in node.seats.holders:
         if vm in live or vm == own:
             continue
         reports = [node.unheard_for(vm, now)]
