--- /dev/null
+++ b/src/rattanlug/lookup/block_change.py
@@ -0,0 +1,20 @@
+"""One change of the block table."""
+
+from typing import NamedTuple
+
+
+class BlockChange(NamedTuple):
+    """A block that is added, moved to another site or removed.
+
+    Attributes
+    ----------
+    start : int
+        First address of the block: 32 bits for IPv4, the upper 64 bits for IPv6.
+    site : int or None
+        0 to 65,535; None removes the block, so that the one before it extends.
+    ipv6 : bool
+    """
+
+    start: int
+    site: int | None
+    ipv6: bool = False
