--- a/src/rattanlug/daemon/loops/reports.py
+++ b/src/rattanlug/daemon/loops/reports.py
@@ -1,11 +1,9 @@
 """Reads the load reports of the upstreams of this data centre."""
 
 import json
-import uuid
 
 import trio
 
-from rattanlug.caller import forwarded_headers
 from rattanlug.daemon import clock
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
@@ -27,15 +25,12 @@
 
 async def _read_report(node: daemon_node.Node, item: upstream.Upstream) -> None:
     asked_at = clock.now()
-    headers = [
-        (b"host", f"{item.host}:{item.port}".encode()),
-        (forwarded_headers.REQUEST_ID, uuid.uuid4().hex.encode()),
-    ]
     try:
-        answer = await node.upstreams.send(
-            item.host, item.port, "GET", b"/.load", headers, b"", _TIMEOUT_SECONDS
+        value = json.loads(
+            await node.upstreams.fetch(
+                item.host, item.port, b"/.load", _TIMEOUT_SECONDS
+            )
         )
-        value = json.loads(answer.body)
         report = load_report.LoadReport(
             int(value["in_flight"]),
             int(value["slots"]),
--- a/src/rattanlug/upstream/client.py
+++ b/src/rattanlug/upstream/client.py
@@ -11,6 +11,7 @@
 _KEEPALIVE_SECONDS = 20.0
 _CONNECT_TIMEOUT_SECONDS = 1.0
 _REQUEST_ID = b"request-id"
+_OK = 200
 
 
 class UpstreamClient:
@@ -99,6 +100,30 @@
                 "the connection broke before the whole answer arrived",
             ) from exc
 
+    async def fetch(self, host: str, port: int, target: bytes, timeout: float) -> bytes:
+        """Read a small document that carries no ``Request-Id``, such as a report.
+
+        Raises
+        ------
+        error.UpstreamError
+            When no answer of status 200 arrives in time.
+        """
+        url = httpcore.URL(scheme=b"http", host=host, port=port, target=target)
+        headers = [(b"host", f"{host}:{port}".encode())]
+        try:
+            with trio.fail_after(timeout):
+                answer = await self._pool.request("GET", url, headers=headers)
+        except (
+            trio.TooSlowError,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as exc:
+            raise _failed("the document did not arrive", ran.Ran.UNKNOWN) from exc
+        if answer.status != _OK:
+            raise _failed(f"the answer has status {answer.status}", ran.Ran.UNKNOWN)
+        return answer.content
+
     async def aclose(self) -> None:
         """Close every connection."""
         await self._pool.aclose()
