Wire moves between versions and look-ups into the daemon

Cause: requests always went to the version of the service rule, and look-ups ranked all VMs alike. The report of outcomes carries cold requests, the verdict of the sender's own guard and whether the cap held requests back, which the steering VM needs.

--- a/src/rattanlug/daemon/active_configuration.py
+++ b/src/rattanlug/daemon/active_configuration.py
@@ -99,6 +99,11 @@
             observer(parsed, now)
         return True
 
+    def routes_of(self, service: str) -> int:
+        """Return the number of routes of a service."""
+        routes = self._configuration.routes.values()
+        return sum(entry.service == service for entry in routes)
+
     def tiers(self, service: str, version: str) -> tiers.Tiers:
         """Return the upstreams of a service and version by distance."""
         known = self._tiers.get((service, version))
--- a/src/rattanlug/daemon/endpoints/__init__.py
+++ b/src/rattanlug/daemon/endpoints/__init__.py
@@ -1,1 +1,10 @@
-"""The daemon's own HTTP endpoints, one module per path."""
+"""The daemon's own HTTP endpoints, one module per path; importing registers them."""
+
+from rattanlug.daemon.endpoints import (  # noqa: F401
+    burn,
+    health,
+    lookup,
+    metrics,
+    rules,
+    status,
+)
--- a/src/rattanlug/daemon/endpoints/burn.py
+++ b/src/rattanlug/daemon/endpoints/burn.py
@@ -8,11 +8,5 @@
 
 @registry.register("GET", "burn", for_operators=True)
 async def burn(node: daemon_node.Node, incoming: request.Request) -> reply.Reply:
-    """Answer with the counts of this VM and the objectives in force."""
-    objectives = [item._asdict() for item in node.active.configuration.objectives]
-    return reply.from_json(
-        {
-            "snapshot": node.recorder.snapshot(clock.now()),
-            "objectives": objectives,
-        }
-    )
+    """Answer with the counts of this VM."""
+    return reply.from_json({"snapshots": [node.recorder.snapshot(clock.now())]})
--- a/src/rattanlug/daemon/endpoints/lookup.py
+++ b/src/rattanlug/daemon/endpoints/lookup.py
@@ -1,7 +1,6 @@
 """Look-up: which VMs a client should use."""
 
 from rattanlug.caller import reply, request
-from rattanlug.daemon import clock
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.endpoints import registry
 from rattanlug.errors import error, kind
@@ -14,7 +13,7 @@
     """Answer with up to three VMs and the time for which to keep the answer."""
     client = incoming.parameters.get("client", incoming.client)
     try:
-        vms = node.resolve(client, clock.now())
+        vms = node.lookups.resolve(client)
     except ValueError as exc:
         raise error.RefusedError(
             kind.ErrorKind.REQUEST_MALFORMED, "client; accepted: an IP address"
--- a/src/rattanlug/daemon/gossip_header.py
+++ b/src/rattanlug/daemon/gossip_header.py
@@ -32,7 +32,9 @@
     if node.members.own.state is member_state.MemberState.SERVING:
         ages[node.settings.data_centre] = 0.0
     information_ages.put_ages(message, ages, current.data_centres, by_name)
-    message.finished_moves = node.versions.finished_moves() or None
+    message.finished_moves = [
+        ttypes.MoveResult(name, state) for name, state in node.versions.finished_moves()
+    ] or None
 
 
 def read(
--- a/src/rattanlug/daemon/handlers/__init__.py
+++ b/src/rattanlug/daemon/handlers/__init__.py
@@ -1,1 +1,9 @@
-"""Answers to messages of other daemons, one module per kind of message."""
+"""Answers to messages of other daemons; importing the package registers them."""
+
+from rattanlug.daemon.handlers import (  # noqa: F401
+    configuration,
+    loans,
+    membership,
+    moves,
+    seats,
+)
--- /dev/null
+++ b/src/rattanlug/daemon/loops/block_table.py
@@ -0,0 +1,32 @@
+"""Loads the table of client blocks from the object store."""
+
+import trio
+
+from rattanlug.daemon import node as daemon_node
+from rattanlug.daemon.loops import registry
+from rattanlug.errors import error
+from rattanlug.logs import state as log_state
+from rattanlug.lookup import block_table, sorted_blocks
+
+OBJECT_NAME = "lookup/blocks"
+_INTERVAL_SECONDS = 30.0
+
+
+@registry.register("block_table", _INTERVAL_SECONDS)
+async def load_table(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+    """Load the table once; without one, clients use the VMs nearest to them."""
+    if node.lookups.blocks:
+        return
+    try:
+        data = await node.platform.get_object(OBJECT_NAME)
+        if data is None:
+            return
+        table = block_table.BlockTable.from_bytes(data)
+    except error.PlatformError:
+        node.counters.add("platform_failures", call="block_table")
+        return
+    except sorted_blocks.BlockTableError:
+        node.counters.add("block_table_rejected")
+        return
+    node.lookups.set_table(table)
+    log_state.changed("block_table", 0, len(table), version=table.version)
--- a/src/rattanlug/daemon/node.py
+++ b/src/rattanlug/daemon/node.py
@@ -19,6 +19,7 @@
     service_state,
     slot_access,
     slot_loans,
+    steering,
     version_choice,
 )
 from rattanlug.invariants import violations
@@ -64,7 +65,9 @@
         self._state = service_state.ServiceState.STARTING
         self._build_shared(now)
         self._build_traffic(now)
-        self._resolver = lookup_access.LookupAccess(self._active, self._members)
+        self._lookups = lookup_access.LookupAccess(
+            self._active, self._members, settings.data_centre
+        )
         self._active.observe(self._configuration_changed)
 
     @property
@@ -122,6 +125,11 @@
         """Age of the information from each data centre."""
         return self._contact
 
+    @property
+    def lookups(self) -> lookup_access.LookupAccess:
+        """From a client's address to VMs."""
+        return self._lookups
+
     @property
     def members(self) -> view.MembershipView:
         """VMs that this one knows."""
@@ -157,6 +165,11 @@
         """Version of each request."""
         return self._versions
 
+    @property
+    def steering(self) -> steering.Steering:
+        """Lease and records of the moves."""
+        return self._steering
+
     @property
     def platform(self) -> platform_client.PlatformClient:
         """Client of the platform."""
@@ -232,6 +245,7 @@
         """Bring the state, slots and link shares of this daemon up to date."""
         self._update_slots(now)
         self._update_state(now)
+        self._lookups.advance(now)
 
     def unheard_for(self, vm: str, now: float) -> float:
         """Return for how long this VM has been up without hearing from another."""
@@ -248,27 +262,6 @@
         self._next_seat_request = now + interval
         return True
 
-    def resolve(self, client: str, now: float) -> list[member.Member]:
-        """Return up to three VMs for a client.
-
-        Parameters
-        ----------
-        client : str
-            IP address.
-        now : float
-            Seconds.
-
-        Returns
-        -------
-        list of member.Member
-
-        Raises
-        ------
-        ValueError
-            When ``client`` is no IP address.
-        """
-        return self._resolver.resolve(client, now)
-
     def leave(self) -> None:
         """Start a planned stop: look-ups no longer name this VM."""
         self._change_state(service_state.ServiceState.LEAVING)
@@ -334,7 +327,16 @@
             self.quota_seats, self._violations, clock.now
         )
         self._versions = version_choice.VersionChoice(
-            self._active, clock.now, self._rng
+            settings.vm, clock.now, clock.wall_now, self._rng, self._quotas.try_shift
+        )
+        self._steering = steering.Steering(
+            settings.vm,
+            self._incarnation,
+            self._platform,
+            self._versions,
+            self._active.routes_of,
+            clock.now,
+            clock.wall_now,
         )
         self._operations = operation_runner.OperationRunner(
             self._platform, self._commits, clock.now
@@ -382,6 +384,7 @@
         self._slots.configure(current, now)
         self._quotas.configure(current, now)
         self._versions.configure(current)
+        self._lookups.configure(current)
         self._recorder.set_objectives(current.objectives)
 
     def _accepted_at(self, version: int, now: float) -> float | None:
--- a/src/rattanlug/daemon/proxy.py
+++ b/src/rattanlug/daemon/proxy.py
@@ -48,7 +48,12 @@
         """Return the version for one request."""
 
     def finished(
-        self, route: model_route.Route, version: str, failed: bool, latency: float
+        self,
+        route: model_route.Route,
+        version: str,
+        failed: bool,
+        latency: float,
+        cold: bool,
     ) -> None:
         """Take the outcome of one attempt."""
 
@@ -383,7 +388,8 @@
                 self._links.finish(region, charged, received, now)
             if not abandoned:
                 latency = now - start
-                self._versions.finished(admitted.route, version, failed, latency)
+                cold = upstream.cold(start)
+                self._versions.finished(admitted.route, version, failed, latency, cold)
                 self._histograms.record("upstream", latency, version=version)
 
     def _to_caller(self, admitted: _Admitted, answer: response.Response) -> reply.Reply:
--- a/src/rattanlug/daemon/quota_access.py
+++ b/src/rattanlug/daemon/quota_access.py
@@ -12,6 +12,8 @@
 from rattanlug.seats import held_seat
 
 _POLL_SECONDS = 0.005
+# Names of organisations hold no colon, so caps of moves never collide with them.
+_MOVE_PREFIX = "move:"
 
 
 class TokenMessage:
@@ -44,7 +46,7 @@
 
 
 class QuotaAccess:
-    """One quota for each organisation of the configuration.
+    """One quota for each organisation and each cap of the configuration.
 
     Parameters
     ----------
@@ -67,18 +69,30 @@
         self._quotas: dict[str, quota.OrganisationQuota] = {}
 
     def configure(self, current: configuration.Configuration, now: float) -> None:
-        """Take the rates of a new configuration."""
-        for item in current.organisations.values():
-            known = self._quotas.get(item.name)
+        """Take the rates and caps of a new configuration."""
+        limits = {
+            item.name: (item.rate, item.burst)
+            for item in current.organisations.values()
+        }
+        for planned in current.moves.values():
+            # No second of requests exceeds the cap: rate times 1 s plus burst.
+            limits[_MOVE_PREFIX + planned.name] = (planned.cap / 2, planned.cap / 2)
+        for name, (rate, burst) in limits.items():
+            known = self._quotas.get(name)
             if known is None:
-                self._quotas[item.name] = quota.OrganisationQuota(
-                    item.rate, item.burst, self._seats, self._violations
+                self._quotas[name] = quota.OrganisationQuota(
+                    rate, burst, self._seats, self._violations
                 )
             else:
-                known.configure(item.rate, item.burst)
-        for name in self._quotas.keys() - current.organisations.keys():
+                known.configure(rate, burst)
+        for name in self._quotas.keys() - limits.keys():
             del self._quotas[name]
 
+    def try_shift(self, move: str) -> bool:
+        """Take a token of the cap of a move, without waiting."""
+        limits = self._quotas.get(_MOVE_PREFIX + move)
+        return limits is not None and limits.try_admit(self._clock())
+
     async def admit(self, organisation: str, deadline: float) -> None:
         """Admit one request, waiting a moment for tokens of other VMs.
 
--- a/src/rattanlug/daemon/run.py
+++ b/src/rattanlug/daemon/run.py
@@ -9,32 +9,9 @@
 
 from rattanlug.caller import application, reply, request
 from rattanlug.daemon import node, service_state
-from rattanlug.daemon.endpoints import (  # noqa: F401 (modules register themselves)
-    burn,
-    health,
-    lookup,
-    metrics,
-    registry,
-    rules,
-    status,
-)
-from rattanlug.daemon.handlers import (  # noqa: F401 (modules register themselves)
-    configuration as configuration_handlers,
-)
-from rattanlug.daemon.handlers import (  # noqa: F401 (modules register themselves)
-    loans,
-    membership,
-)
+from rattanlug.daemon.endpoints import lookup, registry
 from rattanlug.daemon.handlers import registry as handler_registry
-from rattanlug.daemon.loops import (  # noqa: F401 (modules register themselves)
-    borrowing,
-    gossip,
-    head,
-    reports,
-    vm_list,
-)
 from rattanlug.daemon.loops import registry as loop_registry
-from rattanlug.daemon.loops import seats as seat_loop  # noqa: F401
 from rattanlug.errors import error, kind
 from rattanlug.peer import server
 from rattanlug.settings import settings as settings_module
--- a/src/rattanlug/daemon/version_choice.py
+++ b/src/rattanlug/daemon/version_choice.py
@@ -3,8 +3,10 @@
 import random
 from collections.abc import Callable
 
-from rattanlug.daemon import active_configuration
-from rattanlug.model import configuration, route
+from rattanlug.daemon import active_move
+from rattanlug.logs import state as log_state
+from rattanlug.model import configuration, move, route
+from rattanlug.rollout import local_guard, move_state
 
 
 class VersionChoice:
@@ -12,41 +14,124 @@
 
     Parameters
     ----------
-    active : active_configuration.ActiveConfiguration
-    clock : callable
-        Returns the present time in seconds.
+    vm : str
+    clock, wall_clock : callable
+        Return the present time in seconds.
     rng : random.Random
+    may_shift : callable
+        ``may_shift(move)`` takes a token of the move's cap, or returns False.
     """
 
     def __init__(
         self,
-        active: active_configuration.ActiveConfiguration,
+        vm: str,
         clock: Callable[[], float],
+        wall_clock: Callable[[], float],
         rng: random.Random,
+        may_shift: Callable[[str], bool],
     ) -> None:
-        self._active = active
+        self._vm = vm
         self._clock = clock
+        self._wall_clock = wall_clock
         self._rng = rng
+        self._may_shift = may_shift
+        self._configuration = configuration.Configuration()
+        self._moves: dict[str, active_move.ActiveMove] = {}
+
+    @property
+    def moves(self) -> dict[str, active_move.ActiveMove]:
+        """Moves of the configuration by name."""
+        return self._moves
 
     def configure(self, current: configuration.Configuration) -> None:
         """Take the moves of a new configuration."""
+        self._configuration = current
+        for planned in current.moves.values():
+            known = self._moves.get(planned.name)
+            if known is None or known.planned != planned:
+                self._moves[planned.name] = active_move.ActiveMove(
+                    planned, self._vm, self._guard(planned)
+                )
+        for name in self._moves.keys() - current.moves.keys():
+            del self._moves[name]
 
     def choose(self, wanted: route.Route) -> str:
         """Return the version for one request."""
-        return self._active.configuration.services[wanted.service].version
+        service = wanted.service
+        version = self._configuration.services[service].version
+        for item in self._moves.values():
+            planned = item.planned
+            if planned.service != service or planned.from_version != version:
+                continue
+            if item.final is move_state.MoveState.DONE:
+                version = planned.to_version
+            elif item.final is None:
+                return self._choose_in_move(item, wanted.name)
+        return version
 
     def finished(
-        self, wanted: route.Route, version: str, failed: bool, latency: float
+        self,
+        wanted: route.Route,
+        version: str,
+        failed: bool,
+        latency: float,
+        cold: bool,
     ) -> None:
         """Take the outcome of one attempt."""
+        for item in self._moves.values():
+            planned = item.planned
+            if (
+                planned.service == wanted.service
+                and item.final is None
+                and version in (planned.from_version, planned.to_version)
+            ):
+                item.finished(wanted.name, version, failed, latency, cold)
 
-    def finished_moves(self) -> list:
-        """Return the final states of moves for gossip."""
-        return []
-
-    def finish(self, move: str, state: str) -> None:
+    def finish(self, name: str, state: str) -> None:
         """Note the final state of a move."""
+        item = self._moves.get(name)
+        try:
+            final = move_state.MoveState(state)
+        except ValueError:
+            return
+        if item is not None and item.final is None and final.final:
+            log_state.changed("move", item.state.value, final.value, move=name)
+            item.finish(final)
+
+    def finished_moves(self) -> list[tuple[str, str]]:
+        """Return names and states of the moves that have ended."""
+        return [
+            (name, item.final.value)
+            for name, item in self._moves.items()
+            if item.final is not None
+        ]
 
     def describe(self) -> list[dict]:
-        """Return the moves with their states."""
-        return []
+        """Return the moves with the states that this VM knows."""
+        return [
+            {
+                "move": name,
+                "service": item.planned.service,
+                "from": item.planned.from_version,
+                "to": item.planned.to_version,
+                "state": item.state.value,
+            }
+            for name, item in self._moves.items()
+        ]
+
+    def _choose_in_move(self, item: active_move.ActiveMove, route_name: str) -> str:
+        planned = item.planned
+        chosen = item.choose(route_name, self._clock(), self._rng)
+        if chosen == planned.to_version and not self._may_shift(planned.name):
+            item.hold_back()
+            return planned.from_version
+        return chosen
+
+    def _guard(self, planned: move.Move) -> local_guard.LocalGuard:
+        routes = sum(
+            item.service == planned.service
+            for item in self._configuration.routes.values()
+        )
+        vms = sum(item.vms for item in self._configuration.data_centres.values())
+        remaining = planned.deadline - self._wall_clock()
+        return local_guard.LocalGuard(routes, vms, self._clock(), max(1.0, remaining))
--- a/src/rattanlug/peer/rattanlug.thrift
+++ b/src/rattanlug/peer/rattanlug.thrift
@@ -156,11 +156,14 @@
   3: i64 total = 0
   4: i64 errors = 0
   5: i64 slow = 0
+  6: i64 cold = 0                      // requests to upstreams that had just started
 }
 
 struct ReportOutcomes {
   1: string move = ""
   2: list<OutcomeCount> counts = []
+  3: string stopped = ""               // why the sender's own guard stopped
+  4: bool capped = false               // whether the cap held requests back
 }
 
 struct Allowance {
