Add relays, callers, steps and checks to the trial

Cause: a trial needs link delays and cuts, load whose answers are checked, operators' steps and evidence of violations that does not come from the daemons alone.

The admission of a request is only known to lie between its sending and its execution. Counting arrivals at upstreams per window was ruled out, because requests that were delayed on their way would count as excess; a request counts for a window only if its whole span lies in it.

Not yet run with the real daemon.

--- /dev/null
+++ b/tests/trial/test_checks.py
@@ -0,0 +1,156 @@
+"""Tests of the checks: each finds the violation that it is there for."""
+
+import base64
+
+import pytest
+
+from trial import deployment
+from trial.caller import settings
+from trial.checks import answers, evidence, execution, keys, limits, windows
+
+KEY = "a secret/key"
+
+
+@pytest.fixture
+def facts():
+    return evidence.Facts()
+
+
+def _attempt(request_id="urdina.1", **values):
+    plain = settings.Attempt(request_id, "vm1", 10.0, 10.1, 200, "", "", "")
+    return plain._replace(**values)
+
+
+def _evidence(
+    facts, attempts=(), record=(), identity="", result="ok", key="urdina/old"
+):
+    plan = deployment.small(deployment.DEPLOYMENTS["txiki"])
+    places = deployment.assign_places(plan, 10, False)
+    empty = {
+        "slots": 5,
+        "most_in_flight": 1,
+        "over_slots": 0,
+        "identities": {},
+        "executions": [],
+        "arrivals": [],
+        "received": [],
+    }
+    records = {each.name: dict(empty) for each in places.upstreams}
+    records["l-01"] |= dict(record)
+    outcome = settings.Outcome(
+        10.0, 10.1, "urdina", key, "view", "view", identity, result, list(attempts)
+    )
+    report = settings.CallerReport([outcome], 1, 0, 0.0)
+    secrets = {"urdina/old": KEY}
+    return evidence.Evidence(plan, places, secrets, "token!", report, records, facts)
+
+
+def _ran(*request_ids, began=10.05):
+    return {"executions": [[began, "/listings", each, ""] for each in request_ids]}
+
+
+def test_double_run_is_found_across_upstreams(facts):
+    """Guards against counting the runs of each upstream separately."""
+    found = _evidence(facts, record={"identities": {"op": 1}})
+    assert execution.find_double_runs(found) == []
+    found.records["c-01"]["identities"] = {"op": 1}
+    assert len(execution.find_double_runs(found)) == 1
+
+
+def test_not_run_that_ran_is_found(facts):
+    """Guards against believing a refusal without asking the upstreams."""
+    refused = _attempt(status=503, ran="no", kind="no_capacity")
+    assert execution.find_false_not_run(_evidence(facts, [refused])) == []
+    found = _evidence(facts, [refused], _ran("urdina.1"))
+    assert len(execution.find_false_not_run(found)) == 1
+
+
+def test_success_without_run_is_found(facts):
+    """Guards against an answer that is made up or belongs to another operation."""
+    found = _evidence(facts, [_attempt()], identity="op")
+    assert len(execution.find_answers_without_run(found)) == 1
+
+
+def test_work_after_drain_is_found(facts):
+    """Guards against ignoring work that a draining upstream refused."""
+    facts.leaving["l-01"] = 10.0
+    assert not execution.find_late_work(_evidence(facts, record={"arrivals": [12.9]}))
+    assert execution.find_late_work(_evidence(facts, record={"arrivals": [13.1]}))
+
+
+def test_each_request_above_the_slots_counts(facts):
+    """Guards against a record that reports excess without counting it."""
+    found = _evidence(facts, record={"over_slots": 2})
+    assert len(execution.find_full_upstreams(found)) == 2
+
+
+def test_wrong_answer_is_found(facts):
+    """Guards against counting a damaged answer as a cut connection."""
+    found = _evidence(facts, [_attempt(fault="body is not whole")])
+    assert len(answers.find_wrong_answers(found)) == 1
+    assert answers.find_cut_answers(found) == []
+
+
+def test_only_cuts_of_a_killed_vm_are_excused(facts):
+    """Guards against excusing cuts before the kill or at other VMs."""
+    cut = _attempt(status=0, kind="cut", fault="reset")
+    assert len(answers.find_cut_answers(_evidence(facts, [cut]))) == 1
+    facts.killed["vm1"] = 10.05
+    assert answers.find_cut_answers(_evidence(facts, [cut])) == []
+    facts.killed["vm1"] = 10.15
+    assert len(answers.find_cut_answers(_evidence(facts, [cut]))) == 1
+
+
+@pytest.mark.parametrize("data", [KEY, "a%20secret%2Fkey", "token!"])
+def test_key_at_an_upstream_is_found(facts, data):
+    """Guards against a key that leaks in percent-encoded form."""
+    received = [base64.b64encode(f"GET /x?y={data}\n".encode()).decode()]
+    found = _evidence(facts, record={"received": received})
+    assert len(keys.find_keys_at_upstreams(found)) == 1
+
+
+def test_withdrawn_key_served_late_is_found(facts):
+    """Guards against allowing more than 3 s after the acceptance."""
+    facts.withdrawn["urdina/old"] = 6.9
+    assert len(keys.find_late_keys(_evidence(facts, [_attempt()]))) == 1
+    facts.withdrawn["urdina/old"] = 7.1
+    assert keys.find_late_keys(_evidence(facts, [_attempt()])) == []
+
+
+def test_excess_counts_only_events_that_lie_in_the_window():
+    """Guards against false alarms from the way to the upstream, and missed ones."""
+    steady = [(i / 10, i / 10 + 0.05) for i in range(100)]
+    assert windows.largest_excess(steady, 10, 2) <= 0
+    burst = [(5.0, 5.0)] * 12
+    assert windows.largest_excess(burst, 10, 10) == pytest.approx(2)
+    # Ten were admitted some time in 5 s: no window is known to hold them all.
+    unknown = [(0.0, 5.0)] * 52
+    assert windows.largest_excess(unknown, 10, 2) <= 0
+
+
+def test_organisation_above_its_rate_is_found(facts):
+    """Guards against attributing executions to the wrong organisation."""
+    names = [f"urdina.{i}" for i in range(125)]
+    sent = [_attempt(each, sent=10.05) for each in names]
+    found = _evidence(facts, sent, _ran(*names))
+    assert len(limits.find_excess(found)) == 5
+
+
+def test_move_above_its_cap_is_found(facts):
+    """Guards against counting requests of the old version or after the move."""
+    names = [f"urdina.{i}" for i in range(5)]
+    sent = [_attempt(each, sent=10.0) for each in names]
+    move = evidence.MoveFacts("m", 9.0, 20.0, 15.0, "done", "", 3.0)
+    facts.moves.append(move)
+    found = _evidence(facts, sent, _ran(*names))
+    assert limits.find_moves_above_cap(found) == []
+    found.records["l2-01"] |= _ran(*names)
+    assert len(limits.find_moves_above_cap(found)) == 2
+    facts.moves[0] = move._replace(ended=9.5)
+    assert limits.find_moves_above_cap(found) == []
+
+
+def test_late_version_is_found(facts):
+    """Guards against a change that is in force too late."""
+    facts.in_force_s += [(1, 4.9), (2, 5.1)]
+    assert len(limits.find_late_versions(_evidence(facts))) == 1
--- a/trial/__main__.py
+++ b/trial/__main__.py
@@ -5,7 +5,7 @@
 
 import cappa
 
-from trial.commands import platform, run, upstream
+from trial.commands import caller, platform, relay, run, upstream
 
 
 @cappa.command(name="trial", description="Trials of rattanlug on one machine.")
@@ -18,7 +18,9 @@
     command : cappa.Subcommands
     """
 
-    command: cappa.Subcommands[platform.Platform | upstream.Upstream | run.Run]
+    command: cappa.Subcommands[
+        run.Run | platform.Platform | upstream.Upstream | relay.Relay | caller.Caller
+    ]
 
 
 def main() -> int:
--- /dev/null
+++ b/trial/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a finished trial against the invariants."""
--- a/trial/commands/run.py
+++ b/trial/commands/run.py
@@ -8,6 +8,7 @@
 from trial import deployment, options, session
 
 _NAMES = sorted(deployment.DEPLOYMENTS)
+_DEFAULTS = options.Options()
 
 
 @cappa.command(name="run", description="Start a deployment and run a trial.")
@@ -16,9 +17,12 @@
     """Arguments, as in `options.Options`."""
 
     deployment: Annotated[str, cappa.Arg(long=True, choices=_NAMES)] = "txiki"
+    seconds: Annotated[float, cappa.Arg(long=True)] = _DEFAULTS.seconds
+    rate: Annotated[float, cappa.Arg(long=True)] = _DEFAULTS.rate
+    seed: Annotated[int, cappa.Arg(long=True)] = _DEFAULTS.seed
     small: Annotated[bool, cappa.Arg(long=True)] = False
     stay: Annotated[bool, cappa.Arg(long=True)] = False
-    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    json: Annotated[str, cappa.Arg(long=True)] = ""
 
     def __call__(self) -> int:
         """Run the trial."""
--- a/trial/deployment.py
+++ b/trial/deployment.py
@@ -8,6 +8,7 @@
 PEER_PORT = 7000
 UPSTREAM_PORT = 9000
 PLATFORM_PORT = 8000
+CONNECT_S = 0.001
 RELAY_PORT = 8600
 REGION_BITS_PER_S = 4_000_000_000
 OPERATOR = "trial"
@@ -159,14 +160,24 @@
 
 
 def small(deployment: Deployment) -> Deployment:
-    """Return one data centre with 2 VMs and one upstream per service and version."""
+    """Return one data centre with 2 VMs and 3 upstreams a service and version."""
     return deployment._replace(
         data_centres=deployment.data_centres[:1],
-        services=tuple(each._replace(upstreams=1) for each in deployment.services),
-        moving_upstreams=1,
+        services=tuple(each._replace(upstreams=3) for each in deployment.services),
+        moving_upstreams=3,
     )
 
 
+def one_way_s(plan: Deployment, first: str, second: str) -> float:
+    """Return the one-way time between two data centres, seconds."""
+    regions = dict(plan.data_centres)
+    if first == second:
+        return 0.0
+    if regions[first] == regions[second]:
+        return plan.near_s / 2
+    return plan.far_s / 2
+
+
 class VmPlace(NamedTuple):
     """An entry VM and its addresses; the advertised ones lead through a relay."""
 
@@ -201,8 +212,10 @@
         Whether advertised addresses differ from private ones.
     vms, upstreams : tuple
     platform_host, advertised_platform_host : str
-    client_hosts : Mapping
+    client_hosts : dict
         Source address of clients by data centre.
+    relay_hosts : dict
+        Control address of the relay by data centre.
     """
 
     octet: int
@@ -212,9 +225,11 @@
     platform_host: str
     advertised_platform_host: str
     client_hosts: dict[str, str]
+    relay_hosts: dict[str, str]
 
 
 _PLATFORM_NUMBER = 2
+_RELAY_NUMBER = 3
 _VM_NUMBER = 11
 _UPSTREAM_NUMBER = 101
 _CLIENT_NUMBER = 200
@@ -272,6 +287,7 @@
         private(0, _PLATFORM_NUMBER),
         advertised(0, _PLATFORM_NUMBER),
         {name: private(index, _CLIENT_NUMBER) for index, name in enumerate(names)},
+        {name: private(index, _RELAY_NUMBER) for index, name in enumerate(names)},
     )
 
 
--- a/trial/launcher.py
+++ b/trial/launcher.py
@@ -8,13 +8,17 @@
 from typing import Any
 
 import trio
+from cattrs.preconf import json as json_converter
 
-from trial import deployment, http_client, processes
+from trial import deployment, http_client, metrics_text, processes
+from trial.relay import build
 
+DAEMON_ARGUMENTS = ("-m", "rattanlug", "daemon")
 _FIRST_OCTET = 10
 _LAST_OCTET = 250
 _RESERVATION_PORT = 8999
 _READY_TIMEOUT_S = 15.0
+_CONVERTER = json_converter.make_converter()
 
 
 class LaunchError(Exception):
@@ -81,13 +85,18 @@
         """Key by name."""
         return self._keys
 
+    @property
+    def operator_token(self) -> str:
+        """Token of operators' requests."""
+        return self._operator_token
+
     @property
     def operator_headers(self) -> dict[str, str]:
         """Headers of operators' requests."""
         return {"Authorization": f"Bearer {self._operator_token}"}
 
     async def start_stand_ins(self) -> None:
-        """Start platform and upstreams and wait until they answer."""
+        """Start platform, upstreams and relays and wait until they listen."""
         self._processes.start(
             "platform",
             ["-m", "trial", "platform", "--host", self._places.platform_host]
@@ -101,11 +110,18 @@
             arguments += ["--connections", str(each.connections)]
             arguments += ["--seed", str(self._seed)]
             self._processes.start(each.name, arguments)
+        if self._places.relayed:
+            self._start_relays()
         await self._wait_listening(
             "platform", self._places.platform_host, deployment.PLATFORM_PORT
         )
         for each in self._places.upstreams:
-            await self._wait_listening(each.name, each.host, deployment.UPSTREAM_PORT)
+            await self._wait_listening(
+                each.name, each.advertised_host, deployment.UPSTREAM_PORT
+            )
+        await self._wait_listening(
+            "platform", self._places.advertised_platform_host, deployment.PLATFORM_PORT
+        )
 
     async def start_daemons(self) -> None:
         """Start the entry daemons and wait until they listen."""
@@ -114,13 +130,32 @@
             self.start_daemon(each)
         for each in self._places.vms:
             await self._wait_listening(each.vm, each.host, deployment.VM_PORT)
+            await self._wait_listening(
+                each.vm, each.advertised_host, deployment.PEER_PORT
+            )
+
+    def _start_relays(self) -> None:
+        for name in self._places.relay_hosts:
+            settings = build.build_plan(self._plan, self._places, name)
+            path = self._directory / f"relay-{name}.json"
+            path.write_text(_CONVERTER.dumps(settings))
+            self._processes.start(
+                f"relay-{name}", ["-m", "trial", "relay", "--settings", str(path)]
+            )
+
+    async def cut(self, pairs: list[list[str]]) -> None:
+        """Cut exactly these pairs of data centres, or of one and ``platform``."""
+        for host in self._places.relay_hosts.values():
+            await http_client.request(
+                host, deployment.RELAY_PORT, "POST", "/.control", {"cut": pairs}
+            )
 
     def start_daemon(self, place: deployment.VmPlace) -> int:
         """Start one entry daemon and return its process id."""
         path = self._directory / f"{place.vm}.json"
         path.write_text(json.dumps(self.settings(place), indent=1))
         return self._processes.start(
-            place.vm, ["-m", "rattanlug", "daemon", "--settings", str(path)]
+            place.vm, [*DAEMON_ARGUMENTS, "--settings", str(path)]
         )
 
     def settings(self, place: deployment.VmPlace) -> dict[str, Any]:
@@ -200,6 +235,39 @@
             raise LaunchError(f"posting rules: {reply.status} {reply.body[:300]!r}")
         return reply.json()
 
+    async def read_row(self, table: str, key: str) -> dict[str, Any] | None:
+        """Return the value of a row of the table service."""
+        reply = await http_client.request(
+            self._places.platform_host,
+            deployment.PLATFORM_PORT,
+            "GET",
+            f"/v1/tables/{table}/{key}",
+        )
+        return reply.json()["value"] if reply.status == 200 else None
+
+    async def read_violations(self, place: deployment.VmPlace) -> dict[str, int]:
+        """Return the violation counts of a daemon.
+
+        Raises
+        ------
+        LaunchError
+            The daemon exposes no count, so that zero violations would mean nothing.
+        """
+        reply = await http_client.request(
+            place.host, deployment.VM_PORT, "GET", "/.rattanlug/metrics"
+        )
+        counts = metrics_text.read_violations(reply.body.decode())
+        if not counts:
+            raise LaunchError(f"{place.vm} exposes no rattanlug_violations_total")
+        return counts
+
+    async def read_record(self, place: deployment.UpstreamPlace) -> dict[str, Any]:
+        """Return what an upstream received and ran."""
+        reply = await http_client.request(
+            place.host, deployment.UPSTREAM_PORT, "GET", "/.record"
+        )
+        return reply.json()
+
     async def apply_initial_rules(self) -> dict[str, Any]:
         """Apply the rules of the deployment, retrying while daemons form contact."""
         lines = deployment.write_rules(self._plan, self._places, self._keys)
--- a/trial/options.py
+++ b/trial/options.py
@@ -9,14 +9,23 @@
     Attributes
     ----------
     deployment : str
+    seconds : float
+        Length of the load.
+    rate : float
+        Requests/s.
+    seed : int
     small : bool
-        One data centre with 2 VMs and few upstreams, without a relay.
+        One data centre with 2 VMs and few upstreams, without relays.
     stay : bool
-        Keep the processes up until interrupted.
-    seed : int
+        Send no load; keep the processes up until interrupted.
+    json : str
+        File for the result as JSON, or empty.
     """
 
     deployment: str = "txiki"
+    seconds: float = 30.0
+    rate: float = 60.0
+    seed: int = 1
     small: bool = False
     stay: bool = False
-    seed: int = 1
+    json: str = ""
--- /dev/null
+++ b/trial/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relay that adds link delays and cuts links between data centres."""
--- a/trial/session.py
+++ b/trial/session.py
@@ -4,67 +4,234 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Iterator
 
 import trio
+from cattrs.preconf import json as json_converter
 
-from trial import deployment, launcher, options, processes
+from trial import (
+    clock,
+    deployment,
+    http_client,
+    launcher,
+    load_mix,
+    options,
+    processes,
+    report,
+)
+from trial.caller import settings
+from trial.checks import answers, evidence, execution, keys, limits
+from trial.checks import registry as check_registry
+from trial.steps import context, drains, moves, vms
+from trial.steps import keys as key_steps
+from trial.steps import registry as step_registry
+
+# Importing these modules fills the registries.
+_REGISTERED = (answers, execution, keys, limits, drains, moves, vms, key_steps)
+
+_CONVERTER = json_converter.make_converter()
+_READY_TIMEOUT_S = 25.0
+_START_DELAY_S = 1.0
+# Beyond the load: start of the processes, last answers and evaluation.
+_OVERHEAD_S = 30.0
+
+
+class Session:
+    """A trial with its processes.
+
+    Parameters
+    ----------
+    chosen : options.Options
+    octet : int
+        Of the loopback addresses.
+    directory : pathlib.Path
+    """
+
+    def __init__(self, chosen: options.Options, octet: int, directory: pathlib.Path):
+        plan = deployment.DEPLOYMENTS[chosen.deployment]
+        self._options = chosen
+        self._plan = deployment.small(plan) if chosen.small else plan
+        self._places = deployment.assign_places(self._plan, octet, not chosen.small)
+        self._directory = directory
+        self._processes = processes.Processes(directory)
+        self._launch = launcher.Launcher(
+            self._plan, self._places, self._processes, directory, chosen.seed
+        )
+        self._facts = evidence.Facts()
+        self._context = context.Context(
+            self._plan,
+            self._places,
+            self._launch,
+            self._processes,
+            self._facts,
+            chosen.seconds,
+            chosen.rate,
+        )
+        self._steps: list[report.StepResult] = []
+        self._errors: list[str] = []
+
+    def run(self) -> report.Result | None:
+        """Run the trial; return None when it was interrupted or only stayed up."""
+        try:
+            return trio.run(self._main)
+        finally:
+            self._processes.end_all()
+
+    async def _main(self) -> report.Result | None:
+        result = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_on_signal, nursery.cancel_scope)
+            if self._options.stay:
+                await self._bring_up()
+                self._print_commands()
+                await trio.sleep_forever()
+            result = await self._measure()
+            nursery.cancel_scope.cancel()
+        return result
+
+    async def _measure(self) -> report.Result:
+        began = clock.now()
+        found = settings.CallerReport([], 0, 0, 0.0)
+        records = {}
+        with trio.move_on_after(self._options.seconds + _OVERHEAD_S) as scope:
+            try:
+                await self._bring_up()
+                found = await self._send_load()
+                records = await self._collect()
+            except (launcher.LaunchError, *http_client.FAILURES) as exc:
+                self._errors.append(f"{type(exc).__name__}: {exc}")
+        if scope.cancelled_caught:
+            self._errors.append("the trial took too long")
+        self._check_vacuous(found)
+        seen = evidence.Evidence(
+            self._plan,
+            self._places,
+            self._launch.keys,
+            self._launch.operator_token,
+            found,
+            records,
+            self._facts,
+        )
+        violations = check_registry.run_checks(seen) if records else {}
+        title = f"{self._plan.name}, seed {self._options.seed}, "
+        title += f"{self._options.rate:g} requests/s for {self._options.seconds:g} s"
+        return report.Result(
+            title,
+            found,
+            self._facts,
+            violations,
+            self._steps,
+            self._errors,
+            clock.now() - began,
+        )
+
+    async def _bring_up(self) -> None:
+        await self._launch.start_stand_ins()
+        await self._launch.start_daemons()
+        await self._launch.apply_initial_rules()
+        await self._launch.wait_serving(_READY_TIMEOUT_S)
+
+    async def _send_load(self) -> settings.CallerReport:
+        start = clock.now() + _START_DELAY_S
+        wanted = load_mix.build_settings(
+            self._plan,
+            self._places,
+            self._launch.keys,
+            seed=self._options.seed,
+            start=start,
+            seconds=self._options.seconds,
+            rate=self._options.rate,
+        )
+        path = self._directory / "caller.json"
+        path.write_text(_CONVERTER.dumps(wanted))
+        output = self._directory / "caller-report.json"
+        self._processes.start(
+            "caller",
+            ["-m", "trial", "caller", "--settings", str(path), "--output", str(output)],
+        )
+        async with trio.open_nursery() as nursery:
+            chosen, omitted = step_registry.choose_steps(len(self._places.vms))
+            for step in chosen:
+                nursery.start_soon(self._run_step, step, start)
+            for step in omitted:
+                seen = "not part of a trial with so few VMs"
+                self._steps.append(report.StepResult(step.name, seen, ""))
+            code = await self._processes.wait(
+                "caller", self._options.seconds + _START_DELAY_S + 5
+            )
+        if code != 0:
+            log = self._processes.read_log("caller")
+            raise launcher.LaunchError(f"caller ended with {code}\n{log}")
+        return _CONVERTER.loads(output.read_text(), settings.CallerReport)
+
+    async def _run_step(self, step: step_registry.Step, start: float) -> None:
+        due = start + step.at * self._options.seconds
+        await trio.sleep(max(0.0, due - clock.now()))
+        seen, failure = "", ""
+        try:
+            seen = await step.action(self._context)
+        except* Exception as group:
+            failure = "; ".join(_describe(group))
+        self._steps.append(report.StepResult(step.name, seen, failure))
+
+    async def _collect(self) -> dict[str, dict]:
+        for place in self._context.live:
+            code = self._processes.exit_code(place.vm)
+            if code is None:
+                await self._context.read_violations(place)
+            else:
+                log = self._processes.read_log(place.vm)
+                self._errors.append(f"{place.vm} ended by itself with {code}\n{log}")
+        return {
+            each.name: await self._launch.read_record(each)
+            for each in self._places.upstreams
+        }
+
+    def _check_vacuous(self, found: settings.CallerReport) -> None:
+        """Note kinds of requests that never succeeded; their checks say nothing."""
+        kinds = {each.route_kind for each in found.outcomes if each.result == "ok"}
+        for kind in sorted({"view", "once", "open"} - kinds):
+            self._errors.append(f"no request on a {kind} route succeeded")
+
+    async def _cancel_on_signal(self, scope: trio.CancelScope) -> None:
+        with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+            async for _ in signals:
+                scope.cancel()
+
+    def _print_commands(self) -> None:
+        vm = f"http://{self._places.vms[0].host}:{deployment.VM_PORT}"
+        name, key = next(iter(self._launch.keys.items()))
+        _, method, path = self._plan.services[0].view
+        token = self._launch.operator_headers["Authorization"]
+        print(f"# key {name}")
+        print(f"curl -i -X {method} -H 'Authorization: Bearer {key}' {vm}{path}/1")
+        print(f"curl -i {vm}{self._plan.services[0].open[2]}/1")
+        print(f"curl -s '{vm}/.rattanlug/lookup?client=127.0.0.1'")
+        print(f"curl -s -H 'Authorization: {token}' {vm}/.rattanlug/rules")
+        print(f"curl -s {vm}/.rattanlug/metrics", flush=True)
+
+
+def _describe(group: BaseExceptionGroup) -> Iterator[str]:
+    for exc in group.exceptions:
+        if isinstance(exc, BaseExceptionGroup):
+            yield from _describe(exc)
+        else:
+            yield f"{type(exc).__name__}: {exc}"
 
 
 def run(chosen: options.Options) -> int:
-    """Run a trial and return the exit code."""
-    plan = deployment.DEPLOYMENTS[chosen.deployment]
-    if chosen.small:
-        plan = deployment.small(plan)
+    """Run a trial, print its result and return the exit code."""
     octet, reservation = launcher.reserve_octet()
+    result, failures = None, []
     with reservation, tempfile.TemporaryDirectory(prefix="trial-") as name:
-        directory = pathlib.Path(name)
-        started = processes.Processes(directory)
-        places = deployment.assign_places(plan, octet, False)
-        launch = launcher.Launcher(plan, places, started, directory, chosen.seed)
         try:
-            return trio.run(_run, plan, places, launch)
+            result = Session(chosen, octet, pathlib.Path(name)).run()
         except* launcher.LaunchError as group:
-            for exc in group.exceptions:
-                print(f"error: {exc}", file=sys.stderr)
-        finally:
-            started.end_all()
-    return 1
-
-
-async def _run(
-    plan: deployment.Deployment,
-    places: deployment.Places,
-    launch: launcher.Launcher,
-) -> int:
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_cancel_on_signal, nursery.cancel_scope)
-        await launch.start_stand_ins()
-        await launch.start_daemons()
-        print(await launch.apply_initial_rules())
-        await launch.wait_serving(20)
-        _print_commands(plan, places, launch)
-        await trio.sleep_forever()
-    return 0
-
-
-async def _cancel_on_signal(scope: trio.CancelScope) -> None:
-    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
-        async for _ in signals:
-            scope.cancel()
-
-
-def _print_commands(
-    plan: deployment.Deployment,
-    places: deployment.Places,
-    launch: launcher.Launcher,
-) -> None:
-    vm = f"http://{places.vms[0].host}:{deployment.VM_PORT}"
-    name, key = next(iter(launch.keys.items()))
-    _, method, path = plan.services[0].view
-    token = launch.operator_headers["Authorization"]
-    print(f"# key {name}")
-    print(f"curl -i -X {method} -H 'Authorization: Bearer {key}' {vm}{path}/1")
-    print(f"curl -i {vm}{plan.services[0].open[2]}")
-    print(f"curl -s '{vm}/.rattanlug/lookup?client=127.0.0.1'")
-    print(f"curl -s -H 'Authorization: {token}' {vm}/.rattanlug/rules")
-    print(f"curl -s {vm}/.rattanlug/metrics", flush=True)
+            failures = list(_describe(group))
+    if result is None:
+        print("\n".join(failures) or "interrupted", file=sys.stderr)
+        return 0 if chosen.stay and not failures else 1
+    print(report.as_text(result))
+    if chosen.json:
+        pathlib.Path(chosen.json).write_text(_CONVERTER.dumps(report.as_data(result)))
+    return result.exit_code
--- /dev/null
+++ b/trial/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps that a trial carries out while load is running."""
--- a/trial/upstream/record.py
+++ b/trial/upstream/record.py
@@ -4,7 +4,7 @@
 import collections
 from typing import Any, NamedTuple
 
-from trial import http_server
+from trial import clock, http_server
 
 
 class Execution(NamedTuple):
@@ -38,6 +38,7 @@
         self._most_in_flight = 0
         self._over_slots = 0
         self._received: list[bytes] = []
+        self._arrivals: list[float] = []
         self._executions: list[Execution] = []
         self._outcomes: collections.Counter[str] = collections.Counter()
 
@@ -51,6 +52,7 @@
         head = f"{request.method} {request.path}?{request.query}\n"
         lines = "".join(f"{name}: {value}\n" for name, value in request.headers)
         self._received.append(f"{head}{lines}\n".encode() + request.body)
+        self._arrivals.append(clock.now())
         self._in_flight += 1
         self._most_in_flight = max(self._most_in_flight, self._in_flight)
         if self._in_flight > self._slots:
@@ -77,6 +79,7 @@
             "most_in_flight": self._most_in_flight,
             "over_slots": self._over_slots,
             "outcomes": dict(self._outcomes),
+            "arrivals": self._arrivals,
             "identities": dict(identities),
             "executions": [list(each) for each in self._executions],
             "received": [base64.b64encode(each).decode() for each in self._received],
