--- /dev/null
+++ b/src/rattanlug/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line, one module for each command."""
--- a/src/rattanlug/rules/document.py
+++ b/src/rattanlug/rules/document.py
@@ -1,11 +1,15 @@
 """Rule text as lines that can be edited one at a time and rendered back."""
 
+import re
 from collections.abc import Mapping
 from typing import NamedTuple
 
 from rattanlug.errors import error, kind
 from rattanlug.rules import line, parser, scanner
 
+# A space or '#' in a value would add a field or cut the line short.
+_WORD = re.compile(r"[^\s#]+")
+
 
 class Document(NamedTuple):
     """Lines of a rule text.
@@ -58,7 +62,7 @@
         error.InvalidInputError
             When there is no such rule.
         """
-        place = self._require(rule_kind, name).number - 1
+        place = self.require(rule_kind, name).number - 1
         return Document((*self.lines[:place], text, *self.lines[place + 1 :]))
 
     def remove(self, rule_kind: str, name: str) -> "Document":
@@ -69,10 +73,17 @@
         error.InvalidInputError
             When there is no such rule.
         """
-        place = self._require(rule_kind, name).number - 1
+        place = self.require(rule_kind, name).number - 1
         return Document((*self.lines[:place], *self.lines[place + 1 :]))
 
-    def _require(self, rule_kind, name):
+    def require(self, rule_kind: str, name: str) -> line.RuleLine:
+        """Return the line of a rule.
+
+        Raises
+        ------
+        error.InvalidInputError
+            When there is no such rule.
+        """
         found = self.find(rule_kind, name)
         if found is None:
             raise error.InvalidInputError(
@@ -97,12 +108,19 @@
     Raises
     ------
     error.InvalidInputError
-        When the comment holds a line end or another control character.
+        When the comment holds a control character, or a name or value holds
+        a space or ``#``.
     """
     if scanner.CONTROL.search(comment):
         raise error.InvalidInputError(
             kind.ErrorKind.RULE_INVALID,
             f"comment: got {comment!r}; accepted: one line of printable text",
         )
+    for each in (name, *fields.values()):
+        if not _WORD.fullmatch(each):
+            raise error.InvalidInputError(
+                kind.ErrorKind.RULE_INVALID,
+                f"{rule_kind}: got {each!r}; accepted: text without spaces or '#'",
+            )
     words = [rule_kind, name, *(f"{key}={value}" for key, value in fields.items())]
     return f"{' '.join(words)}  # {comment}"
