Report every fault of a settings file with its place and what is accepted

Cause: an unknown field was accepted without a word: the library takes forbid_extra_keys by position only and took the keyword for the name of a field. Faults of an address carried the place of the whole address, a list given as text was read letter by letter, and a field given twice took the last value. Ruled out: the library's own transform_error, which puts the place last and several unknown fields on one line.

--- a/src/rattanlug/settings/address.py
+++ b/src/rattanlug/settings/address.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from rattanlug.settings import kinds
+
 
 class Address(NamedTuple):
     """Where a process listens or connects.
@@ -14,5 +16,5 @@
         TCP port, 1 to 65535.
     """
 
-    host: str
-    port: int
+    host: kinds.Host
+    port: kinds.Port
--- a/src/rattanlug/settings/loader.py
+++ b/src/rattanlug/settings/loader.py
@@ -1,18 +1,16 @@
 """Reads and checks a settings file."""
 
-import ipaddress
 import json
 import pathlib
 
 import cattrs
-from cattrs import cols, v
+from cattrs import cols
 from cattrs import errors as cattrs_errors
 
 from rattanlug.errors import error, kind
-from rattanlug.settings import address, settings
+from rattanlug.settings import address, checks, faults, settings
 
-_LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
-_SCALARS = {str: "a text", int: "a whole number"}
+_Addresses = list[address.Address]
 
 
 def load_settings(path: str) -> settings.Settings:
@@ -30,76 +28,85 @@
     Raises
     ------
     error.InvalidInputError
-        With one line for each fault: path in the file, fault, what is accepted.
+        Of kind ``settings_invalid``, with one line of detail for each fault: file,
+        place in the file, what is wrong, what is accepted.
     """
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-        data = json.loads(text)
+        data = json.loads(text, object_pairs_hook=_unique_fields)
     except OSError as exc:
-        raise _invalid(f"{path}: cannot be read: {exc.strerror}") from exc
-    except ValueError as exc:
-        raise _invalid(f"{path}: not JSON: {exc}") from exc
+        raise _invalid(path, [f"cannot be read: {exc.strerror}"]) from exc
+    except json.JSONDecodeError as exc:
+        place = f"line {exc.lineno}, column {exc.colno}"
+        raise _invalid(path, [f"{place}: {exc.msg}; accepted: JSON"]) from exc
+    except (ValueError, RecursionError) as exc:
+        raise _invalid(path, [f"{exc}; accepted: JSON in UTF-8"]) from exc
     try:
-        result = _CONVERTER.structure(data, settings.Settings)
-    except cattrs_errors.BaseValidationError as exc:
-        lines = v.transform_error(exc, format_exception=_describe)
-        raise _invalid("\n".join(f"{path}: {line}" for line in lines)) from exc
-    return result
+        return _CONVERTER.structure(data, settings.Settings)
+    except (cattrs_errors.BaseValidationError, faults.WrongValueError) as exc:
+        raise _invalid(path, faults.describe(exc, _describe_type)) from exc
 
 
-def _invalid(detail: str) -> error.InvalidInputError:
+def _invalid(path, lines):
+    detail = "\n".join(f"{path}: {line}" for line in lines)
     return error.InvalidInputError(kind.ErrorKind.SETTINGS_INVALID, detail)
 
 
-def _describe(exc: BaseException, expected: type | None) -> str:
-    if isinstance(exc, KeyError):
-        return f"the required field {exc.args[0]!r} is missing"
-    if isinstance(exc, cattrs_errors.ForbiddenExtraKeysError):
-        fields = ", ".join(sorted(exc.extra_fields))
-        accepted = ", ".join(getattr(exc.cl, "_fields", ()))
-        return f"unknown field {fields}; accepted: {accepted}"
-    return str(exc)
+def _unique_fields(pairs):
+    result = dict(pairs)
+    if len(result) < len(pairs):
+        names = [name for name, _ in pairs]
+        twice = sorted({name for name in names if names.count(name) > 1})
+        raise ValueError(f"{', '.join(twice)}: given twice")
+    return result
 
 
-def _strict(value, expected):
-    if type(value) is not expected:
-        raise ValueError(f"got {value!r}; accepted: {_SCALARS[expected]}")
-    return value
+def _describe_type(expected):
+    if expected in checks.CHECKS:
+        return checks.CHECKS[expected].accepted
+    if expected == _Addresses:
+        return f"a list of objects with {', '.join(address.Address._fields)}"
+    return f"an object with {', '.join(expected._fields)}"
 
 
-def _structure_address(value, _):
-    result = _structure_address_fields(value, address.Address)
-    try:
-        ipaddress.ip_address(result.host)
-    except ValueError as exc:
-        raise ValueError(
-            f"host {result.host!r} is not an address; accepted: an IPv4 or IPv6 number"
-        ) from exc
-    if not 1 <= result.port <= 65535:
-        raise ValueError(f"port {result.port} is out of range; accepted: 1 to 65535")
-    return result
+def _check_hook(kind_of_value):
+    registered = checks.CHECKS[kind_of_value]
+
+    def structure(value, _):
+        try:
+            return registered.check(value)
+        except ValueError:
+            raise faults.WrongValueError(value, registered.accepted) from None
 
+    return structure
 
-def _structure_settings(value, _):
-    result = _structure_settings_fields(value, settings.Settings)
-    if result.log_level not in _LOG_LEVELS:
-        raise ValueError(
-            f"log_level {result.log_level!r}; accepted: {', '.join(_LOG_LEVELS)}"
+
+def _shape_hook(expected, shape, build):
+    def structure(value, _):
+        if not isinstance(value, shape):
+            raise faults.WrongValueError(value, _describe_type(expected))
+        return build(value, expected)
+
+    return structure
+
+
+def _new_converter():
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for each in checks.CHECKS:
+        converter.register_structure_hook(each, _check_hook(each))
+    for each in (address.Address, settings.Settings):
+        # By position: as a keyword, the last argument would name a field.
+        build = cols.namedtuple_dict_structure_factory(
+            each, converter, "from_converter", True
         )
-    digest = result.operator_token_digest
-    if digest and (len(digest) != 64 or set(digest) - set("0123456789abcdef")):
-        raise ValueError("operator_token_digest; accepted: 64 hexadecimal digits")
-    return result
+        converter.register_structure_hook(each, _shape_hook(each, dict, build))
+        if each is address.Address:
+            build_list = cols.list_structure_factory(_Addresses, converter)
+            converter.register_structure_hook_func(
+                lambda expected: expected == _Addresses,
+                _shape_hook(_Addresses, list, build_list),
+            )
+    return converter
 
 
-_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
-for _scalar in _SCALARS:
-    _CONVERTER.register_structure_hook(_scalar, _strict)
-_structure_address_fields = cols.namedtuple_dict_structure_factory(
-    address.Address, _CONVERTER, forbid_extra_keys=True
-)
-_CONVERTER.register_structure_hook(address.Address, _structure_address)
-_structure_settings_fields = cols.namedtuple_dict_structure_factory(
-    settings.Settings, _CONVERTER, forbid_extra_keys=True
-)
-_CONVERTER.register_structure_hook(settings.Settings, _structure_settings)
+_CONVERTER = _new_converter()
--- a/src/rattanlug/settings/settings.py
+++ b/src/rattanlug/settings/settings.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from rattanlug.settings import address
+from rattanlug.settings import address, kinds
 
 
 class Settings(NamedTuple):
@@ -24,16 +24,17 @@
     peer_advertised : address.Address, optional
         Peer address to give to other daemons when it differs from ``peer``.
     operator_token_digest : str
-        SHA-256 of the token that operators' requests carry, 64 hexadecimal digits.
+        SHA-256 of the token that operators' requests carry, 64 hexadecimal digits;
+        without it the operators' interface refuses every request.
     log_level : str
     """
 
-    vm: str
-    data_centre: str
+    vm: kinds.Name
+    data_centre: kinds.Name
     caller: address.Address
     peer: address.Address
     platform: address.Address
     seeds: list[address.Address] = []
     peer_advertised: address.Address | None = None
-    operator_token_digest: str = ""
-    log_level: str = "INFO"
+    operator_token_digest: kinds.Digest = ""
+    log_level: kinds.LogLevel = "INFO"
