Pass the caller's Request-Id to the upstream and store move rows as objects

Cause: callers find out whether an answer is their own by the Request-Id in it, and the daemon replaced it; move rows were JSON text inside JSON.

--- a/src/rattanlug/caller/forwarded_headers.py
+++ b/src/rattanlug/caller/forwarded_headers.py
@@ -1,5 +1,8 @@
 """Headers that pass between callers and upstreams."""
 
+import re
+import uuid
+
 from rattanlug.keys import scrub
 
 Headers = list[tuple[bytes, bytes]]
@@ -29,13 +32,25 @@
 )
 _OWN_PREFIX = b"rattanlug-"
 _MILLISECONDS_PER_SECOND = 1000
+_REQUEST_ID_FORM = re.compile(rb"[!-~]{1,128}")
+
+
+def request_id(headers: Headers) -> str:
+    """Return the caller's ``Request-Id``, or a new one.
+
+    A value that is empty, too long or not visible ASCII is replaced.
+    """
+    for name, value in headers:
+        if name == REQUEST_ID and _REQUEST_ID_FORM.fullmatch(value):
+            return value.decode("ascii")
+    return uuid.uuid4().hex
 
 
 def to_upstream(
     headers: Headers,
     host: str,
     body: bytes,
-    request_id: str,
+    identifier: str,
     remaining: float,
     organisation: str,
 ) -> Headers:
@@ -48,8 +63,8 @@
     host : str
         Value of ``Host``.
     body : bytes
-    request_id : str
-        Identifies this attempt; the upstream returns it.
+    identifier : str
+        ``Request-Id``, which the upstream returns.
     remaining : float
         Seconds until the deadline.
     organisation : str
@@ -62,7 +77,7 @@
     result = _end_to_end(scrub.remove_key(headers))
     result.append((b"host", host.encode()))
     result.append((b"content-length", str(len(body)).encode()))
-    result.append((REQUEST_ID, request_id.encode()))
+    result.append((REQUEST_ID, identifier.encode()))
     milliseconds = int(remaining * _MILLISECONDS_PER_SECOND)
     result.append((REQUEST_TIMEOUT, str(milliseconds).encode()))
     if organisation:
@@ -70,7 +85,7 @@
     return result
 
 
-def to_caller(headers: Headers, body: bytes, request_id: bytes | None) -> Headers:
+def to_caller(headers: Headers, body: bytes, identifier: str) -> Headers:
     """Return the headers of an answer to the caller.
 
     Parameters
@@ -78,8 +93,8 @@
     headers : list of tuple of bytes
         Headers of the upstream.
     body : bytes
-    request_id : bytes or None
-        The caller's own ``Request-Id``.
+    identifier : str
+        ``Request-Id`` of the request.
 
     Returns
     -------
@@ -88,8 +103,7 @@
     result = _end_to_end(headers)
     result.append((b"content-length", str(len(body)).encode()))
     result.append((_OWN_PREFIX + b"ran", b"yes"))
-    if request_id is not None:
-        result.append((REQUEST_ID, request_id))
+    result.append((REQUEST_ID, identifier.encode()))
     return result
 
 
--- a/src/rattanlug/daemon/proxy.py
+++ b/src/rattanlug/daemon/proxy.py
@@ -70,6 +70,7 @@
     route: model_route.Route
     organisation: str
     deadline: float
+    identifier: str
 
 
 class Proxy:
@@ -203,7 +204,8 @@
     ) -> reply.Reply:
         service = self._active.configuration.services[route.service]
         deadline = start + min(service.deadline, _caller_timeout(incoming))
-        admitted = _Admitted(incoming, route, organisation, deadline)
+        identifier = forwarded_headers.request_id(incoming.headers)
+        admitted = _Admitted(incoming, route, organisation, deadline, identifier)
         if route.semantics is model_route.Semantics.ONCE:
             named = identity.parse_identity(
                 incoming.header(b"idempotency-key"), self._wall_clock()
@@ -351,7 +353,7 @@
             incoming.headers,
             f"{target.host}:{target.port}",
             incoming.body,
-            uuid.uuid4().hex,
+            admitted.identifier,
             remaining,
             admitted.organisation,
         )
@@ -393,9 +395,8 @@
                 self._histograms.record("upstream", latency, version=version)
 
     def _to_caller(self, admitted: _Admitted, answer: response.Response) -> reply.Reply:
-        own_id = admitted.request.header(forwarded_headers.REQUEST_ID)
         headers = forwarded_headers.to_caller(
-            answer.headers, answer.body, own_id.encode("latin-1") if own_id else None
+            answer.headers, answer.body, admitted.identifier
         )
         return reply.Reply(answer.status, headers, answer.body)
 
--- a/src/rattanlug/rollout/move_record.py
+++ b/src/rattanlug/rollout/move_record.py
@@ -1,6 +1,5 @@
 """The stored row of a move."""
 
-import json
 from typing import NamedTuple
 
 from rattanlug.model import move as planned_move
@@ -32,21 +31,20 @@
     deadline: float
     reason: str = ""
 
-    def to_json(self) -> str:
+    def to_json(self) -> dict:
         """Return the value of the row."""
-        return json.dumps({**self._asdict(), "state": self.state.value})
+        return {**self._asdict(), "state": self.state.value}
 
     @classmethod
-    def from_json(cls, text: str) -> "MoveRecord":
+    def from_json(cls, fields: dict) -> "MoveRecord":
         """Read the value of a row.
 
         Raises
         ------
         ValueError
-            If the text is no move record.
+            If the value is no move record.
         """
         try:
-            fields = json.loads(text)
             return cls(**{**fields, "state": move_state.MoveState(fields["state"])})
         except (TypeError, KeyError) as error:
             raise ValueError(f"not a move record: {error}") from error
