Let moves with a close deadline end in time

Ruled out: judging slowness or errors; no bad judgement was recorded. Now the planned length of a stage wins over the shortest one, which only holds for passing early.

--- a/src/rattanlug/rollout/controller.py
+++ b/src/rattanlug/rollout/controller.py
@@ -65,8 +65,8 @@
         )
     longest = _longest(record, elapsed, wall_now)
     if record.state is move_state.MoveState.CANARY:
-        if elapsed >= SHORTEST_CANARY_SECONDS and (
-            elapsed >= longest or _passed(evidence, CANARY_REQUESTS)
+        if elapsed >= longest or (
+            elapsed >= SHORTEST_CANARY_SECONDS and _passed(evidence, CANARY_REQUESTS)
         ):
             return record._replace(
                 state=move_state.MoveState.RAMPING,
@@ -76,14 +76,14 @@
         return record
     if record.share >= 1.0:
         capped = now - evidence.capped_at < CAP_MEMORY_SECONDS
-        if elapsed >= LAST_STEP_SECONDS and not capped:
+        if elapsed >= min(LAST_STEP_SECONDS, longest) and not capped:
             return record._replace(
                 state=move_state.MoveState.DONE, reason="all traffic moved"
             )
         return record
     needed = FIRST_SHARE_REQUESTS if record.share <= LADDER[0] else STEP_REQUESTS
-    if elapsed >= SHORTEST_STEP_SECONDS and (
-        elapsed >= longest or _passed(evidence, needed)
+    if elapsed >= longest or (
+        elapsed >= SHORTEST_STEP_SECONDS and _passed(evidence, needed)
     ):
         share = min(step for step in LADDER if step > record.share)
         return record._replace(share=share, reason="step passed")
@@ -111,6 +111,8 @@
     else:
         own, later = 1.0, float(steps_left)
     total = record.deadline - wall_now + elapsed
+    # A deadline that is close shortens every stage; the shortest lengths above hold
+    # for passing early only, since otherwise no move of less than a minute could end.
     return PLANNED_PART * total * own / (own + later)
 
 
