--- a/src/rattanlug/commands/change.py
+++ b/src/rattanlug/commands/change.py
@@ -56,9 +56,17 @@
         Returns
         -------
         exit_code.ExitCode
+
+        Raises
+        ------
+        error.InvalidInputError
+            When the rules in force or the changed rules are not valid; nothing is
+            sent then.
         """
         client = self.client()
         current = client.get_rules()
+        # An edit relies on lines that are complete.
+        parser.parse_rules(current.text)
         changed = edit(document.Document.from_text(current.text)).render()
         return self.submit(client, current, changed, stream)
 
--- a/src/rattanlug/commands/main.py
+++ b/src/rattanlug/commands/main.py
@@ -69,6 +69,9 @@
     except error.RattanlugError as exc:
         print(exc.detail, file=sys.stderr)
         return int(exit_code.exit_code_for(exc.kind))
+    except KeyboardInterrupt:
+        print("interrupted; a change may or may not be stored", file=sys.stderr)
+        return int(exit_code.ExitCode.UNREACHABLE)
     except OSError as exc:
         print(f"{exc.filename or 'output'}: {exc.strerror}", file=sys.stderr)
         return int(exit_code.ExitCode.BAD_INPUT)
--- a/src/rattanlug/slo/ring.py
+++ b/src/rattanlug/slo/ring.py
@@ -29,11 +29,6 @@
         self._values = array.array("I", bytes(4 * _COLUMNS * self._size))
         self._newest = int(now // bucket_s)
 
-    @property
-    def bucket_s(self) -> int:
-        """Length of one bucket, seconds."""
-        return self._bucket_s
-
     def add(self, failed: bool, slow: bool, now: float) -> None:
         """Count one request."""
         self._advance(now)
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from rattanlug.commands import main
+from rattanlug.commands import main, operator_client
 from rattanlug.rules import diff, parser
 from rattanlug.slo import recorder
 from tests.commands import operator_api
@@ -145,3 +145,14 @@
     with pytest.raises(SystemExit) as shown:
         main.main([*path, "--version"])
     assert shown.value.code == 0
+
+
+def test_interrupted_change_says_that_it_may_be_stored(run, monkeypatch):
+    """An operator who stops a slow change must not take it for undone."""
+
+    def interrupt(*args):
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(operator_client.OperatorClient, "post_rules", interrupt)
+    code, _, err = run("drain", "start", "vm/a", author=True)
+    assert (code, "may or may not be stored" in err) == (3, True)
--- a/tests/rules/test_parser.py
+++ b/tests/rules/test_parser.py
@@ -3,6 +3,8 @@
 import pathlib
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from rattanlug.errors import error, kind
 from rattanlug.model import drain, route
@@ -119,3 +121,21 @@
     """Two lines for one pair of regions would count its capacity twice."""
     text = RULES + "link gipuzkoa/bizkaia bits_per_second=1  # Ane\n"
     assert "same regions as line" in faults_of(text)[0]
+
+
+PIECES = st.sampled_from(["", " ", "/", "=", "#", "*", "\n", "\r", "\t", "\x00", "é"])
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.data())
+def test_damaged_text_ends_in_faults_only(data):
+    """A traceback for an operator's typing mistake would look like a daemon's fault."""
+    text = RULES
+    for _ in range(data.draw(st.integers(1, 4))):
+        start = data.draw(st.integers(0, len(text)))
+        end = start + data.draw(st.integers(0, 12))
+        text = text[:start] + data.draw(PIECES) + text[end:]
+    try:
+        parser.parse_rules(text)
+    except error.InvalidInputError as exc:
+        assert all(line.startswith("line ") for line in exc.detail.split("\n"))
