Record the changed lines of each version in the history

Cause: 'rattanlug rules history' and the answer to the loser of a race need the lines, and the stored row had only author and digest. Authors with control characters are refused, because they are printed on terminals.

--- a/src/rattanlug/daemon/configuration_store.py
+++ b/src/rattanlug/daemon/configuration_store.py
@@ -12,6 +12,8 @@
 _VERSION_PREFIX = "version/"
 _VERSION_DIGITS = 12
 _WRITE_TIMEOUT_SECONDS = 3.0
+# Keeps the row of the first version, which adds every line, small.
+_MAX_HISTORY_LINES = 100
 
 
 class Head(NamedTuple):
@@ -92,7 +94,11 @@
         """
         await self._platform.put_object(candidate.object_name, candidate.to_bytes())
         value = {"version": candidate.version, "digest": candidate.digest}
-        entry = value | {"author": candidate.author, "at": candidate.at}
+        entry = value | {
+            "author": candidate.author,
+            "time": candidate.at,
+            "changes": changes[:_MAX_HISTORY_LINES],
+        }
         writes = [
             write.Write(_TABLE, _HEAD, head.revision, value),
             write.Write(_TABLE, _version_key(candidate.version), 0, entry),
@@ -105,7 +111,7 @@
             await self._confirm(candidate, exc)
 
     async def history(self, limit: int) -> list[dict]:
-        """Return number, digest, author and time of the newest versions.
+        """Return number, digest, author, time and changes of the newest versions.
 
         Parameters
         ----------
--- a/src/rattanlug/daemon/configuration_sync.py
+++ b/src/rattanlug/daemon/configuration_sync.py
@@ -136,7 +136,7 @@
         candidate = stored_version.StoredVersion(
             head.version + 1, author, self._wall_clock(), rules
         )
-        await self._store.append(head, candidate)
+        await self._store.append(head, candidate, _changes(self._active.text, rules))
         self.apply(candidate)
         missing = await self._push(candidate)
         return {
@@ -160,9 +160,7 @@
             base_text = None
         changes: list[str] = []
         if base_text is not None:
-            changes = diff.render_diff(
-                diff.diff_rules(base_text, self._active.text)
-            ).splitlines()
+            changes = _changes(base_text, self._active.text)
         return {
             "version": self._current.version,
             "author": self._current.author,
@@ -181,3 +179,10 @@
                 found = await self._store.read_version(version, entry["digest"])
                 return found.rules
         return None
+
+
+def _changes(old_text: str, new_text: str) -> list[str]:
+    found = diff.diff_rules(old_text, new_text)
+    return [f"- {line}" for line in found.removed] + [
+        f"+ {line}" for line in found.added
+    ]
--- a/src/rattanlug/daemon/endpoints/rules.py
+++ b/src/rattanlug/daemon/endpoints/rules.py
@@ -6,6 +6,7 @@
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.endpoints import registry
 from rattanlug.errors import error, kind
+from rattanlug.rules import scanner
 
 _HISTORY_LIMIT = 50
 
@@ -51,6 +52,7 @@
         and isinstance(rules, str)
         and isinstance(author, str)
         and author
+        and not scanner.CONTROL.search(author)
     ):
         raise _malformed()
     return expected, rules, author
@@ -59,5 +61,5 @@
 def _malformed() -> error.RefusedError:
     return error.RefusedError(
         kind.ErrorKind.REQUEST_MALFORMED,
-        "accepted: JSON with expected_version (whole number), rules and author (text)",
+        "accepted: JSON with expected_version (whole number), rules and author (text, the author without control characters)",
     )
