--- a/src/rattanlug/daemon/configuration_store.py
+++ b/src/rattanlug/daemon/configuration_store.py
@@ -81,9 +81,21 @@
             )
         return found
 
-    async def append(self, head: Head, candidate: stored_version.StoredVersion) -> None:
+    async def append(
+        self,
+        head: Head,
+        candidate: stored_version.StoredVersion,
+        changes: list[str],
+    ) -> None:
         """Store a version that follows ``head``.
 
+        Parameters
+        ----------
+        head : Head
+        candidate : stored_version.StoredVersion
+        changes : list of str
+            Lines removed and added, for the history.
+
         Raises
         ------
         error.ConflictError
--- a/src/rattanlug/daemon/endpoints/rules.py
+++ b/src/rattanlug/daemon/endpoints/rules.py
@@ -61,5 +61,6 @@
 def _malformed() -> error.RefusedError:
     return error.RefusedError(
         kind.ErrorKind.REQUEST_MALFORMED,
-        "accepted: JSON with expected_version (whole number), rules and author (text, the author without control characters)",
+        "accepted: JSON with expected_version (whole number), rules (text) and "
+        "author (text without control characters)",
     )
