--- /dev/null
+++ b/tests/coordination/test_contact.py
@@ -0,0 +1,76 @@
+"""Guards against contact and evidence that count before they should."""
+
+import math
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rattanlug.coordination import contact, evidence
+from rattanlug.keys import freshness
+
+CENTRES = ("a1", "a2", "b1", "b2", "c1")
+
+
+def _contact(version=3):
+    result = contact.MajorityContact("a1")
+    result.apply(version, CENTRES)
+    return result
+
+
+def test_a_majority_needs_more_than_half_of_the_data_centres():
+    known = _contact()
+    known.observe(10.0, {"a2": 0.0}, 3)
+    assert not known.in_contact(10.0)
+    known.observe(10.0, {"b1": 1.0, "elsewhere": 0.0}, 3)
+    assert known.in_contact(11.5)
+    assert not known.in_contact(11.6)
+
+
+def test_information_from_a_newer_version_counts_once_it_is_applied():
+    known = _contact()
+    known.observe(10.0, {"a2": 0.0, "b1": 0.0}, 4)
+    assert not known.in_contact(10.0)
+    known.apply(4, CENTRES)
+    assert known.in_contact(10.0)
+
+
+@given(st.lists(st.tuples(st.floats(0, 2), st.floats(0, 2)), max_size=8))
+def test_relaying_only_overstates_an_age(hops):
+    source_at, now, age = 100.0, 100.0, 0.0
+    for wait, flight in hops:
+        reported = age + wait
+        asked_at = now + wait - flight
+        now += wait
+        relay = _contact()
+        relay.observe(asked_at, {"b1": reported}, 3)
+        if "b1" not in relay.ages(now):
+            return
+        age = relay.ages(now)["b1"]
+        assert age >= now - source_at - 1e-9
+
+
+def test_the_accepted_version_is_applied_in_a_majority():
+    known = _contact(version=5)
+    for name, version in (("a2", 5), ("b1", 4), ("b2", 9)):
+        known.observe_version(name, version)
+    assert known.accepted_version() == 5
+    known.observe_version("a2", 2)
+    assert known.accepted_version() == 5
+
+
+def test_evidence_of_a_version_counts_once_it_is_applied():
+    known = evidence.PlatformEvidence()
+    assert known.age(5.0) == math.inf
+    known.apply(1)
+    known.observe_read(10.0, 2)
+    assert known.age(11.0) == math.inf
+    known.apply(2)
+    known.observe_peer(12.0, 3.0, 2)
+    known.observe_peer(12.0, math.inf, 0)
+    assert known.age(12.0) == 2.0
+
+
+def test_keyed_routes_need_contact_or_recent_evidence():
+    assert freshness.keyed_routes_allowed(9.9, False)
+    assert not freshness.keyed_routes_allowed(10.0, False)
+    assert freshness.keyed_routes_allowed(math.inf, True)
--- /dev/null
+++ b/tests/proofs/fleet.py
@@ -0,0 +1,565 @@
+"""A fleet of VMs in virtual time, with faults, around the real decision code."""
+
+import collections
+import math
+import random
+
+from rattanlug.coordination import contact, evidence
+from rattanlug.invariants import violations
+from rattanlug.keys import freshness
+from rattanlug.model import configuration, data_centre, upstream
+from rattanlug.quota import quota
+from rattanlug.seats import holder, plan
+from tests.proofs import clock
+
+RATE, BURST = 20.0, 20.0
+# A VM that has not applied an accepted change refuses after 10 s; tokens that it
+# lent just before may be spent for one second more.
+STALE_S = 11.1
+
+
+class Rules:
+    """One version of the configuration: plan, rate, burst and the one key."""
+
+    def __init__(self, version, vms, rate, burst, key_valid, stored_at):
+        centres = {
+            name: data_centre.DataCentre(name, name[0], n) for name, n in vms.items()
+        }
+        upstreams = {
+            f"u-{name}": upstream.Upstream(f"u-{name}", "s", "v", name, "h", 1, 5, 9)
+            for name in vms
+        }
+        settings = configuration.Configuration(
+            version, data_centres=centres, upstreams=upstreams
+        )
+        self.plan = plan.SeatPlan(settings)
+        self.version, self.vms, self.rate, self.burst = version, vms, rate, burst
+        self.key_valid = key_valid
+        self.stored_at, self.accepted_at = stored_at, math.inf
+
+
+class Store:
+    """Rows of seats and the head; down, slow, or losing answers after the write."""
+
+    def __init__(self, world):
+        self.world, self.rows, self.revision = world, {}, 0
+        self.mode = "up"
+
+    def call(self, vm, perform, on_answer, on_failure):
+        """Run one call; the client gives up after 2 s, the effect may come later."""
+        world = self.world
+        rng, incarnation, state = world.rng, vm.incarnation, {"open": True}
+
+        def give_up():
+            if state["open"]:
+                state["open"] = False
+                on_failure()
+
+        def answer(result):
+            if state["open"]:
+                state["open"] = False
+                on_answer(result)
+
+        def arrive():
+            result = perform()
+            if self.mode != "lossy" or rng.random() < 0.5:
+                delay = rng.uniform(0.001, 0.06)
+                world.deliver_to(vm, incarnation, delay, answer, result)
+
+        world.deliver(vm, 2.0, give_up)
+        if self.mode == "down" or vm.centre in world.no_platform:
+            return
+        slow = self.mode == "slow" and rng.random() < 0.5
+        delay = rng.uniform(0, 15) if slow else rng.uniform(0.001, 0.06)
+        world.queue.after(delay, arrive)
+
+    def commit(self, writes):
+        for write in writes:
+            revision, row = self.rows.get(write.seat, (0, None))
+            if revision != write.expected:
+                return ("conflict", write.seat, revision, row)
+        for write in writes:
+            self.revision += 1
+            self.rows[write.seat] = (self.revision, write.row)
+        return ("ok", [self.rows[write.seat][0] for write in writes])
+
+
+class Vm:
+    """The adapter around the decision packages of one VM."""
+
+    def __init__(self, world, name, centre):
+        self.world, self.name, self.centre = world, name, centre
+        self.clock = clock.Clock(world.queue, world.rng)
+        self.incarnation, self.alive, self.paused_until = 0, False, 0.0
+
+    def start(self, rules=None):
+        self.incarnation += 1
+        self.alive, self.serving, self.leaving = True, False, False
+        self.started_at = self.now()
+        self.contact = contact.MajorityContact(self.centre)
+        self.evidence = evidence.PlatformEvidence()
+        self.holder = holder.SeatHolder(self.name, self.incarnation, self.centre)
+        self.heard, self.alive_at, self.reports = {}, {}, {}
+        self.waiting, self.rules, self.scanning = [], None, False
+        self.quota = quota.OrganisationQuota(0, 0, self.seats, self.world.counts)
+        if rules is not None:
+            self.apply(rules, -math.inf)
+        offset = self.world.rng.uniform(0, 0.1)
+        for task in (self.gossip, self.read_head, self.keep_seats, self.borrow):
+            self.world.deliver(self, offset, task)
+
+    def now(self):
+        return self.clock.now()
+
+    def fresh(self, now):
+        return freshness.keyed_routes_allowed(
+            self.evidence.age(now), self.contact.in_contact(now)
+        )
+
+    def seats(self, now):
+        usable = self.rules is not None and self.serving and self.fresh(now)
+        return self.holder.usable_seats(now) if usable else ()
+
+    def apply(self, rules, accepted_at=None):
+        if self.rules is not None and rules.version <= self.rules.version:
+            return
+        self.rules = rules
+        self.contact.apply(rules.version, rules.vms)
+        self.evidence.apply(rules.version)
+        self.holder.apply(rules.plan, accepted_at)
+        self.quota.configure(rules.rate, rules.burst)
+        self.world.note_applied()
+
+    def learn(self, version):
+        if self.rules is None or version > self.rules.version:
+            rules = self.world.rules[version]
+            self.world.deliver(
+                self, self.world.rng.uniform(0.01, 0.2), self.apply, rules
+            )
+
+    # Gossip.
+
+    def gossip(self):
+        world = self.world
+        world.deliver(self, 0.5, self.gossip)
+        near = [vm for vm in world.vms if vm.centre == self.centre and vm != self]
+        far = [vm for vm in world.vms if vm.centre != self.centre]
+        for peer in [*near, world.rng.choice(far)]:
+            state = (self.name, self.incarnation, self.version())
+            world.send(self, peer, peer.hear, self, state, self.now())
+
+    def version(self):
+        return self.rules.version if self.rules else 0
+
+    def note_heard(self, name, incarnation, version):
+        self.heard[name, incarnation] = self.now()
+        self.alive_at[name] = self.now()
+        if version:
+            self.learn(version)
+
+    def hear(self, sender, state, asked_at):
+        self.note_heard(*state)
+        now = self.now()
+        ages = self.contact.ages(now)
+        if self.serving:
+            ages[self.centre] = 0.0
+        age = self.evidence.age(now)
+        answer = (self.name, self.incarnation, self.version())
+        unheard = {who: self.unheard(who, now) for who in sender.world.holders()}
+        self.world.send(
+            self, sender, sender.hear_answer, answer, self.centre, ages, age,
+            unheard, asked_at, incarnation=state[1],
+        )  # fmt: skip
+
+    def unheard(self, who, now):
+        return now - max(self.started_at, self.heard.get(who, -math.inf))
+
+    def hear_answer(self, state, centre, ages, age, unheard, asked_at):
+        self.note_heard(*state)
+        name, _, version = state
+        now = self.now()
+        if version:
+            self.contact.observe(asked_at, ages, version)
+            self.contact.observe_version(centre, version)
+            self.evidence.observe_peer(asked_at, age, version)
+        if centre == self.centre:
+            self.holder.record_contact(asked_at, now)
+            self.reports[name] = (asked_at, unheard)
+        self.holder.accept(self.contact.accepted_version(), now)
+
+    def unheard_for(self, now):
+        result = collections.defaultdict(list)
+        witnesses = [
+            name
+            for name, moment in self.alive_at.items()
+            if now - moment <= 3.0 and self.world.by_name[name].centre == self.centre
+        ]
+        for who in self.world.holders():
+            result[who].append(self.unheard(who, now))
+            for name in witnesses:
+                asked_at, unheard = self.reports.get(name, (-math.inf, {}))
+                recent = now - asked_at <= 2.0
+                result[who].append(unheard.get(who, 0.0) if recent else 0.0)
+        return result
+
+    # Platform.
+
+    def read_head(self):
+        world, asked_at = self.world, self.now()
+        world.deliver(self, 0.7, self.read_head)
+
+        def take(version):
+            self.learn(version)
+            self.evidence.observe_read(asked_at, version)
+
+        world.store.call(self, lambda: max(world.rules), take, lambda: None)
+        if self.rules is not None and self.fresh(asked_at):
+            self.serving = True
+
+    def keep_seats(self):
+        self.world.deliver(self, 0.25, self.keep_seats)
+        now = self.now()
+        for seat in self.holder.releasing:
+            if not self.quota.outstanding(seat, now):
+                self.holder.finish_release(seat)
+        if self.leaving and not self.holder.seats:
+            self.world.restart(self)
+            return
+        if self.holder.wants_scan(now) and not self.scanning:
+            self.scanning = True
+            self.world.store.call(
+                self,
+                lambda: dict(self.world.store.rows),
+                lambda rows: self.take_scan(rows, now),
+                self.fail_scan,
+            )
+        if not self.serving:
+            return
+        target = self.holder.vm_to_ask(now)
+        if target is not None and now - self.started_at > 14:
+            peer = self.world.by_name[target]
+            self.world.send(self, peer, peer.release_spare)
+        writes = self.holder.next_writes(now, self.unheard_for(now))
+        if writes:
+            store = self.world.store
+            store.call(
+                self,
+                lambda: store.commit(writes),
+                lambda result: self.take_commit(result, now),
+                self.holder.write_failed,
+            )
+
+    def take_scan(self, rows, asked_at):
+        self.scanning = False
+        self.holder.scanned(rows, asked_at, self.now())
+
+    def fail_scan(self):
+        self.scanning = False
+
+    def take_commit(self, result, sent_at):
+        if result[0] == "ok":
+            self.holder.wrote(result[1], sent_at, self.now())
+        else:
+            self.holder.conflicted(*result[1:], sent_at, self.now())
+        self.world.check_seats()
+
+    def release_spare(self):
+        seat = self.holder.spare_seat()
+        if seat is not None:
+            self.holder.release(seat)
+
+    # Requests.
+
+    def allowed(self, now):
+        return self.serving and self.fresh(now) and self.rules.key_valid
+
+    def request(self):
+        if not self.allowed(self.now()):
+            return
+        if self.quota.try_admit(self.now()):
+            self.world.note_admitted(self)
+        else:
+            self.quota.begin_waiting()
+            self.waiting.append(self.now() + quota.MAX_WAIT_S)
+
+    def drain(self):
+        while self.waiting:
+            now = self.now()
+            if not self.allowed(now) or self.waiting[0] <= now:
+                self.quota.stop_waiting()
+            elif self.quota.admit_waiting(now):
+                self.world.note_admitted(self)
+            else:
+                return
+            self.waiting.pop(0)
+
+    def borrow(self):
+        world, now = self.world, self.now()
+        world.deliver(self, 0.1, self.borrow)
+        self.drain()
+        if not self.serving:
+            return
+        peers = {vm.name: 1 for vm in world.vms if vm != self}
+        for message in self.quota.plan_requests(now, peers):
+            peer = world.by_name[message.vm]
+            world.send(self, peer, peer.lend, self, self.incarnation, message, now)
+
+    def lend(self, borrower, incarnation, message, asked_at):
+        now = self.now()
+        self.quota.settle(message.settlements, now)
+        if message.tokens:
+            loans = self.quota.lend(message.tokens, now)
+            self.world.send(
+                self, borrower, borrower.take_loans, self.name, loans, asked_at,
+                incarnation=incarnation,
+            )  # fmt: skip
+
+    def take_loans(self, name, loans, asked_at):
+        self.quota.accept(name, loans, asked_at, self.now())
+        self.drain()
+
+
+class World:
+    """One random schedule of loads, faults and changes."""
+
+    def __init__(self, seed, seconds=40.0):
+        self.rng, self.seconds = random.Random(seed), seconds
+        self.queue = clock.EventQueue()
+        self.counts = violations.Violations()
+        self.faults, self.trace = [], []
+        self.cuts, self.no_platform = set(), set()
+        self.loss = self.rng.choice((0.0, 0.02, 0.1))
+        self.store = Store(self)
+        vms = {name: 2 for name in ("a1", "b1", "c1")}
+        self.rules = {1: Rules(1, vms, RATE, BURST, True, 0.0)}
+        self.rules[1].accepted_at = 0.0
+        self.level, self.level_at, self.admitted = BURST, 0.0, 0
+        self.key_latency = 0.0
+        self.vms = [Vm(self, f"{n}-{i}", n) for n in vms for i in range(2)]
+        if self.rng.random() < 0.5:
+            self.vms.append(Vm(self, "a1-2", "a1"))
+        self.by_name = {vm.name: vm for vm in self.vms}
+
+    def run(self):
+        """Return the faults found, empty when all is well."""
+        rng = self.rng
+        for vm in self.vms:
+            vm.start(self.rules[1])
+        moment, hot, load = 0.0, self.vms, RATE * rng.choice((0.9, 2, 4))
+        while moment < self.seconds:
+            moment += rng.expovariate(load)
+            if rng.random() < 0.01:
+                hot = rng.choice((self.vms, [rng.choice(self.vms)]))
+            self.queue.at(moment, self.deliver, rng.choice(hot), 0.0, "request")
+        for _ in range(rng.randint(1, 8)):
+            action = rng.choice(
+                (self.cut, self.cut, self.store_fault, self.store_fault, self.kill,
+                 self.kill, self.pause, self.pause, self.leave, self.change,
+                 self.change)
+            )  # fmt: skip
+            self.queue.at(rng.uniform(3, self.seconds - 5), action)
+        self.queue.after(0.1, self.sample)
+        self.queue.run(self.seconds)
+        if self.counts.total:
+            self.fault("run-time check failed")
+        return self.faults
+
+    def note(self, text):
+        self.trace.append(f"{self.queue.now:.3f} {text}")
+
+    def fault(self, text):
+        if len(self.faults) < 5:
+            self.note(f"FAULT {text}")
+            self.faults.append(f"{self.queue.now:.3f} {text}")
+
+    def deliver(self, vm, delay, callback, *args):
+        """Call back in the VM's process: never once it has died, late if paused."""
+        self.deliver_to(vm, vm.incarnation, delay, callback, *args)
+
+    def deliver_to(self, vm, incarnation, delay, callback, *args):
+        """Call back in one incarnation of the VM."""
+        self.queue.after(delay, self._arrive, vm, incarnation, callback, args)
+
+    def _arrive(self, vm, incarnation, callback, args):
+        if callback == "request":
+            callback = vm.request
+        elif vm.incarnation != incarnation:
+            return
+        if not vm.alive:
+            return
+        if vm.paused_until > self.queue.now:
+            self.queue.at(
+                vm.paused_until, self._arrive, vm, incarnation, callback, args
+            )
+            return
+        callback(*args)
+
+    def send(self, source, target, callback, *args, incarnation=None):
+        """Deliver a message; an answer goes to the incarnation that asked."""
+        near = source.centre == target.centre
+        cut = not near and (source.centre in self.cuts) != (target.centre in self.cuts)
+        if cut or not near and self.rng.random() < self.loss or not target.alive:
+            return
+        delay = self.rng.uniform(0.0, 0.003) if near else self.rng.uniform(0.0, 0.08)
+        to = target.incarnation if incarnation is None else incarnation
+        self.deliver_to(target, to, delay, callback, *args)
+
+    def holders(self):
+        rows = (row for _, row in self.store.rows.values())
+        return {(row.vm, row.incarnation) for row in rows if row.vm}
+
+    # Faults.
+
+    def cut(self):
+        centres = ["a1", "b1", "c1"]
+        self.cuts = set(self.rng.sample(centres, self.rng.choice((1, 2))))
+        self.no_platform = set(self.rng.sample(centres, self.rng.choice((0, 1, 2, 3))))
+        self.note(f"cut {sorted(self.cuts)}, no platform {sorted(self.no_platform)}")
+        self.queue.after(self.rng.uniform(1, 25), self.heal)
+
+    def heal(self):
+        self.cuts, self.no_platform = set(), set()
+        self.note("healed")
+
+    def store_fault(self):
+        self.store.mode = self.rng.choice(("down", "slow", "lossy"))
+        self.note(f"store {self.store.mode}")
+        self.queue.after(self.rng.uniform(1, 25), setattr, self.store, "mode", "up")
+
+    def kill(self):
+        vm = self.rng.choice(self.vms)
+        if vm.alive:
+            self.note(f"{vm.name} dies")
+            vm.alive = False
+            self.queue.after(self.rng.uniform(0.1, 15), self.restart, vm)
+
+    def restart(self, vm):
+        self.note(f"{vm.name} starts")
+        vm.paused_until = 0.0
+        vm.start()
+
+    def pause(self):
+        vm = self.rng.choice(self.vms)
+        length = self.rng.uniform(0.5, 25)
+        self.note(f"{vm.name} pauses for {length:.1f} s")
+        vm.paused_until = self.queue.now + length
+
+    def leave(self):
+        vm = self.rng.choice(self.vms)
+        if vm.alive:
+            self.note(f"{vm.name} leaves")
+            vm.leaving = True
+            vm.holder.leave()
+
+    def change(self):
+        able = [
+            vm for vm in self.vms
+            if vm.alive and vm.paused_until <= self.queue.now and vm.serving
+            and vm.contact.in_contact(vm.now()) and vm.centre not in self.no_platform
+        ]  # fmt: skip
+        if not able or self.store.mode == "down":
+            return
+        old = self.rules[max(self.rules)]
+        vms, rate, burst, valid = dict(old.vms), old.rate, old.burst, old.key_valid
+        kind = self.rng.choice(("rate", "burst", "plan", "plan", "key"))
+        if kind == "rate":
+            rate = self.rng.choice((5.0, 20.0, 40.0))
+        elif kind == "burst":
+            burst = self.rng.choice((4.0, 20.0, 50.0))
+        elif kind == "plan":
+            vms[self.rng.choice(sorted(vms))] = self.rng.choice((1, 2, 3))
+        else:
+            valid = not valid
+        version = old.version + 1
+        self.rules[version] = Rules(version, vms, rate, burst, valid, self.queue.now)
+        self.note(f"version {version}: {vms}, rate {rate}, burst {burst}, key {valid}")
+        self._refill()
+        self.rng.choice(able).apply(self.rules[version])
+
+    # Oracles.
+
+    def note_applied(self):
+        for version, rules in self.rules.items():
+            knowing = {
+                vm.centre for vm in self.vms if vm.alive and vm.version() >= version
+            }
+            if rules.accepted_at == math.inf and 2 * len(knowing) > len(rules.vms):
+                rules.accepted_at = self.queue.now
+                self.note(f"version {version} accepted")
+                self.queue.after(STALE_S, self._refill)
+
+    def in_force(self):
+        """Versions that some VM may follow without breaking a bound."""
+        newest = max(
+            (
+                version
+                for version, rules in self.rules.items()
+                if rules.accepted_at + STALE_S <= self.queue.now
+            ),
+            default=1,
+        )
+        return [rules for version, rules in self.rules.items() if version >= newest]
+
+    def _refill(self):
+        elapsed = self.queue.now - self.level_at
+        rules = self.in_force()
+        # The version that was in force until now counts for the time before.
+        rate = max(entry.rate for entry in [*rules, *getattr(self, "_before", [])])
+        self._before = rules
+        burst = max(entry.burst for entry in rules)
+        self.level = min(burst, self.level + rate * elapsed)
+        self.level_at = self.queue.now
+
+    def note_admitted(self, vm):
+        self._refill()
+        self.admitted += 1
+        self.level -= 1
+        if self.level < -1e-6:
+            self.fault(f"{vm.name} admits {-self.level:.3f} above the rate")
+        accepted = [
+            rules.accepted_at
+            for rules in self.rules.values()
+            if rules.accepted_at < math.inf
+        ]
+        valid = {
+            rules.key_valid
+            for rules in self.rules.values()
+            if rules.accepted_at == math.inf or rules.accepted_at == max(accepted)
+        }
+        newest = max(accepted)
+        if valid == {False}:
+            latency = self.queue.now - newest
+            self.key_latency = max(self.key_latency, latency)
+            if latency > 10.0:
+                self.fault(f"{vm.name} serves a key withdrawn {latency:.2f} s ago")
+            elif latency > 3.0 and self.well_connected(vm, newest):
+                self.fault(f"{vm.name} in contact, key withdrawn {latency:.2f} s ago")
+
+    def well_connected(self, vm, moment):
+        quiet = not any(
+            float(line.split()[0]) > moment - 3
+            for line in self.trace
+            if "cut" in line or "pauses" in line or "dies" in line
+        )
+        return quiet and not self.cuts and vm.paused_until < moment
+
+    def sample(self):
+        self.queue.after(0.1, self.sample)
+        self.check_seats()
+
+    def check_seats(self):
+        seats, slots, shares = {}, {}, 0.0
+        for vm in self.vms:
+            if not vm.alive or vm.paused_until > self.queue.now or vm.rules is None:
+                continue
+            for seat in vm.holder.usable_seats(vm.now()):
+                if seat.seat in seats:
+                    self.fault(f"{seat.seat} held by {vm.name} and {seats[seat.seat]}")
+                seats[seat.seat] = vm.name
+            shares += sum(seat.share for seat in vm.seats(vm.now()))
+            for slot in vm.holder.usable_slots(vm.now()):
+                if slot in slots:
+                    self.fault(f"{slot} used by {vm.name} and {slots[slot]}")
+                slots[slot] = vm.name
+        if shares > 1 + 1e-9:
+            self.fault(f"shares add up to {shares:.3f}")
--- /dev/null
+++ b/tests/proofs/rate.py
@@ -0,0 +1,72 @@
+"""Rates, seats and keys under random faults: 0 faults over all schedules."""
+
+import argparse
+import contextlib
+import math
+from unittest import mock
+
+from rattanlug.coordination import information
+from rattanlug.keys import freshness
+from rattanlug.quota import lending_bucket, loan
+from rattanlug.seats import holder, lease, share_history, takeover
+from tests.proofs import fleet
+
+
+def _count_unapplied(self, moment, version, applied):
+    self._moment = max(self._moment, moment)
+
+
+MUTANTS = {
+    "takeover after 4 s": [(takeover, "TAKEOVER_S", 4.0)],
+    "no reports from peers": [
+        (fleet.Vm, "unheard", lambda self, who, now: math.inf),
+        (lease, "LEASE_S", 5.0),
+    ],
+    "lease of 60 s": [(lease, "LEASE_S", 60.0)],
+    "newest plan at once": [(share_history, "SETTLING_S", 0.0)],
+    "no freshness": [(freshness, "MAX_EVIDENCE_AGE_S", math.inf)],
+    "unapplied versions count": [
+        (information.Information, "observe", _count_unapplied)
+    ],
+    "new holder starts full": [
+        (holder, "TOKENS_DELAY_S", -20.0),
+        (lending_bucket, "MAX_GAP_S", 60.0),
+    ],
+    "loans outlive the lender's count": [(loan, "BORROWER_LIFETIME_S", 5.0)],
+}
+
+
+def run_schedules(first_seed, schedules, mutant=None):
+    """Return (failing schedules, admitted requests, longest life of a dead key)."""
+    failing, admitted, key_latency = [], 0, 0.0
+    with contextlib.ExitStack() as stack:
+        for target, name, value in MUTANTS.get(mutant, ()):
+            stack.enter_context(mock.patch.object(target, name, value))
+        for seed in range(first_seed, first_seed + schedules):
+            world = fleet.World(seed)
+            if world.run():
+                failing.append((seed, world.faults, world.trace))
+            admitted += world.admitted
+            key_latency = max(key_latency, world.key_latency)
+    return failing, admitted, key_latency
+
+
+def main(argv=None):
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--schedules", type=int, default=10_000)
+    parser.add_argument("--mutant", choices=sorted(MUTANTS))
+    options = parser.parse_args(argv)
+    failing, admitted, key_latency = run_schedules(
+        options.seed, options.schedules, options.mutant
+    )
+    print(f"schedules {options.schedules} from seed {options.seed}")
+    print(f"failing {len(failing)}, admitted {admitted}")
+    print(f"longest use of a withdrawn key {key_latency:.2f} s")
+    for seed, faults, trace in failing[:1]:
+        print(f"seed {seed}: {faults}", *trace, sep="\n  ")
+    return bool(failing)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
