Count an upstream as cold until it has answered 20 requests

An upstream counted as cold for 10 s after its first request, but at a share of 1% it had only answered a few by then. Ruled out: chance; the excess of slow answers was real.

--- a/src/rattanlug/routing/upstream_state.py
+++ b/src/rattanlug/routing/upstream_state.py
@@ -17,6 +17,10 @@
 LONGEST_EJECTION_SECONDS = 30.0
 RAMP_SECONDS = 10.0
 RAMP_FLOOR = 0.1
+# Caches warm up with requests, not with time: at a small share of the traffic an
+# upstream is still cold after minutes. Counted per VM; the fleet sends several times
+# as many.
+WARM_ANSWERS = 20
 # A report below this VM's own in-flight count is wrong; a report that was right for a
 # while may be trusted again.
 DISTRUST_SECONDS = 30.0
@@ -43,6 +47,7 @@
 
     def __init__(self, now: float, *, cold: bool = False):
         self._ramp_from: float | None = now if cold else None
+        self._answers_until_warm = WARM_ANSWERS if cold else 0
         self._latency: float | None = None
         self._last_answer = float("-inf")
         self._error_share = 0.0
@@ -56,6 +61,14 @@
         self._started: dict[int, float] = {}
         self._next_request = 0
 
+    @property
+    def cold(self) -> bool:
+        """True until the upstream has answered 20 requests since it started.
+
+        Slow answers of cold upstreams are judged more leniently during a move.
+        """
+        return self._answers_until_warm > 0
+
     @property
     def in_flight(self) -> int:
         """Requests of this VM that the upstream works on."""
@@ -103,6 +116,7 @@
                 self._latency += AVERAGE_GAIN * (latency - self._latency)
         if abandoned:
             return
+        self._answers_until_warm = max(0, self._answers_until_warm - 1)
         self._error_share += AVERAGE_GAIN * (failed - self._error_share)
         if not failed:
             self._failures_in_row = 0
@@ -140,6 +154,7 @@
     def start_cold(self, now: float) -> None:
         """Note that the upstream restarted or changed its version."""
         self._ramp_from = now
+        self._answers_until_warm = WARM_ANSWERS
         self._latency = None
 
     def accepts_work(self, now: float) -> bool:
@@ -161,10 +176,6 @@
         oldest = now - next(iter(self._started.values()))
         return oldest > SUSPECT_FACTOR * self._latency
 
-    def cold(self, now: float) -> bool:
-        """Tell whether the upstream still starts or returns slowly."""
-        return self._ramp(now) < 1.0
-
     def weight(self, now: float) -> float:
         """Return the share of normal work that the upstream should get, 0 to 1."""
         return self._ramp(now) * max(0.05, 1.0 - self._error_share)
--- a/tests/routing/test_upstream_state.py
+++ b/tests/routing/test_upstream_state.py
@@ -54,6 +54,17 @@
     assert state.view("u", 1, 5, 6.0).reported is None
 
 
+def test_cold_upstream_is_warm_after_requests_not_after_time():
+    """A good version would be rolled back for the cold caches of its first minutes."""
+    state = upstream_state.UpstreamState(0.0, cold=True)
+    for n in range(upstream_state.WARM_ANSWERS):
+        assert state.cold
+        answer(state, 100.0 * n)
+    assert not state.cold
+    state.start_cold(5000.0)
+    assert state.cold
+
+
 @pytest.mark.parametrize("name", sorted(registry.POLICIES))
 def test_policies_return_one_of_the_views(name):
     """A policy that fails on an upstream without history would fail requests."""
