--- a/trial/experiments/moves.py
+++ b/trial/experiments/moves.py
@@ -114,6 +114,7 @@
             "done": self._record.state is move_state.MoveState.DONE,
             "seconds": ended if ended is not None else math.inf,
             "exposed": share,
+            "within_1_percent": share <= 0.01,
             "late": self._result["late"],
             "above_cap": self._result["above_cap"],
             "reason": self._record.reason,
