Match callers' attempts with executions by a header of their own

Callers now send Trial-Attempt, which passes entry VMs unchanged. Keeping the identifier in the query was ruled out, because the query is part of an operation's digest. Move rows are read as JSON text as well as objects.

The default load lasts 48 s and the move starts with it.

--- a/tests/trial/test_checks.py
+++ b/tests/trial/test_checks.py
@@ -46,7 +46,9 @@
 
 
 def _ran(*request_ids, began=10.05):
-    return {"executions": [[began, "/listings", each, ""] for each in request_ids]}
+    return {
+        "executions": [[began, "/listings", each, "", each[:6]] for each in request_ids]
+    }
 
 
 def test_double_run_is_found_across_upstreams(facts):
@@ -65,6 +67,14 @@
     assert len(execution.find_false_not_run(found)) == 1
 
 
+def test_run_for_another_organisation_is_found(facts):
+    """Guards against a request that is charged to an organisation without its key."""
+    found = _evidence(facts, record=_ran("urdina.1"))
+    assert execution.find_foreign_runs(found) == []
+    found.records["l-01"]["executions"][0][4] = "gorria"
+    assert len(execution.find_foreign_runs(found)) == 1
+
+
 def test_success_without_run_is_found(facts):
     """Guards against an answer that is made up or belongs to another operation."""
     found = _evidence(facts, [_attempt()], identity="op")
--- a/trial/caller/caller.py
+++ b/trial/caller/caller.py
@@ -132,6 +132,7 @@
         headers = {
             "Host": f"{vm.host}:{vm.port}",
             "Request-Id": request_id,
+            "Trial-Attempt": request_id,
             "Request-Timeout": str(int(remaining * 1000)),
         }
         if intent.key is not None:
--- a/trial/checks/evidence.py
+++ b/trial/checks/evidence.py
@@ -19,6 +19,8 @@
     state, reason : str
     cap : float
         Requests/s.
+    stages : tuple of str
+        States and shares with the seconds after the acceptance.
     """
 
     name: str
@@ -28,6 +30,7 @@
     state: str
     reason: str
     cap: float
+    stages: tuple[str, ...] = ()
 
 
 class Facts:
@@ -110,7 +113,7 @@
         for name, found in self.records.items():
             if version is not None and versions[name] != version:
                 continue
-            for began, _, request_id, _ in found["executions"]:
+            for began, _, request_id, *_ in found["executions"]:
                 first[request_id] = min(began, first.get(request_id, began))
         return first
 
--- a/trial/checks/execution.py
+++ b/trial/checks/execution.py
@@ -25,6 +25,17 @@
     ]
 
 
+@registry.check("request ran for another organisation")
+def find_foreign_runs(found: evidence.Evidence) -> list[str]:
+    """Return executions for an organisation whose key did not come with the request."""
+    return [
+        f"{request_id} ran for {organisation}"
+        for record in found.records.values()
+        for _, _, request_id, _, organisation in record["executions"]
+        if organisation and organisation != request_id.partition(".")[0]
+    ]
+
+
 @registry.check("answer says done but nothing ran")
 def find_answers_without_run(found: evidence.Evidence) -> list[str]:
     """Return operations answered with success that no upstream began to run."""
--- a/trial/launcher.py
+++ b/trial/launcher.py
@@ -243,7 +243,11 @@
             "GET",
             f"/v1/tables/{table}/{key}",
         )
-        return reply.json()["value"] if reply.status == 200 else None
+        if reply.status != 200:
+            return None
+        value = reply.json()["value"]
+        # Daemons store some rows as JSON text.
+        return json.loads(value) if isinstance(value, str) else value
 
     async def read_violations(self, place: deployment.VmPlace) -> dict[str, int]:
         """Return the violation counts of a daemon.
--- a/trial/options.py
+++ b/trial/options.py
@@ -23,7 +23,7 @@
     """
 
     deployment: str = "txiki"
-    seconds: float = 30.0
+    seconds: float = 48.0
     rate: float = 60.0
     seed: int = 1
     small: bool = False
--- a/trial/report.py
+++ b/trial/report.py
@@ -138,7 +138,8 @@
         lines.append(f"  {each.name}: {state}")
     lines += ["", "moves"]
     lines += [
-        f"  {each.name}: {each.state} {each.reason}" for each in result.facts.moves
+        f"  {each.name}: {each.state} {each.reason}, {'; '.join(each.stages)}"
+        for each in result.facts.moves
     ]
     lines += ["", "violations"]
     for name, each in result.violations.items():
--- a/trial/session.py
+++ b/trial/session.py
@@ -32,8 +32,9 @@
 _CONVERTER = json_converter.make_converter()
 _READY_TIMEOUT_S = 25.0
 _START_DELAY_S = 1.0
-# Beyond the load: start of the processes, last answers and evaluation.
-_OVERHEAD_S = 30.0
+# Beyond the load: start of the processes, last answers and evaluation. With the default
+# length of the load, the whole trial ends within 60 s.
+_OVERHEAD_S = 12.0
 
 
 class Session:
--- a/trial/steps/keys.py
+++ b/trial/steps/keys.py
@@ -69,6 +69,7 @@
             headers={
                 "Authorization": f"Bearer {running.launch.keys[name]}",
                 "Request-Id": request_id,
+                "Trial-Attempt": request_id,
                 "Request-Timeout": "1000",
             },
             timeout=1.5,
--- a/trial/steps/moves.py
+++ b/trial/steps/moves.py
@@ -1,6 +1,7 @@
 """Moves a service to its next version."""
 
 import datetime
+from typing import Any
 
 import trio
 
@@ -9,14 +10,14 @@
 from trial.steps import context, registry
 
 # Part of the load's length that the move may take.
-_WINDOW = 0.75
+_WINDOW = 0.95
 # A move that is not done at its deadline is rolled back; the row follows shortly.
-_GRACE_S = 5.0
+_GRACE_S = 3.0
 _POLL_S = 0.2
 _FINAL_STATES = ("done", "taken_back")
 
 
-@registry.step("move a version", at=0.12)
+@registry.step("move a version", at=0.0)
 async def move_version(running: context.Context) -> str:
     """Move the first service from v1 to v2 and wait for the final state."""
     service = running.plan.services[0].name
@@ -37,9 +38,7 @@
         while facts.state not in _FINAL_STATES:
             row = await running.launch.read_row("moves", name)
             if row is not None:
-                facts = facts._replace(
-                    state=str(row["state"]), reason=str(row.get("reason") or "")
-                )
+                facts = _note_state(facts, row, clock.now() - accepted)
             await trio.sleep(_POLL_S)
     ended = clock.now()
     if facts.state not in _FINAL_STATES:
@@ -52,3 +51,17 @@
     if facts.state != "done":
         raise context.StepError(f"a good version was rolled back: {text}")
     return text
+
+
+def _note_state(
+    facts: evidence.MoveFacts, row: dict[str, Any], seconds: float
+) -> evidence.MoveFacts:
+    """Return the facts with a state of the row and when it was first seen."""
+    state, share = str(row["state"]), float(row.get("share") or 0)
+    seen = f"{state} {share:g}"
+    stages = facts.stages
+    if not stages or stages[-1].partition(" at ")[0] != seen:
+        stages = (*stages, f"{seen} at {seconds:.1f} s")
+    return facts._replace(
+        state=state, reason=str(row.get("reason") or ""), stages=stages
+    )
--- a/trial/steps/vms.py
+++ b/trial/steps/vms.py
@@ -1,8 +1,9 @@
 """Takes entry VMs away."""
 
+import collections
 import signal
 
-from trial import clock
+from trial import clock, deployment, http_client
 from trial.steps import context, registry
 
 _KILL_TIMEOUT_S = 2.0
@@ -12,8 +13,8 @@
 
 @registry.step("kill an entry VM", at=0.5, vms=1)
 async def kill_vm(running: context.Context) -> str:
-    """Kill the last live VM."""
-    place = running.live[-1]
+    """Kill the VM that most callers use first."""
+    place = await _find_busiest(running)
     await running.read_violations(place)
     running.facts.killed[place.vm] = clock.now()
     running.processes.signal(place.vm, signal.SIGKILL)
@@ -26,8 +27,8 @@
 
 @registry.step("stop an entry VM gracefully", at=0.55, vms=1)
 async def stop_vm(running: context.Context) -> str:
-    """Stop the second live VM and wait for its exit code."""
-    place = running.live[1]
+    """Stop the VM that most callers use first and wait for its exit code."""
+    place = await _find_busiest(running)
     await running.launch.list_vm(place, "leaving")
     await running.read_violations(place)
     began = clock.now()
@@ -38,3 +39,27 @@
     if code != 0:
         raise context.StepError(f"{place.vm} ended with {code}")
     return f"{place.vm} ended with 0 after {clock.now() - began:.1f} s"
+
+
+async def _find_busiest(running: context.Context) -> deployment.VmPlace:
+    """Return the live VM that look-up answers name first for most callers."""
+    first: collections.Counter[str] = collections.Counter()
+    for data_centre, host in running.places.client_hosts.items():
+        # Callers ask a VM of their own data centre while there is one.
+        asked = min(running.live, key=lambda each: each.data_centre != data_centre)
+        reply = await http_client.request(
+            asked.host,
+            deployment.VM_PORT,
+            "GET",
+            f"/.rattanlug/lookup?client={host}",
+        )
+        if reply.status != 200:
+            raise context.StepError(f"look-up at {asked.vm}: {reply.status}")
+        # A VM that just died may still be named.
+        live = {each.vm for each in running.live}
+        named = [each["vm"] for each in reply.json()["vms"] if each["vm"] in live]
+        first.update(named[:1])
+    if not first:
+        raise context.StepError("look-up answers name no live VM")
+    name = first.most_common(1)[0][0]
+    return next(each for each in running.live if each.vm == name)
--- a/trial/upstream/record.py
+++ b/trial/upstream/record.py
@@ -14,14 +14,21 @@
     ----------
     began : float
         On `clock.now`, seconds.
-    path, request_id, identity : str
-        ``identity`` is the Idempotency-Key or empty.
+    path : str
+    request_id : str
+        The caller's own identifier from ``Trial-Attempt``; entry VMs may replace
+        ``Request-Id`` with one for each attempt of theirs.
+    identity : str
+        The Idempotency-Key or empty.
+    organisation : str
+        Organisation that the entry VM names, or empty.
     """
 
     began: float
     path: str
     request_id: str
     identity: str
+    organisation: str
 
 
 class Record:
--- a/trial/upstream/server.py
+++ b/trial/upstream/server.py
@@ -86,12 +86,17 @@
         return response
 
     async def _run(self, request: http_server.Request) -> http_server.Response:
-        request_id = request.header("request-id") or ""
+        request_id = (
+            request.header("trial-attempt") or request.header("request-id") or ""
+        )
         identity = request.header("idempotency-key") or ""
         began = clock.now()
         if self._first_run_at is None:
             self._first_run_at = began
-        self._record.begin(record.Execution(began, request.path, request_id, identity))
+        organisation = request.header("rattanlug-organisation") or ""
+        self._record.begin(
+            record.Execution(began, request.path, request_id, identity, organisation)
+        )
         duration, failed = self._draw(request.path)
         timeout = request.header("request-timeout")
         limit = float(timeout) / 1000 if timeout else None
