Count the plan of a move from its start; release the steering lease on a stop

Each takeover cost up to 6 s of lease and began the time of the stage again: the 1% stage lasted from 12.7 s to 36.5 s and the move was rolled back at its deadline. Ruled out: a shorter lease, which a pause of a few seconds would lose. Now a stage is due at a moment that counts from the start of the move, and a VM that is stopped as planned gives the lease up at once.

--- a/src/rattanlug/daemon/loops/moves.py
+++ b/src/rattanlug/daemon/loops/moves.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from rattanlug.daemon import active_move, clock
+from rattanlug.daemon import active_move, clock, service_state
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
 from rattanlug.errors import error as error_tree
@@ -25,17 +25,21 @@
     if not active:
         return
     try:
+        if node.state is service_state.ServiceState.LEAVING:
+            await node.steering.release()
         await node.steering.refresh(_may_hold(node))
         await node.steering.steer()
         if not node.steering.holder:
             await node.steering.read_final_states()
-    except error_tree.PlatformError:
+    except (error_tree.PlatformError, error_tree.ConflictError):
         node.counters.add("platform_failures", call="moves")
     for item in active:
         nursery.start_soon(_report, node, item)
 
 
 def _may_hold(node: daemon_node.Node) -> bool:
+    if node.state is service_state.ServiceState.LEAVING:
+        return False
     names = sorted(record.vm for record in node.members.live_members(clock.now()))
     return node.settings.vm in names[:_CONTENDERS]
 
--- a/src/rattanlug/daemon/proxy.py
+++ b/src/rattanlug/daemon/proxy.py
@@ -390,7 +390,7 @@
                 self._links.finish(region, charged, received, now)
             if not abandoned:
                 latency = now - start
-                cold = upstream.cold(start)
+                cold = upstream.cold
                 self._versions.finished(admitted.route, version, failed, latency, cold)
                 self._histograms.record("upstream", latency, version=version)
 
--- a/src/rattanlug/daemon/steering.py
+++ b/src/rattanlug/daemon/steering.py
@@ -113,6 +113,20 @@
                 await self._step(item.planned)
             self._report_final(name)
 
+    async def release(self) -> None:
+        """Give up the lease before the VM stops.
+
+        Raises
+        ------
+        error.PlatformError, error.ConflictError
+        """
+        row = self._lease.released(self._clock())
+        if row is not None:
+            renewal = write.Write(
+                _LEASE_TABLE, _LEASE_KEY, self._lease_revision, row._asdict()
+            )
+            await self._platform.commit([renewal])
+
     def answer(
         self, name: str, report: outcome_report.OutcomeReport
     ) -> shares.Shares | None:
--- a/src/rattanlug/rollout/controller.py
+++ b/src/rattanlug/rollout/controller.py
@@ -9,11 +9,14 @@
 # stage and the first share put few requests at risk, so they get most of the time.
 CANARY_WEIGHT = 6.0
 FIRST_SHARE_WEIGHT = 3.0
-# The stages together plan with this part of the time; the rest covers takeovers.
-PLANNED_PART = 0.8
-# A stage lasts this much longer than planned: VMs report every 0.5 s, and the row is
-# written and read again, three round trips to the store.
-STAGE_OVERHEAD_SECONDS = 0.8
+STEP_WEIGHT = 0.5
+_STEP_WEIGHTS = (STEP_WEIGHT,) * (len(LADDER) - 1)
+# The stages together plan with this part of the time that is left after one takeover
+# of the steering lease per stage.
+PLANNED_PART = 0.85
+TAKEOVER_SECONDS = 7.0
+# A close deadline does not leave that much; the stages keep at least the rest.
+LARGEST_RESERVE = 0.3
 SHORTEST_CANARY_SECONDS = 10.0
 SHORTEST_STEP_SECONDS = 4.0
 LAST_STEP_SECONDS = 5.0
@@ -68,9 +71,8 @@
         return record._replace(
             state=move_state.MoveState.CANARY, started=wall_now, reason="started"
         )
-    longest = _longest(record, elapsed, wall_now)
     if record.state is move_state.MoveState.CANARY:
-        if elapsed >= longest or (
+        if _is_due(record, elapsed, SHORTEST_CANARY_SECONDS, wall_now) or (
             elapsed >= SHORTEST_CANARY_SECONDS and _passed(evidence, CANARY_REQUESTS)
         ):
             return record._replace(
@@ -81,13 +83,14 @@
         return record
     if record.share >= LADDER[-1]:
         capped = now - evidence.capped_at < CAP_MEMORY_SECONDS
-        if elapsed >= min(LAST_STEP_SECONDS, longest) and not capped:
+        due = _is_due(record, elapsed, LAST_STEP_SECONDS, wall_now)
+        if not capped and (due or elapsed >= LAST_STEP_SECONDS):
             return record._replace(
                 state=move_state.MoveState.DONE, share=1.0, reason="all steps passed"
             )
         return record
     needed = FIRST_SHARE_REQUESTS if record.share <= LADDER[0] else STEP_REQUESTS
-    if elapsed >= longest or (
+    if _is_due(record, elapsed, SHORTEST_STEP_SECONDS, wall_now) or (
         elapsed >= SHORTEST_STEP_SECONDS and _passed(evidence, needed)
     ):
         share = min(step for step in LADDER if step > record.share)
@@ -107,19 +110,26 @@
     return "deadline"
 
 
-def _longest(record: move_record.MoveRecord, elapsed: float, wall_now: float) -> float:
-    steps_left = sum(1 for step in LADDER if step > max(record.share, LADDER[0]))
-    if record.state is move_state.MoveState.CANARY:
-        own, later = CANARY_WEIGHT, FIRST_SHARE_WEIGHT + STEP_WEIGHT * steps_left
-    elif record.share <= LADDER[0]:
-        own, later = FIRST_SHARE_WEIGHT, STEP_WEIGHT * steps_left
-    else:
-        own, later = 1.0, float(steps_left)
-    overhead = STAGE_OVERHEAD_SECONDS * (steps_left + 1)
-    total = max(0.0, record.deadline - wall_now - overhead) + elapsed
-    # A deadline that is close shortens every stage; the shortest lengths above hold
-    # for passing early only, since otherwise no move of less than a minute could end.
-    return PLANNED_PART * total * own / (own + later)
+def _is_due(
+    record: move_record.MoveRecord, elapsed: float, shortest: float, wall_now: float
+) -> bool:
+    """Return whether the time that is planned for a stage has passed.
+
+    The plan counts from the start of the move, so that a takeover of the steering
+    lease, which begins the stage's counts anew, does not begin its time anew.
+    """
+    weights = (CANARY_WEIGHT, FIRST_SHARE_WEIGHT, *_STEP_WEIGHTS)
+    index = 0
+    if record.state is move_state.MoveState.RAMPING:
+        index = 1 + sum(1 for step in LADDER if step < record.share)
+    total = record.deadline - record.started
+    total -= min(TAKEOVER_SECONDS * len(weights), LARGEST_RESERVE * total)
+    unit = PLANNED_PART * total / sum(weights)
+    planned_end = record.started + unit * sum(weights[: index + 1])
+    # A close deadline shortens every stage; otherwise no move of less than half a
+    # minute could end in time.
+    least = min(shortest, unit * weights[index])
+    return wall_now >= planned_end and elapsed >= least
 
 
 def _passed(evidence: move_evidence.MoveEvidence, needed: int) -> bool:
--- a/src/rattanlug/rollout/steering_lease.py
+++ b/src/rattanlug/rollout/steering_lease.py
@@ -60,6 +60,8 @@
             return None
         if row is None:
             return lease_row.LeaseRow(self._vm, self._incarnation, 1, 0)
+        if not row.vm:
+            return lease_row.LeaseRow(self._vm, self._incarnation, row.term + 1, 0)
         if self._own(row) and self.held(now):
             if now - self._renewed_at < RENEW_SECONDS:
                 return None
@@ -68,6 +70,17 @@
             return None
         return lease_row.LeaseRow(self._vm, self._incarnation, row.term + 1, 0)
 
+    def released(self, now: float) -> lease_row.LeaseRow | None:
+        """Stop to steer; return the row that lets another VM take over at once.
+
+        None when this VM does not hold the lease.
+        """
+        if self._row is None or not self._own(self._row) or not self.held(now):
+            return None
+        self._valid_until = float("-inf")
+        self._attempts.clear()
+        return self._row._replace(vm="", incarnation=0, renewals=self._row.renewals + 1)
+
     def attempt(self, row: lease_row.LeaseRow, now: float) -> None:
         """Note that a write of ``row`` is about to be sent."""
         # An earlier attempt at the same row may be the one that took effect.
--- a/tests/rollout/test_steering_lease.py
+++ b/tests/rollout/test_steering_lease.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from rattanlug.rollout import steering_lease
+from rattanlug.rollout import lease_row, steering_lease
 
 STEPS = st.lists(
     st.tuples(st.integers(0, 2), st.floats(0.0, 4.0), st.floats(0.0, 2.0)),
@@ -45,3 +45,20 @@
     second.observe(row, 0.2)
     assert second.wanted(6.1) is None
     assert second.wanted(6.2).term == 2
+
+
+def test_released_lease_is_taken_at_once_and_not_before():
+    """Guards against a pause of every move while a VM is stopped as planned."""
+    holder = steering_lease.SteeringLease("a", 1)
+    holder.observe(None, 0.0)
+    row = holder.wanted(0.0)
+    holder.attempt(row, 0.0)
+    holder.observe(row, 0.1)
+    other = steering_lease.SteeringLease("b", 1)
+    other.observe(row, 0.2)
+    assert other.wanted(0.3) is None
+    released = holder.released(0.4)
+    assert not holder.held(0.4)
+    assert holder.released(0.5) is None
+    other.observe(released, 0.6)
+    assert other.wanted(0.6) == lease_row.LeaseRow("b", 1, row.term + 1, 0)
