--- /dev/null
+++ b/trial/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, experiments and measurements; not part of the shipped package."""
--- /dev/null
+++ b/trial/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind docs/CAPACITY.md."""
--- /dev/null
+++ b/trial/capacity/fleet.py
@@ -0,0 +1,259 @@
+"""A fleet of membership views that gossip in virtual time."""
+
+import heapq
+import itertools
+import random
+import time
+from typing import NamedTuple
+
+from rattanlug.configuration import delta
+from rattanlug.membership import member, member_state, update, view
+from rattanlug.peer import codec, framing, gossip_exchange, information_ages
+from rattanlug.peer.generated import ttypes
+
+ROUND_S = 0.5
+_CALL_TIMEOUT_S = 0.4
+#: One way, seconds: half of the round trip between regions of Nool, the slower one.
+_LATENCY_FAR_S = 0.0275
+_LATENCY_NEAR_S = 0.00075
+#: TCP/IPv4 with timestamps, one segment for each message. An estimate: the virtual
+#: network has no packets, and acknowledgements ride on responses.
+SEGMENT_BYTES = 52
+
+
+class Traffic(NamedTuple):
+    """What one daemon sent and received per second, and its processor time.
+
+    Attributes
+    ----------
+    bytes_s : float
+        Frames, both directions, without TCP and IP headers.
+    messages_s : float
+        Both directions.
+    cpu : float
+        Share of one core.
+    """
+
+    bytes_s: float
+    messages_s: float
+    cpu: float
+
+    @property
+    def wire_bytes_s(self) -> float:
+        """Bytes per second with the estimated headers."""
+        return self.bytes_s + self.messages_s * SEGMENT_BYTES
+
+
+class Fleet:
+    """Views that exchange messages through the real codec, without sockets.
+
+    Parameters
+    ----------
+    vms, data_centres : int
+        Size; VMs are spread evenly.
+    loss : float
+        Probability that a message, request or response, is lost.
+    seed : int
+    use_codec : bool
+        Whether messages are encoded; without it, only decision code runs.
+    """
+
+    def __init__(self, vms, data_centres, loss=0.0, seed=1, use_codec=True):
+        self.now = 0.0
+        self._rng = random.Random(seed)
+        self._loss = loss
+        self._use_codec = use_codec
+        self._events = []
+        self._order = itertools.count()
+        self.centres = [f"region{i // 2:02d}-{i % 2 + 1}" for i in range(data_centres)]
+        self.records = {
+            record.vm: record
+            for record in (self._record(i, data_centres) for i in range(vms))
+        }
+        self._by_address = {r.peer_address: vm for vm, r in self.records.items()}
+        self.views = {}
+        self.exchanges = {}
+        self.stopped = set()
+        self._fetching = set()
+        self._started = set()
+        self._bytes = self._messages = 0
+        self._cpu_s = 0.0
+        self._turn = 0
+        # By VM, the time of the newest state of each data centre that it holds.
+        self._newest = {vm: dict.fromkeys(self.centres, 0.0) for vm in self.records}
+        news = [
+            update.Update(r.vm, r.incarnation, 0.0, record=r)
+            for r in self.records.values()
+        ]
+        for vm in self.records:
+            self.start(vm, news)
+
+    def _record(self, index, data_centres):
+        centre = self.centres[index % data_centres]
+        host = f"10.{index >> 16 & 255}.{index >> 8 & 255}.{index & 255}"
+        return member.Member(
+            f"entry-{index:04d}.{centre}",
+            centre,
+            (host, 8080),
+            (host, 8081),
+            1_790_000_000_000 + index,
+            member_state.MemberState.SERVING,
+            protocol_version=1,
+        )
+
+    def start(self, vm, news=()):
+        """Start a daemon that knows the members in ``news``."""
+        members = view.MembershipView(self.records[vm], self.now)
+        members.merge(news, self.now, bootstrap=True)
+        if news:
+            members.take_updates(self.now, view.MAX_UPDATES)
+            while members.pending_updates:
+                members.take_updates(self.now, view.MAX_UPDATES)
+        members.set_candidates([next(iter(self.records.values())).peer_address])
+        self.views[vm] = members
+        self.exchanges[vm] = gossip_exchange.GossipExchange(members, self._rng)
+        if vm not in self._started:
+            self._started.add(vm)
+            self._at(self._rng.uniform(0, ROUND_S), self._round, vm)
+
+    def restart(self, vm):
+        """Replace a daemon by one with a higher incarnation that asks for the list."""
+        old = self.records[vm]
+        self.records[vm] = old._replace(incarnation=old.incarnation + 1)
+        peer = next(name for name in self.views if name != vm)
+        source = self.exchanges[peer].page(ttypes.FetchMembers(""), self.now)
+        self.start(vm, ())
+        self.exchanges[vm].accept_page(source, self.now)
+
+    def run(self, seconds, until=None):
+        """Advance the clock; return when ``until()`` is true or the time is over."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action, args = heapq.heappop(self._events)
+            action(*args)
+            if until is not None and until():
+                return True
+        self.now = end
+        return until is not None and until()
+
+    def ages(self, vm):
+        """Return the information age of each data centre at a VM, seconds."""
+        ages = {name: self.now - at for name, at in self._newest[vm].items()}
+        ages[self.records[vm].data_centre] = 0.0
+        return ages
+
+    def measure(self, seconds):
+        """Advance the clock and return the mean traffic of one daemon."""
+        self._bytes = self._messages = 0
+        self._cpu_s = 0.0
+        self.run(seconds)
+        total = seconds * (len(self.views) - len(self.stopped))
+        # Each frame is counted where it is sent and where it is received.
+        return Traffic(
+            2 * self._bytes / total, 2 * self._messages / total, self._cpu_s / total
+        )
+
+    def _at(self, delay, action, *args):
+        heapq.heappush(
+            self._events, (self.now + delay, next(self._order), action, args)
+        )
+
+    def _latency(self, vm, peer):
+        if self.records[vm].data_centre[:-1] == self.records[peer].data_centre[:-1]:
+            return _LATENCY_NEAR_S
+        return _LATENCY_FAR_S
+
+    def _round(self, vm):
+        if vm in self.stopped:
+            return
+        self._at(ROUND_S, self._round, vm)
+        started = time.process_time()
+        choices = self.views[vm].next_peers(self.now, self._rng)
+        self._cpu_s += time.process_time() - started
+        for choice in choices:
+            self._request(vm, self._by_address[choice.peer_address])
+
+    def _request(self, vm, peer):
+        started = time.process_time()
+        message = self.exchanges[vm].request(peer, self.now)
+        data = self._encode(vm, message)
+        self._cpu_s += time.process_time() - started
+        if self._rng.random() < self._loss:
+            self._at(_CALL_TIMEOUT_S, self._fail, vm, peer, self.now)
+        else:
+            self._at(self._latency(vm, peer), self._answer, vm, peer, data, self.now)
+
+    def _answer(self, vm, peer, data, asked_at):
+        if peer in self.stopped:
+            self._at(_CALL_TIMEOUT_S, self._fail, vm, peer, asked_at)
+            return
+        started = time.process_time()
+        message = self._decode(data, peer, vm, self.now)
+        response = self.exchanges[peer].answer(message, vm, self.now)
+        answer = self._encode(peer, response)
+        self._cpu_s += time.process_time() - started
+        self._learn_version(peer, message.config_version)
+        if self._rng.random() < self._loss:
+            self._at(_CALL_TIMEOUT_S, self._fail, vm, peer, asked_at)
+        else:
+            delay = self._latency(vm, peer)
+            self._at(delay, self._accept, vm, peer, answer, asked_at)
+
+    def _accept(self, vm, peer, data, asked_at):
+        if vm in self.stopped:
+            return
+        started = time.process_time()
+        message = self._decode(data, vm, peer, asked_at)
+        self.exchanges[vm].accept(message, peer, asked_at, self.now)
+        self._cpu_s += time.process_time() - started
+        self._learn_version(vm, message.config_version)
+
+    def _fail(self, vm, peer, asked_at):
+        if vm not in self.stopped:
+            self.views[vm].contact_failed(peer, asked_at, self.now)
+
+    def _learn_version(self, vm, version):
+        if version <= self.views[vm].own.config_version or vm in self._fetching:
+            return
+        self._fetching.add(vm)
+        self._count(ttypes.FetchConfiguration(version - 1, "0" * 64), vm)
+        text = delta.make_delta("a\n" * 40, "a\n" * 39 + "b\n", version - 1).text
+        part = ttypes.ConfigurationDelta(version - 1, version, "0" * 64, text)
+        self._count(ttypes.ConfigurationData(version, "0" * 64, deltas=[part]), vm)
+        self._at(2 * _LATENCY_FAR_S, self._apply, vm, version)
+
+    def _apply(self, vm, version):
+        self._fetching.discard(vm)
+        if version > self.views[vm].own.config_version:
+            self.views[vm].set_own(self.now, config_version=version)
+
+    def _count(self, message, vm):
+        self._messages += 1
+        if self._use_codec:
+            self._bytes += len(framing.frame(codec.encode(1, vm, message)))
+
+    def _encode(self, vm, message):
+        self._messages += 1
+        if not self._use_codec:
+            return message
+        if isinstance(message, ttypes.Gossip):
+            ages = self.ages(vm)
+            self._turn += 1
+            information_ages.put_ages(message, ages, self.centres, turn=self._turn)
+            message.evidence_age_ms = 700
+            message.evidence_version = message.config_version
+            message.load = 250
+        data = framing.frame(codec.encode(123_456, vm, message))
+        self._bytes += len(data)
+        return data
+
+    def _decode(self, data, vm, sender, heard_at):
+        if not self._use_codec:
+            return data
+        message = codec.decode(data[4:]).message
+        ages = information_ages.get_ages(message, self.centres)
+        ages[self.records[sender].data_centre] = 0.0
+        newest = self._newest[vm]
+        for centre, age in ages.items():
+            newest[centre] = max(newest[centre], heard_at - age)
+        return message
