Bound what one connection of a caller may hold

Cause: hypercorn's accept loop has no limit of connections, lets an exception of one connection end the whole process, and sends with a shielded scope and no time limit, so that a caller that does not read its answer also keeps a planned stop from ending. A caller that is refused while it still sends fills the queue of the ASGI server, and the task that answers waits for room in it.

Ruled out: a limit inside the application, which never sees a connection without a request; a subclass of the socket, which trio does not accept.

HTTP/2 and WebSocket are refused. A path that an upstream could read differently (encoded slashes and dots, backslash, fragment, parameters after dots) is refused. An unexpected exception becomes an answer with `ran` unknown.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -1,11 +1,12 @@
 """The ASGI application that hypercorn runs for callers and operators."""
 
+import logging
 from collections.abc import Awaitable, Callable
 
 import trio
 
 from rattanlug.caller import reply, request
-from rattanlug.errors import error, kind
+from rattanlug.errors import error, kind, ran
 from rattanlug.metrics import counters
 
 Handler = Callable[[request.Request], Awaitable[reply.Reply]]
@@ -13,6 +14,20 @@
 _MAX_BODY_BYTES = 1024 * 1024
 _MAX_HEADER_BYTES = 16 * 1024
 _BODY_TIMEOUT_SECONDS = 10.0
+# A caller that is still sending when it is refused reads the answer only if the
+# connection is not reset, so the rest of its body is read for a moment.
+_DISCARD_SECONDS = 0.3
+_DISCARD_BYTES = 8 * 1024 * 1024
+_HTTP_1 = frozenset({"1.0", "1.1"})
+_SINGLE_HEADERS = (
+    b"content-length",
+    b"authorization",
+    b"idempotency-key",
+    b"host",
+    b"request-id",
+    b"request-timeout",
+)
+_LOG = logging.getLogger(__name__)
 
 
 class Application:
@@ -24,11 +39,19 @@
         Coroutine function from request to reply; it may raise
         ``error.RattanlugError``.
     all_counters : counters.Counters
+    closing : callable, optional
+        Tells whether callers should open their next connection elsewhere.
     """
 
-    def __init__(self, handler: Handler, all_counters: counters.Counters) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        all_counters: counters.Counters,
+        closing: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._handler = handler
         self._counters = all_counters
+        self._closing = closing
         self._in_flight = 0
 
     @property
@@ -38,8 +61,9 @@
 
     async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
         """Serve one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+        if scope["type"] == "websocket":
+            self._counters.add("requests_rejected", reason="websocket")
+            await send({"type": "websocket.close"})
         elif scope["type"] == "http":
             self._in_flight += 1
             try:
@@ -50,19 +74,31 @@
     async def _serve_request(
         self, scope: dict, receive: Callable, send: Callable
     ) -> None:
+        whole, answer = None, None
         try:
             whole = await _read_request(scope, receive)
-            if whole is None:
-                self._counters.add("requests_abandoned")
-                return
-            answer = await self._call_until_disconnect(whole, receive)
+            if whole is not None:
+                answer = await self._call_until_disconnect(whole, receive)
         except error.RattanlugError as exc:
-            self._counters.add("errors", kind=exc.kind.value)
-            answer = reply.from_error(exc)
+            answer = self._from_error(exc)
         if answer is None:
             self._counters.add("requests_abandoned")
             return
-        await _send_reply(answer, send)
+        if self._closing():
+            headers = [*answer.headers, (b"connection", b"close")]
+            answer = answer._replace(headers=headers)
+        if whole is None:
+            await _discard_body(receive)
+        async with trio.open_nursery() as nursery:
+            # Sending ends with a message to this application, which would wait for
+            # room when the caller's body has filled the queue.
+            nursery.start_soon(_drain, receive)
+            await _send_reply(answer, send)
+            nursery.cancel_scope.cancel()
+
+    def _from_error(self, exc: error.RattanlugError) -> reply.Reply:
+        self._counters.add("errors", kind=exc.kind.value)
+        return reply.from_error(exc)
 
     async def _call_until_disconnect(
         self, whole: request.Request, receive: Callable
@@ -75,20 +111,20 @@
                 answer = await self._handler(whole)
             except error.RattanlugError as exc:
                 failure = exc
+            except Exception:
+                self._counters.add("internal_errors")
+                _LOG.exception("a request failed unexpectedly")
+                failure = error.RattanlugError(
+                    kind.ErrorKind.UPSTREAM_FAILED,
+                    "an internal error ended the request",
+                    ran.Ran.UNKNOWN,
+                )
             nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
         return answer
 
 
-async def _serve_lifespan(receive: Callable, send: Callable) -> None:
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
 async def _cancel_on_disconnect(receive: Callable, scope: trio.CancelScope) -> None:
     while True:
         message = await receive()
@@ -97,7 +133,26 @@
             return
 
 
+async def _drain(receive: Callable) -> None:
+    while True:
+        await receive()
+
+
+async def _discard_body(receive: Callable) -> None:
+    size = 0
+    with trio.move_on_after(_DISCARD_SECONDS):
+        while size <= _DISCARD_BYTES:
+            message = await receive()
+            size += len(message.get("body", b""))
+            if not message.get("more_body", False):
+                return
+
+
 async def _read_request(scope: dict, receive: Callable) -> request.Request | None:
+    if scope["http_version"] not in _HTTP_1:
+        raise error.RefusedError(
+            kind.ErrorKind.REQUEST_MALFORMED, "accepted: HTTP/1.0 and HTTP/1.1"
+        )
     headers = [(name.lower(), value) for name, value in scope["headers"]]
     _check_headers(headers)
     body = bytearray()
@@ -144,7 +199,7 @@
             kind.ErrorKind.REQUEST_MALFORMED,
             "Content-Length and Transfer-Encoding exclude each other",
         )
-    for name in (b"content-length", b"authorization", b"idempotency-key", b"host"):
+    for name in _SINGLE_HEADERS:
         if names.count(name) > 1:
             raise error.RefusedError(
                 kind.ErrorKind.REQUEST_MALFORMED,
--- a/src/rattanlug/caller/forwarded_headers.py
+++ b/src/rattanlug/caller/forwarded_headers.py
@@ -31,6 +31,7 @@
     }
 )
 _OWN_PREFIX = b"rattanlug-"
+_RAN = _OWN_PREFIX + b"ran"
 _MILLISECONDS_PER_SECOND = 1000
 _REQUEST_ID_FORM = re.compile(rb"[!-~]{1,128}")
 
@@ -102,7 +103,9 @@
     """
     result = _end_to_end(headers)
     result.append((b"content-length", str(len(body)).encode()))
-    result.append((_OWN_PREFIX + b"ran", b"yes"))
+    # An upstream that answers that it gave up may or may not have run the request.
+    ran = b"unknown" if (_RAN, b"unknown") in headers else b"yes"
+    result.append((_RAN, ran))
     result.append((REQUEST_ID, identifier.encode()))
     return result
 
--- a/src/rattanlug/caller/reply.py
+++ b/src/rattanlug/caller/reply.py
@@ -73,10 +73,9 @@
 
 def states_not_run(headers: Headers) -> bool:
     """Tell whether headers of an answer state that the request did not run."""
-    return any(
-        name.lower() == RAN_HEADER and value == ran.Ran.NO.value.encode()
-        for name, value in headers
-    )
+    values = [value for name, value in headers if name.lower() == RAN_HEADER]
+    # An answer that states several things states nothing.
+    return values == [ran.Ran.NO.value.encode()]
 
 
 def _headers(content_type: bytes, body: bytes, extra: Mapping[str, str]) -> Headers:
--- a/src/rattanlug/caller/route_table.py
+++ b/src/rattanlug/caller/route_table.py
@@ -1,8 +1,14 @@
 """Finds the route of a request."""
 
+import re
+
 from rattanlug.errors import error, kind
 from rattanlug.model import configuration, route
 
+_AMBIGUOUS_RAW = re.compile(rb"%2f|%5c|%(?![0-9a-f]{2})|[#\\]", re.IGNORECASE)
+# What is still encoded after one decoding may be decoded by the upstream.
+_AMBIGUOUS = re.compile(r"[\x00-\x1f\x7f\\\ufffd]|%(?:2e|2f|5c)", re.IGNORECASE)
+
 
 class RouteTable:
     """Routes of one configuration by method, longest path first.
@@ -19,7 +25,7 @@
         for entries in self._by_method.values():
             entries.sort(key=lambda entry: len(entry.path), reverse=True)
 
-    def match(self, method: str, path: str) -> route.Route:
+    def match(self, method: str, path: str, raw_path: bytes = b"") -> route.Route:
         """Return the route with the longest path that is a prefix by segments.
 
         Parameters
@@ -27,6 +33,8 @@
         method : str
         path : str
             Decoded path.
+        raw_path : bytes
+            Path as it came, which the upstream decodes on its own.
 
         Returns
         -------
@@ -38,12 +46,19 @@
             When no route matches, or the path could be read in two ways: an upstream
             that normalises ``..`` would serve another route than the one checked here.
         """
-        segments = path.split("/")
+        # Some servers drop parameters after a semicolon before they normalise.
+        segments = [segment.partition(";")[0] for segment in path.split("/")]
         if ".." in segments or "." in segments or "" in segments[1:-1]:
             raise error.RefusedError(
                 kind.ErrorKind.REQUEST_MALFORMED,
                 "the path holds an empty, '.' or '..' segment",
             )
+        if _AMBIGUOUS_RAW.search(raw_path) or _AMBIGUOUS.search(path):
+            raise error.RefusedError(
+                kind.ErrorKind.REQUEST_MALFORMED,
+                "the path holds an encoded slash or dot, a backslash, a fragment, a "
+                "control character or broken percent-encoding",
+            )
         for entry in self._by_method.get(method, ()):
             prefix = entry.path.rstrip("/")
             if path == entry.path or path == prefix or path.startswith(prefix + "/"):
