Check seats at each slot decision and keep loops from ending the daemon

Cause: slots of lapsed seats left the ledger only at the end of a round of the seat loop, which waits for the platform; a process that was paused, or whose platform hangs, could use slots that another VM holds. The numbers of waiting requests are unique within one queue, but two queues shared one dictionary. A task that a loop started could end the whole daemon with an exception, for example on a configuration that this release does not understand. A caller that left while a slot was being borrowed lost the loan until its expiry.

Ruled out: a shorter interval of the loop, which does not help after a pause.

Look-ups are refused while the VM starts.

--- a/src/rattanlug/daemon/active_configuration.py
+++ b/src/rattanlug/daemon/active_configuration.py
@@ -111,7 +111,9 @@
             known = candidates.candidates(
                 self._configuration, service, version, self._data_centre, self.region
             )
-            self._tiers[service, version] = known
+            # Peers ask with names of their own; only configured ones are kept.
+            if service in self._configuration.services and any(known):
+                self._tiers[service, version] = known
         return known
 
     def _install(
--- a/src/rattanlug/daemon/configuration_sync.py
+++ b/src/rattanlug/daemon/configuration_sync.py
@@ -84,9 +84,13 @@
         before = self._active.configuration.version
         if found.version <= before:
             return False
-        self._newest = found
-        if not self._active.apply(found.rules, found.version, self._clock()):
-            return False
+        earlier, self._newest = self._newest, found
+        try:
+            if not self._active.apply(found.rules, found.version, self._clock()):
+                return False
+        except error.InvalidInputError:
+            self._newest = earlier
+            raise
         self._current = found
         log_state.changed(
             "configuration_version", before, found.version, author=found.author
--- a/src/rattanlug/daemon/endpoints/lookup.py
+++ b/src/rattanlug/daemon/endpoints/lookup.py
@@ -2,6 +2,7 @@
 
 from rattanlug.caller import reply, request
 from rattanlug.daemon import node as daemon_node
+from rattanlug.daemon import service_state
 from rattanlug.daemon.endpoints import registry
 from rattanlug.errors import error, kind
 
@@ -11,6 +12,11 @@
 @registry.register("GET", "lookup")
 async def lookup(node: daemon_node.Node, incoming: request.Request) -> reply.Reply:
     """Answer with up to three VMs and the time for which to keep the answer."""
+    if node.state is service_state.ServiceState.STARTING:
+        # An older configuration may name data centres that no longer exist.
+        raise error.RefusedError(
+            kind.ErrorKind.STARTING, "this VM does not serve look-ups yet"
+        )
     client = incoming.parameters.get("client", incoming.client)
     try:
         vms = node.lookups.resolve(client)
--- a/src/rattanlug/daemon/endpoints/status.py
+++ b/src/rattanlug/daemon/endpoints/status.py
@@ -25,6 +25,8 @@
     upstreams = []
     for item in node.active.configuration.upstreams.values():
         state = node.slots.state(item.name)
+        if state is None:
+            continue
         upstreams.append(
             {
                 "upstream": item.name,
--- a/src/rattanlug/daemon/loops/block_table.py
+++ b/src/rattanlug/daemon/loops/block_table.py
@@ -1,7 +1,5 @@
 """Loads the table of client blocks from the object store."""
 
-import trio
-
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
 from rattanlug.errors import error
@@ -13,7 +11,7 @@
 
 
 @registry.register("block_table", _INTERVAL_SECONDS)
-async def load_table(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+async def load_table(node: daemon_node.Node, spawner: registry.Spawner) -> None:
     """Load the table once; without one, clients use the VMs nearest to them."""
     if node.lookups.blocks:
         return
--- a/src/rattanlug/daemon/loops/borrowing.py
+++ b/src/rattanlug/daemon/loops/borrowing.py
@@ -1,7 +1,5 @@
 """Borrows tokens for the demand that is predicted."""
 
-import trio
-
 from rattanlug.daemon import clock, quota_access
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
@@ -15,7 +13,7 @@
 
 
 @registry.register("borrowing", _INTERVAL_SECONDS)
-async def borrow_tokens(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+async def borrow_tokens(node: daemon_node.Node, spawner: registry.Spawner) -> None:
     """Send what the quotas plan."""
     now = clock.now()
     own = node.settings.vm
@@ -23,7 +21,7 @@
         record.vm: 1 for record in node.members.live_members(now) if record.vm != own
     }
     for vm, message in node.quotas.plan_messages(lenders).items():
-        nursery.start_soon(_ask, node, vm, message, now)
+        spawner.start_soon(_ask, node, vm, message, now)
 
 
 async def _ask(
--- a/src/rattanlug/daemon/loops/gossip.py
+++ b/src/rattanlug/daemon/loops/gossip.py
@@ -1,7 +1,5 @@
 """Exchanges news with other VMs."""
 
-import trio
-
 from rattanlug.daemon import clock, gossip_header, push
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
@@ -16,10 +14,10 @@
 
 
 @registry.register("gossip", _INTERVAL_SECONDS)
-async def gossip(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+async def gossip(node: daemon_node.Node, spawner: registry.Spawner) -> None:
     """Contact the peers of this round."""
     for choice in node.members.next_peers(clock.now(), node.rng):
-        nursery.start_soon(_exchange, node, choice)
+        spawner.start_soon(_exchange, node, choice)
 
 
 async def _exchange(node: daemon_node.Node, choice: peer_choice.PeerChoice) -> None:
@@ -52,5 +50,9 @@
     except (peer_error.PeerError, error_tree.RattanlugError):
         return
     found = push.from_data(data)
-    if found is not None:
+    if found is None:
+        return
+    try:
         node.sync.apply(found)
+    except error_tree.InvalidInputError:
+        node.counters.add("configuration_rejected")
--- a/src/rattanlug/daemon/loops/head.py
+++ b/src/rattanlug/daemon/loops/head.py
@@ -1,7 +1,5 @@
 """Reads the head of the configuration for this data centre."""
 
-import trio
-
 from rattanlug.daemon import clock
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
@@ -13,7 +11,7 @@
 
 
 @registry.register("head", _INTERVAL_SECONDS)
-async def read_head(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+async def read_head(node: daemon_node.Node, spawner: registry.Spawner) -> None:
     """Read the head if this VM is the reader or the evidence is old."""
     now = clock.now()
     if not _is_reader(node, now) and node.evidence.age(now) < _OLD_EVIDENCE_SECONDS:
--- a/src/rattanlug/daemon/loops/moves.py
+++ b/src/rattanlug/daemon/loops/moves.py
@@ -1,7 +1,5 @@
 """Steers moves and reports outcomes to the VM that steers."""
 
-import trio
-
 from rattanlug.daemon import active_move, clock
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
@@ -19,7 +17,7 @@
 
 
 @registry.register("moves", _INTERVAL_SECONDS)
-async def work_on_moves(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+async def work_on_moves(node: daemon_node.Node, spawner: registry.Spawner) -> None:
     """Read the lease, steer if this VM holds it, and report outcomes."""
     active = [item for item in node.versions.moves.values() if item.final is None]
     if not active:
@@ -32,7 +30,7 @@
     except error_tree.PlatformError:
         node.counters.add("platform_failures", call="moves")
     for item in active:
-        nursery.start_soon(_report, node, item)
+        spawner.start_soon(_report, node, item)
 
 
 def _may_hold(node: daemon_node.Node) -> bool:
--- a/src/rattanlug/daemon/loops/registry.py
+++ b/src/rattanlug/daemon/loops/registry.py
@@ -10,7 +10,7 @@
 
 _LOG = logging.getLogger(__name__)
 
-Round = Callable[[daemon_node.Node, trio.Nursery], Awaitable[None]]
+Round = Callable[[daemon_node.Node, "Spawner"], Awaitable[None]]
 
 
 class Loop(NamedTuple):
@@ -43,6 +43,38 @@
     return decorate
 
 
+class Spawner:
+    """Starts tasks of a loop; a fault in one of them ends no other task.
+
+    Parameters
+    ----------
+    node : daemon_node.Node
+    name : str
+        Name of the loop, for the counter.
+    nursery : trio.Nursery
+    """
+
+    def __init__(
+        self, node: daemon_node.Node, name: str, nursery: trio.Nursery
+    ) -> None:
+        self._node = node
+        self._name = name
+        self._nursery = nursery
+
+    def start_soon(self, function: Callable[..., Awaitable[None]], *args) -> None:
+        """Start ``function(*args)`` as a task."""
+        self._nursery.start_soon(self.run, function, *args)
+
+    async def run(self, function: Callable[..., Awaitable[None]], *args) -> None:
+        """Await ``function(*args)`` and count a fault in it."""
+        try:
+            await function(*args)
+        except Exception:
+            # A fault in periodic work must not end requests that are served.
+            self._node.counters.add("loop_failures", loop=self._name)
+            _LOG.exception("a round of loop %s failed", self._name)
+
+
 async def run_loop(node: daemon_node.Node, loop: Loop) -> None:
     """Run a loop until cancelled.
 
@@ -51,13 +83,9 @@
     """
     await trio.sleep(node.rng.random() * loop.interval)
     async with trio.open_nursery() as nursery:
+        spawner = Spawner(node, loop.name, nursery)
         while True:
             start = trio.current_time()
-            try:
-                await loop.run_round(node, nursery)
-            except Exception:
-                # A fault in periodic work must not end requests that are served.
-                node.counters.add("loop_failures", loop=loop.name)
-                _LOG.exception("a round of loop %s failed", loop.name)
+            await spawner.run(loop.run_round, node, spawner)
             elapsed = trio.current_time() - start
             await trio.sleep(max(0.0, loop.interval - elapsed))
--- a/src/rattanlug/daemon/loops/reports.py
+++ b/src/rattanlug/daemon/loops/reports.py
@@ -2,8 +2,6 @@
 
 import json
 
-import trio
-
 from rattanlug.daemon import clock
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
@@ -16,11 +14,11 @@
 
 
 @registry.register("reports", _INTERVAL_SECONDS)
-async def read_reports(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+async def read_reports(node: daemon_node.Node, spawner: registry.Spawner) -> None:
     """Ask each upstream of this data centre for its report."""
     for item in node.active.configuration.upstreams.values():
         if item.data_centre == node.settings.data_centre:
-            nursery.start_soon(_read_report, node, item)
+            spawner.start_soon(_read_report, node, item)
 
 
 async def _read_report(node: daemon_node.Node, item: upstream.Upstream) -> None:
--- a/src/rattanlug/daemon/loops/seats.py
+++ b/src/rattanlug/daemon/loops/seats.py
@@ -1,7 +1,5 @@
 """Takes, renews and releases seats."""
 
-import trio
-
 from rattanlug.daemon import clock
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
@@ -20,7 +18,7 @@
 
 
 @registry.register("seats", _INTERVAL_SECONDS)
-async def keep_seats(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+async def keep_seats(node: daemon_node.Node, spawner: registry.Spawner) -> None:
     """Do what the seat holder wants to be read and written now."""
     if not node.active.configuration.version:
         return
@@ -32,7 +30,6 @@
     if writes:
         await _commit(node, writes)
     await _ask_for_seat(node)
-    node.advance(clock.now())
 
 
 async def _scan(node: daemon_node.Node, asked_at: float) -> None:
--- a/src/rattanlug/daemon/loops/vm_list.py
+++ b/src/rattanlug/daemon/loops/vm_list.py
@@ -1,7 +1,5 @@
 """Reads the platform's list of VMs."""
 
-import trio
-
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
 from rattanlug.errors import error
@@ -10,7 +8,7 @@
 
 
 @registry.register("vm_list", _INTERVAL_SECONDS)
-async def read_vm_list(node: daemon_node.Node, nursery: trio.Nursery) -> None:
+async def read_vm_list(node: daemon_node.Node, spawner: registry.Spawner) -> None:
     """Offer the listed VMs as peers; the list lags, so gossip decides who is live."""
     try:
         listed = await node.platform.list_vms()
--- a/src/rattanlug/daemon/node.py
+++ b/src/rattanlug/daemon/node.py
@@ -22,7 +22,7 @@
     steering,
     version_choice,
 )
-from rattanlug.invariants import violations
+from rattanlug.invariants import invariant, violations
 from rattanlug.keys import freshness
 from rattanlug.logs import state as log_state
 from rattanlug.membership import member, member_state, view
@@ -45,6 +45,8 @@
 # the bound leaves room for wall clocks that differ.
 _SETTLED_AFTER_SECONDS = 60.0
 _START_LIMIT_SECONDS = 15.0
+# The bound of the design page; decisions use a slightly smaller one.
+_MAX_KEY_AGE_SECONDS = 10.0
 
 
 class Node:
@@ -62,6 +64,7 @@
         self._rng = random.Random(f"{settings.vm}:{self._incarnation}")
         self._started_at = now
         self._next_seat_request = now
+        self._slot_terms: tuple[tuple[str, int], ...] = ()
         self._state = service_state.ServiceState.STARTING
         self._build_shared(now)
         self._build_traffic(now)
@@ -216,6 +219,11 @@
             self._evidence.age(now), self._contact.in_contact(now)
         )
 
+    def keys_known(self, now: float) -> bool:
+        """Tell whether the bound of key freshness holds, for the run-time check."""
+        age = self._evidence.age(now)
+        return age <= _MAX_KEY_AGE_SECONDS or self._contact.in_contact(now)
+
     def quota_seats(self, now: float) -> tuple:
         """Return the seats whose tokens may be spent or lent."""
         if not self.keyed_routes_allowed(now):
@@ -312,7 +320,9 @@
             slot_loans.prefix(settings.vm, self._incarnation)
         )
         self._links = link_budget.LinkBudget({}, now)
-        self._slots = slot_access.SlotAccess(ledger, clock.now, self._rng)
+        self._slots = slot_access.SlotAccess(
+            ledger, clock.now, self._rng, self._refresh_slots
+        )
         self._slot_loans = slot_loans.SlotLoans(
             settings.vm,
             self._incarnation,
@@ -376,6 +386,10 @@
     def _configuration_changed(
         self, current: configuration.Configuration, now: float
     ) -> None:
+        self._violations.check(
+            invariant.Invariant.CONFIGURATION_IN_FORCE,
+            current.version > self._members.own.config_version,
+        )
         self._evidence.apply(current.version)
         self._contact.apply(current.version, current.data_centres)
         self._members.set_own(now, config_version=current.version)
@@ -396,7 +410,15 @@
         age = clock.wall_now() - stored.at
         return now - age if age >= _SETTLED_AFTER_SECONDS else None
 
+    def _refresh_slots(self, now: float) -> None:
+        if self._usable_terms(now) != self._slot_terms:
+            self._update_slots(now)
+
+    def _usable_terms(self, now: float) -> tuple[tuple[str, int], ...]:
+        return tuple((item.seat, item.term) for item in self._seats.usable_seats(now))
+
     def _update_slots(self, now: float) -> None:
+        self._slot_terms = self._usable_terms(now)
         owned: dict[str, set[int]] = {}
         for item in self._seats.usable_slots(now):
             owned.setdefault(item.upstream, set()).add(item.index)
--- a/src/rattanlug/daemon/slot_access.py
+++ b/src/rattanlug/daemon/slot_access.py
@@ -33,6 +33,9 @@
     clock : callable
         Returns the present time in seconds.
     rng : random.Random
+    refresh : callable, optional
+        ``refresh(now)`` takes slots of lapsed seats out of the ledger; called before
+        each decision, since a process that was paused must not use them.
     """
 
     def __init__(
@@ -40,7 +43,9 @@
         ledger: slot_ledger.SlotLedger,
         clock: Callable[[], float],
         rng: random.Random,
+        refresh: Callable[[float], None] = lambda now: None,
     ) -> None:
+        self._refresh = refresh
         self._ledger = ledger
         self._clock = clock
         self._rng = rng
@@ -48,22 +53,29 @@
         self._states: dict[str, upstream_state.UpstreamState] = {}
         self._queues: dict[tuple[str, str], fair_queue.FairQueue] = {}
         self._near: dict[tuple[str, str], tuple[upstream.Upstream, ...]] = {}
-        self._waiting: dict[int, tuple[trio.Event, list[slot_hold.SlotHold]]] = {}
+        # Numbers are unique within a queue only.
+        self._waiting: dict[
+            tuple[str, str, int], tuple[trio.Event, list[slot_hold.SlotHold]]
+        ] = {}
 
     @property
     def ledger(self) -> slot_ledger.SlotLedger:
         """Slots that this VM owns, uses, lends and borrows."""
         return self._ledger
 
-    def state(self, name: str) -> upstream_state.UpstreamState:
-        """Return the state of an upstream."""
-        return self._states[name]
+    def state(self, name: str) -> upstream_state.UpstreamState | None:
+        """Return the state of an upstream, or None when it is not configured."""
+        return self._states.get(name)
 
     def configure(self, current: configuration.Configuration, now: float) -> None:
         """Take the upstreams and drain rules of a new configuration."""
         drained = {(rule.target, rule.name) for rule in current.drains}
         known = bool(self._states)
         self._near.clear()
+        for name in self._states.keys() - current.upstreams.keys():
+            del self._states[name]
+        for key in [key for key, queue in self._queues.items() if not len(queue)]:
+            del self._queues[key]
         for item in current.upstreams.values():
             state = self._states.get(item.name)
             if state is None:
@@ -191,7 +203,7 @@
             item = queue.take(now)
             if item is None:
                 return
-            event, holds = self._waiting[item.number]
+            event, holds = self._waiting[service, version, item.number]
             hold = self._ledger.acquire([name], now)
             if hold is not None:
                 holds.append(hold)
@@ -225,13 +237,14 @@
             return None
         event = trio.Event()
         holds: list[slot_hold.SlotHold] = []
-        self._waiting[item.number] = (event, holds)
+        number = (service, version, item.number)
+        self._waiting[number] = (event, holds)
         try:
             with trio.move_on_after(max(0.0, item.give_up_at - now)):
                 await event.wait()
             return holds.pop() if holds else None
         finally:
-            del self._waiting[item.number]
+            del self._waiting[number]
             queue.remove(item)
             for hold in holds:
                 # The caller gave up between the assignment and the wake-up.
@@ -241,6 +254,7 @@
         self, upstreams: tuple[upstream.Upstream, ...], excluded: frozenset[str]
     ) -> str | None:
         now = self._clock()
+        self._refresh(now)
         views = []
         for item in upstreams:
             state = self._states.get(item.name)
--- a/src/rattanlug/daemon/slot_loans.py
+++ b/src/rattanlug/daemon/slot_loans.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import trio
+
 from rattanlug.daemon import active_configuration
 from rattanlug.errors import error as error_tree
 from rattanlug.membership import view
@@ -14,6 +16,7 @@
 # A peer without a free slot is not asked again for this long, so that an overload
 # does not multiply messages.
 _REFUSAL_MEMORY_SECONDS = 0.05
+_MAX_REFUSALS = 1000
 _MAX_ASKED = 4
 _TIMEOUT_SECONDS = 0.3
 _MILLISECONDS_PER_SECOND = 1000
@@ -77,15 +80,17 @@
                 service, version, int(remaining * _MILLISECONDS_PER_SECOND)
             )
             try:
-                answer = await self._peers.call(
-                    peer, message, min(_TIMEOUT_SECONDS, remaining)
-                )
+                # A caller that leaves now must not lose the loan that is on its way:
+                # the lender would miss the slot until the loan expires.
+                with trio.CancelScope(shield=True):
+                    answer = await self._peers.call(
+                        peer, message, min(_TIMEOUT_SECONDS, remaining)
+                    )
             except _FAILURES:
                 answer = ttypes.SlotLoan(granted=False)
             now = self._clock()
             if not answer.granted:
-                refused = (vm, service, version)
-                self._refused_until[refused] = now + _REFUSAL_MEMORY_SECONDS
+                self._note_refusal((vm, service, version), now)
                 continue
             loan = slot_loan.SlotLoan(
                 loan_id(answer.loan),
@@ -100,6 +105,13 @@
                 return hold
         return None
 
+    def _note_refusal(self, refused: tuple[str, str, str], now: float) -> None:
+        if len(self._refused_until) >= _MAX_REFUSALS:
+            self._refused_until = {
+                key: until for key, until in self._refused_until.items() if until > now
+            }
+        self._refused_until[refused] = now + _REFUSAL_MEMORY_SECONDS
+
     async def give_back(self, loan: slot_loan.SlotLoan) -> None:
         """Return a slot to its lender; a lost message lets the loan expire."""
         identity = loan_identity(loan.loan_id)
--- a/src/rattanlug/metrics/counters.py
+++ b/src/rattanlug/metrics/counters.py
@@ -6,10 +6,22 @@
 Labels = tuple[tuple[str, str], ...]
 
 
+_MAX_SERIES = 5000
+_OVERFLOW = (("overflow", "true"),)
+
+
 class Counters:
-    """Counters that only rise, by name and labels."""
+    """Counters that only rise, by name and labels.
+
+    Parameters
+    ----------
+    max_series : int
+        Labels hold names of the configuration, which change over the life of a
+        process; beyond this number, new labels share one series for each name.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, max_series: int = _MAX_SERIES) -> None:
+        self._max_series = max_series
         self._values: dict[tuple[str, Labels], int] = collections.defaultdict(int)
 
     def add(self, name: str, amount: int = 1, **labels: str) -> None:
@@ -22,7 +34,10 @@
         amount : int
         **labels : str
         """
-        self._values[name, tuple(sorted(labels.items()))] += amount
+        identity = (name, tuple(sorted(labels.items())))
+        if identity not in self._values and len(self._values) >= self._max_series:
+            identity = (name, _OVERFLOW)
+        self._values[identity] += amount
 
     def value(self, name: str, **labels: str) -> int:
         """Return the value of one counter, 0 when it never rose."""
--- a/src/rattanlug/metrics/histograms.py
+++ b/src/rattanlug/metrics/histograms.py
@@ -10,12 +10,21 @@
 _HIGHEST_MICROSECONDS = 60_000_000
 _SIGNIFICANT_DIGITS = 2
 _MICROSECONDS_PER_SECOND = 1_000_000
+_MAX_SERIES = 200
+_OVERFLOW = (("overflow", "true"),)
 
 
 class Histograms:
-    """HdrHistogram instances by name and labels."""
+    """HdrHistogram instances by name and labels.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    max_series : int
+        Beyond this number, new labels share one histogram for each name.
+    """
+
+    def __init__(self, max_series: int = _MAX_SERIES) -> None:
+        self._max_series = max_series
         self._histograms: dict[tuple[str, counters.Labels], histogram.HdrHistogram] = {}
 
     def record(self, name: str, seconds: float, **labels: str) -> None:
@@ -30,6 +39,9 @@
         """
         identity = (name, tuple(sorted(labels.items())))
         target = self._histograms.get(identity)
+        if target is None and len(self._histograms) >= self._max_series:
+            identity = (name, _OVERFLOW)
+            target = self._histograms.get(identity)
         if target is None:
             target = histogram.HdrHistogram(
                 _LOWEST_MICROSECONDS, _HIGHEST_MICROSECONDS, _SIGNIFICANT_DIGITS
