State truly whether a request ran and recheck keys before sending

Cause: a retry that found no slot answered "not run" although the first attempt may have run. A key was checked when the request arrived, up to ten seconds before it was sent. A service, link or upstream that vanished from the configuration meanwhile raised a KeyError, which leaked the slot, and in an operation ended the daemon. A Request-Timeout with thousands of digits raised a ValueError. Remembered operations were bounded by number only, and follow-ups while the store is down not at all.

The first uncertain failure now decides the answer. Keys, time left, target, link and leaving state are checked right before each attempt, in one place that returns the slot. An operation takes its slot before the intent is written, so that without capacity nothing is written; while the store takes longer than 0.2 s, the slot serves other routes and is taken anew. Replies of an operation that fails unexpectedly are "not run" only if nothing was sent.

--- a/src/rattanlug/daemon/operation_runner.py
+++ b/src/rattanlug/daemon/operation_runner.py
@@ -1,11 +1,12 @@
 """Performs the steps of operations on ``once`` routes."""
 
 import collections
+import logging
 from collections.abc import Awaitable, Callable
 
 import trio
 
-from rattanlug.errors import error
+from rattanlug.errors import error, kind, ran
 from rattanlug.idempotency import (
     await_answer,
     operation,
@@ -26,8 +27,12 @@
 Send = Callable[[], Awaitable[send_result.SendResult]]
 
 _STORE_TIMEOUT_SECONDS = 1.5
-# About 50 MB at the usual answer size of a few kilobytes.
-_MAX_REMEMBERED = 10_000
+MAX_REMEMBERED = 10_000
+MAX_REMEMBERED_BYTES = 16 * 1024 * 1024
+# While the store is down, records are followed up for ten minutes; without a bound,
+# a busy VM would collect tens of thousands of them.
+MAX_ACTIVE = 1000
+_LOG = logging.getLogger(__name__)
 
 
 class OperationRunner:
@@ -52,6 +57,7 @@
         self._clock = clock
         self._nursery: trio.Nursery | None = None
         self._active = 0
+        self._remembered_bytes = 0
         self._remembered: collections.OrderedDict[str, record.OperationRecord] = (
             collections.OrderedDict()
         )
@@ -72,13 +78,13 @@
             task_status.started()
             await trio.sleep_forever()
 
-    async def perform(
+    def start(
         self, key: str, steps: operation.Operation, send: Send
-    ) -> reply.Reply | refuse.Refuse:
-        """Perform an operation and return its answer.
+    ) -> trio.MemoryReceiveChannel:
+        """Start an operation; its answer arrives on the channel that is returned.
 
-        Cancelling this call stops the waiting only: the operation goes on, so that
-        its record becomes final and a repeat gets the recorded answer.
+        The operation goes on when the caller has left, so that its record becomes
+        final and a repeat gets the recorded answer.
 
         Parameters
         ----------
@@ -90,11 +96,18 @@
 
         Returns
         -------
-        reply.Reply or refuse.Refuse
+        trio.MemoryReceiveChannel
+            Yields one ``reply.Reply`` or ``refuse.Refuse``.
         """
         sender, receiver = trio.open_memory_channel(1)
+        if self._active >= MAX_ACTIVE:
+            sender.send_nowait(
+                refuse.Refuse(kind.ErrorKind.PLATFORM_UNAVAILABLE, ran.Ran.NO)
+            )
+            return receiver
+        self._active += 1
         self._nursery.start_soon(self._drive, key, steps, send, sender)
-        return await receiver.receive()
+        return receiver
 
     async def _drive(
         self,
@@ -103,24 +116,34 @@
         send: Send,
         answers: trio.MemorySendChannel,
     ) -> None:
-        self._active += 1
+        answered, sent = False, False
         try:
             step = steps.start(self._clock())
             late = send_result.SendResult(outcome.Outcome.UNKNOWN)
             while step is not None:
                 result = None
                 if isinstance(step, reply.Reply | refuse.Refuse):
+                    answered = True
                     answers.send_nowait(step)
                 elif isinstance(step, read_record.ReadRecord):
                     result = await self._read(step)
                 elif isinstance(step, write_record.WriteRecord):
                     result = await self._write(step)
                 elif isinstance(step, send_request.SendRequest):
+                    sent = True
                     result = late = await send()
                 elif isinstance(step, await_answer.AwaitAnswer):
                     # The connection is closed by now, so nothing more will arrive.
                     result = late
                 step = steps.resume(result, self._clock())
+        except Exception:
+            # One operation must not end the others; its record stays as it is.
+            _LOG.exception("an operation failed unexpectedly")
+            if not answered:
+                did_run = ran.Ran.UNKNOWN if sent else ran.Ran.NO
+                answers.send_nowait(
+                    refuse.Refuse(kind.ErrorKind.UPSTREAM_FAILED, did_run)
+                )
         finally:
             self._active -= 1
             if steps.done_record is not None:
@@ -169,6 +192,19 @@
         )
 
     def _remember(self, key: str, final: record.OperationRecord) -> None:
+        earlier = self._remembered.pop(key, None)
         self._remembered[key] = final
-        if len(self._remembered) > _MAX_REMEMBERED:
-            self._remembered.popitem(last=False)
+        self._remembered_bytes += _size(final) - _size(earlier)
+        while (
+            len(self._remembered) > MAX_REMEMBERED
+            or self._remembered_bytes > MAX_REMEMBERED_BYTES
+        ):
+            _, dropped = self._remembered.popitem(last=False)
+            self._remembered_bytes -= _size(dropped)
+
+
+def _size(final: record.OperationRecord | None) -> int:
+    if final is None or final.answer is None:
+        return 0
+    headers = sum(len(name) + len(value) for name, value in final.answer.headers)
+    return len(final.answer.body) + headers
--- a/src/rattanlug/daemon/proxy.py
+++ b/src/rattanlug/daemon/proxy.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+import trio
+
 from rattanlug.caller import forwarded_headers, reply, request
 from rattanlug.daemon import active_configuration, operation_runner, slot_access
 from rattanlug.errors import error, kind, ran
@@ -18,12 +20,14 @@
     send_result,
     state,
 )
-from rattanlug.invariants import violations
+from rattanlug.idempotency import reply as operation_reply
+from rattanlug.invariants import invariant, violations
 from rattanlug.keys import scrub
 from rattanlug.metrics import counters, histograms
 from rattanlug.model import key as model_key
 from rattanlug.model import route as model_route
-from rattanlug.routing import link_budget, retry_budget, slot_hold
+from rattanlug.model import upstream as model_upstream
+from rattanlug.routing import link_budget, retry_budget, slot_hold, upstream_state
 from rattanlug.upstream import client as upstream_client
 from rattanlug.upstream import response
 
@@ -32,6 +36,13 @@
 _MAX_ATTEMPTS = 2
 _OPEN_WEIGHT = 1.0
 _FAILED_STATUS = 500
+_NOT_MODIFIED = 304
+_MAX_TIMEOUT_DIGITS = 9
+# Bound of the design page; no request is meant to be sent after the first sign.
+_MAX_LEAVING_SECONDS = 3.0
+_MAX_SLOTS_TRIED = 3
+# Longer than a write to a healthy store in another region.
+_RESERVATION_SECONDS = 0.2
 
 
 class Admission(Protocol):
@@ -64,6 +75,9 @@
     def keyed_routes_allowed(self, now: float) -> bool:
         """Tell whether keyed routes may be served."""
 
+    def keys_known(self, now: float) -> bool:
+        """Tell whether the bound that the design page gives holds."""
+
 
 class _Admitted(NamedTuple):
     request: request.Request
@@ -73,6 +87,18 @@
     identifier: str
 
 
+class _Slot(NamedTuple):
+    hold: slot_hold.SlotHold
+    version: str
+
+
+class _Target(NamedTuple):
+    upstream: model_upstream.Upstream
+    state: upstream_state.UpstreamState
+    region: str
+    remaining: float
+
+
 class Proxy:
     """Serves requests on configured routes.
 
@@ -156,7 +182,9 @@
             The request was refused or failed.
         """
         start = self._clock()
-        route = self._active.routes.match(incoming.method, incoming.path)
+        route = self._active.routes.match(
+            incoming.method, incoming.path, incoming.raw_path
+        )
         organisation = self._authenticate(incoming, route, start)
         status = 0
         try:
@@ -182,6 +210,7 @@
         self, incoming: request.Request, route: model_route.Route, now: float
     ) -> str:
         if route.access is model_route.Access.OPEN:
+            _check_no_key_on_open_route(incoming)
             return ""
         if not self._freshness.keyed_routes_allowed(now):
             raise error.RefusedError(
@@ -195,6 +224,26 @@
         )
         return found.organisation
 
+    def _check_key_again(self, admitted: _Admitted, now: float) -> None:
+        """Refuse when the key was withdrawn or got stale while the request waited."""
+        if not admitted.organisation:
+            return
+        if not self._freshness.keyed_routes_allowed(now):
+            raise error.RefusedError(
+                kind.ErrorKind.KEYS_STALE,
+                "this VM cannot learn of withdrawn keys at the moment",
+            )
+        key = scrub.read_key(admitted.request.headers)
+        found = self._active.keys.authenticate(key)
+        if found.organisation != admitted.organisation:
+            raise error.RefusedError(
+                kind.ErrorKind.ORGANISATION_MISMATCH,
+                "the key has moved to another organisation",
+            )
+        self._violations.check(
+            invariant.Invariant.KEY_FRESHNESS, self._freshness.keys_known(now)
+        )
+
     async def _admit_and_serve(
         self,
         incoming: request.Request,
@@ -219,7 +268,10 @@
     async def _serve_idempotent(self, admitted: _Admitted) -> reply.Reply:
         self._retries.count_request(self._clock())
         tried: set[str] = set()
-        while True:
+        # The first failure after which the request may have run: what a later attempt
+        # says about itself must not hide it.
+        uncertain: error.UpstreamError | None = None
+        for attempt in range(1, _MAX_ATTEMPTS + 1):
             try:
                 answer = await self._attempt(admitted, tried)
                 if not reply.states_not_run(answer.headers):
@@ -229,11 +281,22 @@
                     "the upstream refused the request",
                     ran.Ran.NO,
                 )
+            except error.RefusedError as exc:
+                if uncertain is None:
+                    raise
+                raise uncertain from exc
             except error.UpstreamError as exc:
                 failure = exc
-            if len(tried) >= _MAX_ATTEMPTS or not self._may_retry(admitted):
-                raise failure
+            if failure.answer.ran is not ran.Ran.NO:
+                uncertain = uncertain or failure
+            if (
+                failure.answer.ran is ran.Ran.YES
+                or attempt == _MAX_ATTEMPTS
+                or not self._may_retry(admitted)
+            ):
+                break
             self._counters.add("retries", route=admitted.route.name)
+        raise uncertain or failure
 
     def _may_retry(self, admitted: _Admitted) -> bool:
         now = self._clock()
@@ -268,10 +331,17 @@
             self._operations.remembered(key),
         )
 
+        reserved: list[_Slot] = []
+        if self._operations.remembered(key) is None:
+            # Without capacity, writing the intent would cost two writes for nothing.
+            reserved.append(await self._take_slot(admitted, set()))
+
         async def send() -> send_result.SendResult:
-            return await self._send_once(admitted)
+            return await self._send_once(admitted, reserved)
 
-        step = await self._operations.perform(key, steps, send)
+        step = await self._wait_for_answer(
+            self._operations.start(key, steps, send), reserved
+        )
         if isinstance(step, refuse.Refuse):
             raise error.RattanlugError(
                 step.error_kind, _ONCE_DETAILS[step.ran], step.ran
@@ -290,12 +360,28 @@
         )
         return self._to_caller(admitted, answer)
 
-    async def _send_once(self, admitted: _Admitted) -> send_result.SendResult:
+    async def _wait_for_answer(
+        self, answers: trio.MemoryReceiveChannel, reserved: list[_Slot]
+    ) -> operation_reply.Reply | refuse.Refuse:
+        try:
+            # While the store is slow, requests of other routes need the slot more.
+            with trio.move_on_after(_RESERVATION_SECONDS):
+                return await answers.receive()
+        finally:
+            while reserved:
+                self._give_back(reserved.pop())
+        return await answers.receive()
+
+    async def _send_once(
+        self, admitted: _Admitted, reserved: list[_Slot]
+    ) -> send_result.SendResult:
         self._retries.count_request(self._clock())
         tried: set[str] = set()
-        while True:
+        failed_kind = kind.ErrorKind.UPSTREAM_FAILED
+        for attempt in range(1, _MAX_ATTEMPTS + 1):
             try:
-                answer = await self._attempt(admitted, tried)
+                slot = reserved.pop() if reserved else None
+                answer = await self._attempt(admitted, tried, slot)
                 if not reply.states_not_run(answer.headers):
                     return _answered(answer)
                 failed_kind = kind.ErrorKind.UPSTREAM_FAILED
@@ -308,71 +394,127 @@
                     )
                 failed_kind = exc.kind
             # The attempt certainly did not run, so that another one is safe.
-            if len(tried) >= _MAX_ATTEMPTS or not self._may_retry(admitted):
-                return send_result.SendResult(
-                    outcome.Outcome.NOT_RUN, None, failed_kind
-                )
+            if attempt == _MAX_ATTEMPTS or not self._may_retry(admitted):
+                break
+            self._counters.add("retries", route=admitted.route.name)
+        return send_result.SendResult(outcome.Outcome.NOT_RUN, None, failed_kind)
 
-    async def _attempt(self, admitted: _Admitted, tried: set[str]) -> response.Response:
-        """Send the request to an upstream that is not in ``tried``, and add it."""
+    async def _take_slot(self, admitted: _Admitted, tried: set[str]) -> _Slot:
+        """Take a slot of an upstream that is not in ``tried`` and accepts work."""
         route = admitted.route
-        version = self._versions.choose(route)
-        near = self._active.tiers(route.service, version).data_centre
-        owner = self._active.configuration.organisations.get(admitted.organisation)
-        hold = await self._slots.acquire(
-            route.service,
-            version,
-            near,
-            admitted.organisation,
-            owner.rate if owner else _OPEN_WEIGHT,
-            admitted.deadline,
-            self._borrow,
-            frozenset(tried),
+        for _ in range(_MAX_SLOTS_TRIED):
+            if route.service not in self._active.configuration.services:
+                raise error.RefusedError(
+                    kind.ErrorKind.ROUTE_UNKNOWN,
+                    f"service {route.service} is no longer configured",
+                )
+            version = self._versions.choose(route)
+            owner = self._active.configuration.organisations.get(admitted.organisation)
+            hold = await self._slots.acquire(
+                route.service,
+                version,
+                self._active.tiers(route.service, version).data_centre,
+                admitted.organisation,
+                owner.rate if owner else _OPEN_WEIGHT,
+                admitted.deadline,
+                self._borrow,
+                frozenset(tried),
+            )
+            slot = _Slot(hold, version)
+            state = self._slots.state(hold.upstream)
+            if state is not None and state.leaving_since is None:
+                return slot
+            # The lender has not heard yet that the upstream leaves.
+            self._give_back(slot)
+        raise error.RefusedError(
+            kind.ErrorKind.NO_CAPACITY, f"no upstream of {route.service} takes work"
         )
-        tried.add(hold.upstream)
+
+    def _give_back(self, slot: _Slot) -> None:
+        """Give back a slot with which nothing was sent."""
+        self._slots.release(slot.hold, answered=True)
+        self._slots.serve_upstream(slot.hold.upstream)
+
+    async def _attempt(
+        self, admitted: _Admitted, tried: set[str], slot: _Slot | None = None
+    ) -> response.Response:
+        """Send the request to an upstream that is not in ``tried``, and add it."""
+        if slot is not None:
+            state = self._slots.state(slot.hold.upstream)
+            if state is None or state.leaving_since is not None:
+                self._give_back(slot)
+                slot = None
+        if slot is None:
+            slot = await self._take_slot(admitted, tried)
+        tried.add(slot.hold.upstream)
         try:
-            return await self._send(admitted, hold, version)
+            target = self._prepare(admitted, slot)
+        except error.RefusedError:
+            self._give_back(slot)
+            raise
+        try:
+            return await self._exchange(admitted, slot, target)
         finally:
-            self._slots.serve_waiting(route.service, version, near)
+            self._slots.serve_upstream(slot.hold.upstream)
 
-    async def _send(
-        self, admitted: _Admitted, hold: slot_hold.SlotHold, version: str
-    ) -> response.Response:
-        target = self._active.configuration.upstreams.get(hold.upstream)
-        start = self._clock()
-        remaining = min(admitted.deadline, hold.expires) - start
-        if target is None or remaining < _MIN_SEND_SECONDS:
-            self._slots.release(hold, answered=True)
+    def _prepare(self, admitted: _Admitted, slot: _Slot) -> _Target:
+        """Check what may have changed since the request was admitted."""
+        now = self._clock()
+        self._check_key_again(admitted, now)
+        remaining = min(admitted.deadline, slot.hold.expires) - now
+        if remaining < _MIN_SEND_SECONDS:
             raise error.RefusedError(
                 kind.ErrorKind.DEADLINE_EXCEEDED,
                 "no time was left to send the request",
                 ran.Ran.NO,
             )
-        incoming = admitted.request
-        headers = forwarded_headers.to_upstream(
-            incoming.headers,
-            f"{target.host}:{target.port}",
-            incoming.body,
-            admitted.identifier,
-            remaining,
-            admitted.organisation,
+        current = self._active.configuration
+        target = current.upstreams.get(slot.hold.upstream)
+        state = self._slots.state(slot.hold.upstream)
+        centre = current.data_centres.get(target.data_centre) if target else None
+        if centre is None or state is None:
+            raise error.RefusedError(
+                kind.ErrorKind.NO_CAPACITY, "the upstream is no longer configured"
+            )
+        far = centre.region != self._active.region
+        if far and not self._links.allows(centre.region, now):
+            raise error.RefusedError(
+                kind.ErrorKind.NO_CAPACITY, f"the link to {centre.region} is full"
+            )
+        since = state.leaving_since
+        self._violations.check(
+            invariant.Invariant.LEAVING_UPSTREAM,
+            since is None or now - since <= _MAX_LEAVING_SECONDS,
         )
-        upstream = self._slots.state(hold.upstream)
-        started = upstream.start(start)
-        region = self._active.configuration.data_centres[target.data_centre].region
+        return _Target(target, state, centre.region if far else "", remaining)
+
+    async def _exchange(
+        self, admitted: _Admitted, slot: _Slot, target: _Target
+    ) -> response.Response:
+        """Send the request, read the answer and release the slot."""
+        incoming = admitted.request
+        start = self._clock()
+        started = target.state.start(start)
         charged, received = 0.0, 0
-        if region != self._active.region:
-            charged = self._links.start(region, len(incoming.body), start)
+        if target.region:
+            charged = self._links.start(target.region, len(incoming.body), start)
         failed, whole, abandoned = True, False, True
         try:
             answer = await self._upstreams.send(
-                target.host,
-                target.port,
+                target.upstream.host,
+                target.upstream.port,
                 incoming.method,
                 incoming.target,
-                headers,
+                forwarded_headers.to_upstream(
+                    incoming.headers,
+                    f"{target.upstream.host}:{target.upstream.port}",
+                    incoming.body,
+                    admitted.identifier,
+                    target.remaining,
+                    admitted.organisation,
+                ),
                 incoming.body,
-                remaining,
+                target.remaining,
             )
             whole, abandoned = True, False
             failed = answer.status >= _FAILED_STATUS
@@ -384,17 +526,27 @@
             raise
         finally:
             now = self._clock()
-            upstream.finish(started, now, failed=failed, abandoned=abandoned)
-            self._slots.release(hold, answered=whole)
-            if region != self._active.region:
-                self._links.finish(region, charged, received, now)
+            target.state.finish(started, now, failed=failed, abandoned=abandoned)
+            self._slots.release(slot.hold, answered=whole)
+            if target.region:
+                self._links.finish(target.region, charged, received, now)
             if not abandoned:
                 latency = now - start
-                cold = upstream.cold(start)
-                self._versions.finished(admitted.route, version, failed, latency, cold)
-                self._histograms.record("upstream", latency, version=version)
+                cold = target.state.cold(start)
+                self._versions.finished(
+                    admitted.route, slot.version, failed, latency, cold
+                )
+                self._histograms.record("upstream", latency, version=slot.version)
 
     def _to_caller(self, admitted: _Admitted, answer: response.Response) -> reply.Reply:
+        length = answer.header(b"content-length")
+        self._violations.check(
+            invariant.Invariant.OWN_RESPONSE,
+            length is None
+            or admitted.route.method == "HEAD"
+            or answer.status == _NOT_MODIFIED
+            or length == str(len(answer.body)).encode(),
+        )
         headers = forwarded_headers.to_caller(
             answer.headers, answer.body, admitted.identifier
         )
@@ -418,11 +570,23 @@
     return send_result.SendResult(outcome.Outcome.ANSWERED, recorded)
 
 
+def _check_no_key_on_open_route(incoming: request.Request) -> None:
+    """Refuse a request that repeats its bearer token outside ``Authorization``."""
+    try:
+        key = scrub.read_key(incoming.headers)
+    except error.RefusedError:
+        return
+    scrub.check_no_key(
+        key, incoming.raw_path, incoming.query, incoming.body, incoming.headers
+    )
+
+
 def _caller_timeout(incoming: request.Request) -> float:
     text = incoming.header(forwarded_headers.REQUEST_TIMEOUT)
     if text is None:
         return float("inf")
-    if not text.isdecimal() or not int(text):
+    # The bound on digits keeps Python's limit of integer conversion out of the way.
+    if not (text.isdecimal() and len(text) <= _MAX_TIMEOUT_DIGITS and int(text)):
         raise error.RefusedError(
             kind.ErrorKind.REQUEST_MALFORMED,
             "Request-Timeout; accepted: a whole number of milliseconds above 0",
--- a/src/rattanlug/upstream/client.py
+++ b/src/rattanlug/upstream/client.py
@@ -7,6 +7,7 @@
 from rattanlug.upstream import response
 
 _MAX_ANSWER_BYTES = 8 * 1024 * 1024
+_MAX_DOCUMENT_BYTES = 64 * 1024
 _MAX_CONNECTIONS = 512
 _KEEPALIVE_SECONDS = 20.0
 _CONNECT_TIMEOUT_SECONDS = 1.0
@@ -112,7 +113,8 @@
         headers = [(b"host", f"{host}:{port}".encode())]
         try:
             with trio.fail_after(timeout):
-                answer = await self._pool.request("GET", url, headers=headers)
+                async with self._pool.stream("GET", url, headers=headers) as answer:
+                    content = await _read_body(answer, _MAX_DOCUMENT_BYTES)
         except (
             trio.TooSlowError,
             httpcore.NetworkError,
@@ -122,7 +124,7 @@
             raise _failed("the document did not arrive", ran.Ran.UNKNOWN) from exc
         if answer.status != _OK:
             raise _failed(f"the answer has status {answer.status}", ran.Ran.UNKNOWN)
-        return answer.content
+        return content
 
     async def aclose(self) -> None:
         """Close every connection."""
@@ -153,14 +155,18 @@
         raise error.UpstreamError(
             kind.ErrorKind.ANSWER_BROKEN, "the answer belongs to another request"
         )
+    return head._replace(body=await _read_body(answer, _MAX_ANSWER_BYTES))
+
+
+async def _read_body(answer: httpcore.Response, limit: int) -> bytes:
     chunks = []
     size = 0
     async for chunk in answer.aiter_stream():
         size += len(chunk)
-        if size > _MAX_ANSWER_BYTES:
+        if size > limit:
             raise error.UpstreamError(
                 kind.ErrorKind.ANSWER_TOO_LARGE,
-                f"the answer is larger than {_MAX_ANSWER_BYTES} bytes",
+                f"the answer is larger than {limit} bytes",
             )
         chunks.append(chunk)
-    return head._replace(body=b"".join(chunks))
+    return b"".join(chunks)
