Inject failures into running deployments

Cause: kills, pauses, cuts, an unreliable platform, racing operators, bad versions and broken upstreams were shown one by one in unit tests only. 'python -m trial failures' starts a deployment for each scenario, injects one failure, a pair or one twice in a row, and applies all checks and the daemons' counters. The record of a killed upstream is written before it ends, so that no execution is lost to the checks; the counters of a killed VM are read before. Ruled out: forgiving cut answers of a restarted VM for the rest of the trial; only requests that overlap the outage are left out.

--- a/trial/__main__.py
+++ b/trial/__main__.py
@@ -5,7 +5,7 @@
 
 import cappa
 
-from trial.commands import caller, platform, relay, run, upstream
+from trial.commands import caller, failures, platform, relay, run, upstream
 
 
 @cappa.command(name="trial", description="Trials of rattanlug on one machine.")
@@ -19,7 +19,12 @@
     """
 
     command: cappa.Subcommands[
-        run.Run | platform.Platform | upstream.Upstream | relay.Relay | caller.Caller
+        run.Run
+        | failures.Failures
+        | platform.Platform
+        | upstream.Upstream
+        | relay.Relay
+        | caller.Caller
     ]
 
 
--- a/trial/checks/answers.py
+++ b/trial/checks/answers.py
@@ -16,10 +16,14 @@
 @registry.check("answer was cut")
 def find_cut_answers(found: evidence.Evidence) -> list[str]:
     """Return connections that broke, except those of a VM that was killed."""
-    killed = found.facts.killed
+    killed, outages = found.facts.killed, found.facts.outages
     return [
         f"{attempt.request_id} at {attempt.vm}: {attempt.fault}"
         for _, attempt in found.attempts()
         if attempt.kind == "cut"
         and attempt.ended < killed.get(attempt.vm, float("inf"))
+        and not any(
+            attempt.sent <= until and attempt.ended >= since
+            for since, until in outages.get(attempt.vm, ())
+        )
     ]
--- a/trial/checks/evidence.py
+++ b/trial/checks/evidence.py
@@ -43,6 +43,11 @@
         Time of the first sign by name of a leaving upstream.
     killed, stopped : dict
         Time by name of a VM.
+    outages : dict
+        Periods by name of a VM that was killed and restarted, from the kill until it
+        listens again.
+    isolated : dict
+        Periods by name of a VM during which it was paused or could reach nobody.
     probes : list of (str, settings.Attempt)
         Key name and attempt of each probe.
     in_force_s : list of (int, float)
@@ -62,6 +67,8 @@
         self.leaving: dict[str, float] = {}
         self.killed: dict[str, float] = {}
         self.stopped: dict[str, float] = {}
+        self.outages: dict[str, list[tuple[float, float]]] = {}
+        self.isolated: dict[str, list[tuple[float, float]]] = {}
         self.probes: list[tuple[str, settings.Attempt]] = []
         self.in_force_s: list[tuple[int, float]] = []
         self.reverted: list[str] = []
--- /dev/null
+++ b/trial/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Failures of real processes, injected under load."""
--- /dev/null
+++ b/trial/failures/experiment.py
@@ -0,0 +1,168 @@
+"""Runs one scenario in a deployment of its own."""
+
+import os
+import pathlib
+import random
+import tempfile
+from typing import Any, NamedTuple
+
+import trio
+
+from trial import launcher, options, report, session
+from trial.checks import evidence
+from trial.failures import (
+    checks,
+    context,
+    cuts,
+    facts,
+    keys,
+    moves,
+    operators,
+    platform,
+    registry,
+    scenario,
+    upstreams,
+    vms,
+)
+from trial.steps import registry as step_registry
+
+# Importing these modules fills the registry.
+_REGISTERED = (cuts, keys, moves, operators, platform, upstreams, vms)
+
+
+class Finding(NamedTuple):
+    """What a scenario showed.
+
+    Attributes
+    ----------
+    scenario : scenario.Scenario
+    result : report.Result
+    seen : facts.FailureFacts
+    load_start : float
+        On `clock.now`, seconds.
+    machine_load : tuple of float
+        Load average over one minute at the start and at the end.
+    """
+
+    scenario: scenario.Scenario
+    result: report.Result
+    seen: facts.FailureFacts
+    load_start: float
+    machine_load: tuple[float, float]
+
+
+class Experiment(session.Session):
+    """A trial whose steps are the failures of a scenario.
+
+    Parameters
+    ----------
+    chosen : options.Options
+    planned : scenario.Scenario
+    octet : int
+        Of the loopback addresses.
+    directory : pathlib.Path
+    """
+
+    def __init__(
+        self,
+        chosen: options.Options,
+        planned: scenario.Scenario,
+        octet: int,
+        directory: pathlib.Path,
+    ):
+        super().__init__(chosen, octet, directory)
+        self._planned = planned
+        self._context = context.FailureContext(
+            self._plan,
+            self._places,
+            self._launch,
+            self._processes,
+            self._facts,
+            chosen.seconds,
+            chosen.rate,
+            directory=directory,
+        )
+
+    @property
+    def seen(self) -> facts.FailureFacts:
+        """Facts of the failures."""
+        return self._context.failures
+
+    def _choose_steps(
+        self,
+    ) -> tuple[list[step_registry.Step], list[step_registry.Step]]:
+        steps = []
+        turn = trio.Lock()
+        repeated = len({each.failure.name for each in self._planned.starts}) == 1
+        for index, start in enumerate(self._planned.starts):
+            # Trio's locks are fair, so that the first one begins first.
+            own = turn if repeated else trio.Lock()
+            at = (start.at + index * 0.01) / self._planned.seconds
+            action = self._inject(start.failure, index, own)
+            steps.append(step_registry.Step(start.failure.name, at, 0, action))
+        return steps, []
+
+    def _inject(
+        self, failure: registry.Failure, index: int, turn: trio.Lock
+    ) -> step_registry.Action:
+        seed = f"{self._planned.seed} {self._planned.name} {index}"
+
+        async def action(running: context.FailureContext) -> str:
+            async with turn:
+                return await failure.action(running, random.Random(seed))
+
+        return action
+
+    async def _collect(self) -> dict[str, dict[str, Any]]:
+        records = await super()._collect()
+        for name, kept in self._context.upstream_records.items():
+            for each in kept:
+                records[name] = merge_records(records[name], each)
+        return records
+
+    def _check(self, found: evidence.Evidence) -> dict[str, Any]:
+        return super()._check(found) | checks.run_checks(found, self.seen)
+
+
+def merge_records(first: dict[str, Any], second: dict[str, Any]) -> dict[str, Any]:
+    """Return the record of an upstream over two of its processes."""
+    merged = {"slots": first["slots"]}
+    merged["most_in_flight"] = max(first["most_in_flight"], second["most_in_flight"])
+    merged["over_slots"] = first["over_slots"] + second["over_slots"]
+    for name in ("outcomes", "identities"):
+        keys_of = first[name].keys() | second[name].keys()
+        merged[name] = {
+            key: first[name].get(key, 0) + second[name].get(key, 0) for key in keys_of
+        }
+    for name in ("arrivals", "executions", "received", "faulty"):
+        merged[name] = first[name] + second[name]
+    return merged
+
+
+def run_scenario(
+    deployment_name: str, planned: scenario.Scenario, rate: float
+) -> Finding:
+    """Run a scenario in a new deployment.
+
+    Raises
+    ------
+    launcher.LaunchError
+        The deployment did not start.
+    KeyboardInterrupt
+    """
+    chosen = options.Options(
+        deployment=deployment_name,
+        seconds=planned.seconds,
+        rate=rate,
+        seed=planned.seed,
+    )
+    before = os.getloadavg()[0]
+    octet, reservation = launcher.reserve_octet()
+    with reservation, tempfile.TemporaryDirectory(prefix="failures-") as name:
+        running = Experiment(chosen, planned, octet, pathlib.Path(name))
+        result = running.run()
+    if result is None:
+        raise KeyboardInterrupt
+    start = min((each.intended for each in result.report.outcomes), default=0.0)
+    load = (before, os.getloadavg()[0])
+    return Finding(planned, result, running.seen, start, load)
--- /dev/null
+++ b/trial/failures/registry.py
@@ -0,0 +1,47 @@
+"""The registry of failures."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from trial.failures import context
+
+Action = Callable[[context.FailureContext, random.Random], Awaitable[str]]
+
+
+class Failure(NamedTuple):
+    """A failure that a scenario injects.
+
+    Attributes
+    ----------
+    name : str
+    order : int
+        Failures that can do more harm come first.
+    seconds : float
+        What the failure takes from its injection until everything is up again.
+    action : callable
+        Injects the failure, heals it and returns what was seen, in one line.
+    """
+
+    name: str
+    order: int
+    seconds: float
+    action: Action
+
+
+FAILURES: dict[str, Failure] = {}
+
+
+def failure(name: str, order: int, seconds: float) -> Callable[[Action], Action]:
+    """Register a failure."""
+
+    def register(action: Action) -> Action:
+        FAILURES[name] = Failure(name, order, seconds, action)
+        return action
+
+    return register
+
+
+def in_order() -> list[Failure]:
+    """Return all failures, the most harmful first."""
+    return sorted(FAILURES.values(), key=lambda each: (each.order, each.name))
--- /dev/null
+++ b/trial/failures/table.py
@@ -0,0 +1,79 @@
+"""The results of scenarios as text and as JSON data."""
+
+import collections
+import os
+from typing import Any
+
+from trial import report
+from trial.failures import experiment
+
+# Above these, a failed run may be due to the machine.
+_BUSY_LOAD_PER_CORE = 1.5
+_BUSY_DELAY_S = 0.5
+
+
+def as_data(finding: experiment.Finding) -> dict[str, Any]:
+    """Return JSON data of one scenario."""
+    result = finding.result
+    data = report.as_data(result)
+    refusals = collections.Counter(
+        attempt.kind
+        for outcome in result.report.outcomes
+        for attempt in outcome.attempts
+        if attempt.kind
+    )
+    return {
+        **data,
+        "scenario": finding.scenario.name,
+        "seed": finding.scenario.seed,
+        "load_seconds": round(finding.scenario.seconds, 1),
+        "refusals": dict(refusals),
+        "events": [
+            [round(each.at - finding.load_start, 2), each.text]
+            for each in finding.seen.events
+        ],
+        "machine_load": [round(each, 1) for each in finding.machine_load],
+        "busy_machine": is_busy(finding),
+    }
+
+
+def is_busy(finding: experiment.Finding) -> bool:
+    """Return whether the machine was too busy for the times to mean much."""
+    cores = os.cpu_count() or 1
+    highest = max(finding.machine_load)
+    delayed = finding.result.report.late_s > _BUSY_DELAY_S
+    return delayed or highest > _BUSY_LOAD_PER_CORE * cores
+
+
+def as_row(finding: experiment.Finding) -> str:
+    """Return the row of one scenario and the lines below it."""
+    data = as_data(finding)
+    violated = {
+        name: each for name, each in data["violations"].items() if each["count"]
+    }
+    total = sum(each["count"] for each in violated.values())
+    requests = " ".join(f"{name}:{count}" for name, count in data["requests"].items())
+    lines = [
+        f"{data['scenario']} | seed {data['seed']} | load {data['load_seconds']:g} s | "
+        f"{requests} | checks {len(data['violations'])}, violations {total} | "
+        f"exit code {data['exit_code']}"
+    ]
+    events = "; ".join(f"{at:.1f} s {text}" for at, text in data["events"])
+    lines.append(f"  failures: {events}")
+    for each in data["steps"]:
+        state = f"FAILED: {each['failure']}" if each["failure"] else each["seen"]
+        lines.append(f"  {each['name']}: {state}")
+    for name, each in violated.items():
+        lines.append(f"  {each['count']} x {name}, e.g. {'; '.join(each['examples'])}")
+    counts = ", ".join(
+        f"{name}: {each['count']}" for name, each in data["violations"].items()
+    )
+    lines.append(f"  checks: {counts}")
+    lines += [f"  error: {each}" for each in data["errors"]]
+    load = "/".join(f"{each:g}" for each in data["machine_load"])
+    busy = ", machine busy" if data["busy_machine"] else ""
+    lines.append(
+        f"  load average {load}, largest send delay "
+        f"{data['largest_send_delay_s']:g} s{busy}"
+    )
+    return "\n".join(lines)
--- /dev/null
+++ b/trial/failures/upstreams.py
@@ -0,0 +1,66 @@
+"""Upstreams that answer wrongly, die or report wrongly."""
+
+import random
+
+import trio
+
+from trial import deployment
+from trial.failures import context, registry
+
+_FAULT_S = 12.0
+_DOWN_S = 6.0
+_ROUNDS = 6
+
+
+def _choose(
+    running: context.FailureContext, source: random.Random, count: int
+) -> list[deployment.UpstreamPlace]:
+    found = [each for each in running.places.upstreams if each.version == "v1"]
+    return source.sample(found, count)
+
+
+@registry.failure("upstream-answers", order=1, seconds=16)
+async def break_answers(running: context.FailureContext, source: random.Random) -> str:
+    """Upstreams answer late, short, twice and twice on a connection that stays open."""
+    for _ in range(_ROUNDS):
+        for answer in ("late", "short", "duplicate", "stray"):
+            for place in _choose(running, source, 3):
+                await running.control_upstream(place, answer=answer, answer_count=2)
+        await trio.sleep(_FAULT_S / _ROUNDS)
+    running.note("answers late, short, duplicate and stray")
+    for place in running.places.upstreams:
+        if place.name not in running.upstream_records:
+            await running.control_upstream(place, answer="", answer_count=0)
+    return f"{_ROUNDS} rounds of 2 broken answers at 12 upstreams"
+
+
+@registry.failure("upstream-killed", order=6, seconds=18)
+async def kill_upstreams(running: context.FailureContext, source: random.Random) -> str:
+    """Kill three upstreams and restart them."""
+    chosen = _choose(running, source, 3)
+    for place in chosen:
+        await running.crash_upstream(place)
+        running.note(f"kill {place.name}")
+    await trio.sleep(_DOWN_S)
+    for place in chosen:
+        running.launch.start_upstream(place)
+    running.note("restarted the upstreams")
+    return "killed " + ", ".join(each.name for each in chosen)
+
+
+@registry.failure("reports-wrong", order=6, seconds=16)
+async def falsify_reports(
+    running: context.FailureContext, source: random.Random
+) -> str:
+    """Upstreams report no load, every slot taken, or nothing."""
+    chosen = _choose(running, source, 9)
+    for index, place in enumerate(chosen):
+        report = ("idle", "full", "stopped")[index % 3]
+        await running.control_upstream(place, report=report)
+    running.note("9 upstreams report wrongly")
+    await trio.sleep(_FAULT_S)
+    for place in chosen:
+        if place.name not in running.upstream_records:
+            await running.control_upstream(place, report="")
+    running.note("reports are right")
+    return "wrong: " + ", ".join(each.name for each in chosen)
--- /dev/null
+++ b/trial/failures/vms.py
@@ -0,0 +1,90 @@
+"""Entry VMs that die, stop for a while or are restarted."""
+
+import random
+
+import trio
+
+from trial import clock
+from trial.failures import context, moves, registry
+
+_PAUSES_S = (3, 8, 15)
+
+
+@registry.failure("kill", order=1, seconds=18)
+async def kill_vm(running: context.FailureContext, source: random.Random) -> str:
+    """Kill a VM, restart it 1 to 13 s later, before or after its seat lapsed."""
+    place = source.choice(running.live)
+    down_s = source.uniform(1, 13)
+    async with running.killed(place):
+        await trio.sleep(down_s)
+    return f"{place.vm} was down for {down_s:.1f} s"
+
+
+@registry.failure("kill-during-move", order=4, seconds=44)
+async def kill_steering_vm(
+    running: context.FailureContext, source: random.Random
+) -> str:
+    """Kill the VM that steers a good move; the move ends in time all the same."""
+    name, until = await moves.start_move(running, 38)
+    await trio.sleep(source.uniform(3, 12))
+    place = await running.find_steering_vm()
+    async with running.killed(place):
+        await trio.sleep(source.uniform(1, 8))
+    state = await moves.wait_final(running, name, until)
+    return f"killed {place.vm}, {name} {state}"
+
+
+@registry.failure("restarts-platform-down", order=1, seconds=40)
+async def restart_while_platform_down(
+    running: context.FailureContext, source: random.Random
+) -> str:
+    """Restart three VMs in turn while the platform is down.
+
+    A restarted VM learns the configuration from a majority of data centres, but gets
+    no seat before the platform is up again.
+    """
+    chosen = source.sample(running.live, 3)
+    async with running.platform_mode("down"):
+        for place in chosen:
+            async with running.killed(place):
+                await trio.sleep(source.uniform(0.2, 1))
+    return "restarted " + ", ".join(each.vm for each in chosen)
+
+
+def _register_pause(seconds: int) -> None:
+    @registry.failure(f"pause-{seconds}", order=1, seconds=seconds + 6)
+    async def pause(running: context.FailureContext, source: random.Random) -> str:
+        place = source.choice(running.live)
+        async with running.paused(place):
+            await trio.sleep(seconds)
+        began = clock.now()
+        await running.wait_serving(place)
+        return f"{place.vm} serves {clock.now() - began:.1f} s after it continued"
+
+
+for _each in _PAUSES_S:
+    _register_pause(_each)
+
+
+@registry.failure("pause-steering", order=4, seconds=48)
+async def pause_steering_vm(
+    running: context.FailureContext, source: random.Random
+) -> str:
+    """Pause the VM that steers a good move beyond its lease of 5 s."""
+    name, until = await moves.start_move(running, 42)
+    await trio.sleep(source.uniform(3, 12))
+    place = await running.find_steering_vm()
+    async with running.paused(place):
+        await trio.sleep(8)
+    state = await moves.wait_final(running, name, until)
+    return f"paused {place.vm} for 8 s, {name} {state}"
+
+
+@registry.failure("stop-each", order=5, seconds=130)
+async def stop_each(running: context.FailureContext, source: random.Random) -> str:
+    """Stop every VM as planned, one after the other, and restart it."""
+    order = source.sample(running.live, len(running.live))
+    longest = 0.0
+    for place in order:
+        longest = max(longest, await running.stop_gracefully(place))
+    return f"{len(order)} VMs stopped, the longest took {longest:.1f} s"
--- a/trial/http_server.py
+++ b/trial/http_server.py
@@ -58,7 +58,8 @@
     body : bytes
     fault : str
         ``short`` sends half of the body, ``duplicate`` sends the answer twice,
-        ``close`` sends nothing; each closes the connection.
+        ``close`` sends nothing; each closes the connection. ``stray`` sends the answer
+        twice and keeps the connection open.
     """
 
     status: int
@@ -139,7 +140,8 @@
         if response is None or response.fault == "close":
             return
         await _send(response, connection, stream, request.method)
-        if response.fault or connection.our_state is not h11.DONE:
+        closes = response.fault not in ("", "stray")
+        if closes or connection.our_state is not h11.DONE:
             return
         connection.start_next_cycle()
 
@@ -209,7 +211,7 @@
     method: str,
 ) -> None:
     headers = [*response.headers, ("Content-Length", str(len(response.body)))]
-    if response.fault:
+    if response.fault not in ("", "stray"):
         headers.append(("Connection", "close"))
     head = h11.Response(status_code=response.status, headers=headers)
     data = connection.send(head)
@@ -220,6 +222,6 @@
     if body:
         data += connection.send(h11.Data(data=body))
     data += connection.send(h11.EndOfMessage())
-    if response.fault == "duplicate":
+    if response.fault in ("duplicate", "stray"):
         data += data
     await stream.send_all(data)
--- a/trial/launcher.py
+++ b/trial/launcher.py
@@ -103,13 +103,7 @@
             + ["--port", str(deployment.PLATFORM_PORT)],
         )
         for each in self._places.upstreams:
-            arguments = ["-m", "trial", "upstream", "--host", each.host]
-            arguments += ["--port", str(deployment.UPSTREAM_PORT)]
-            arguments += ["--name", each.name, "--service", each.service]
-            arguments += ["--version", each.version, "--slots", str(each.slots)]
-            arguments += ["--connections", str(each.connections)]
-            arguments += ["--seed", str(self._seed)]
-            self._processes.start(each.name, arguments)
+            self.start_upstream(each)
         if self._places.relayed:
             self._start_relays()
         await self._wait_listening(
@@ -123,6 +117,16 @@
             "platform", self._places.advertised_platform_host, deployment.PLATFORM_PORT
         )
 
+    def start_upstream(self, place: deployment.UpstreamPlace) -> int:
+        """Start one upstream and return its process id."""
+        arguments = ["-m", "trial", "upstream", "--host", place.host]
+        arguments += ["--port", str(deployment.UPSTREAM_PORT)]
+        arguments += ["--name", place.name, "--service", place.service]
+        arguments += ["--version", place.version, "--slots", str(place.slots)]
+        arguments += ["--connections", str(place.connections)]
+        arguments += ["--seed", str(self._seed)]
+        return self._processes.start(place.name, arguments)
+
     async def start_daemons(self) -> None:
         """Start the entry daemons and wait until they listen."""
         for each in self._places.vms:
--- a/trial/session.py
+++ b/trial/session.py
@@ -112,7 +112,7 @@
             records,
             self._facts,
         )
-        violations = check_registry.run_checks(seen) if records else {}
+        violations = self._check(seen) if records else {}
         title = f"{self._plan.name}, seed {self._options.seed}, "
         title += f"{self._options.rate:g} requests/s for {self._options.seconds:g} s"
         return report.Result(
@@ -125,6 +125,10 @@
             clock.now() - began,
         )
 
+    def _check(self, found: evidence.Evidence) -> dict[str, check_registry.Violation]:
+        """Return the violations by name of the check."""
+        return check_registry.run_checks(found)
+
     async def _bring_up(self) -> None:
         await self._launch.start_stand_ins()
         await self._launch.start_daemons()
@@ -150,7 +154,7 @@
             ["-m", "trial", "caller", "--settings", str(path), "--output", str(output)],
         )
         async with trio.open_nursery() as nursery:
-            chosen, omitted = step_registry.choose_steps(len(self._places.vms))
+            chosen, omitted = self._choose_steps()
             for step in chosen:
                 nursery.start_soon(self._run_step, step, start)
             for step in omitted:
@@ -164,6 +168,12 @@
             raise launcher.LaunchError(f"caller ended with {code}\n{log}")
         return _CONVERTER.loads(output.read_text(), settings.CallerReport)
 
+    def _choose_steps(
+        self,
+    ) -> tuple[list[step_registry.Step], list[step_registry.Step]]:
+        """Return the steps to carry out and those omitted."""
+        return step_registry.choose_steps(len(self._places.vms))
+
     async def _run_step(self, step: step_registry.Step, start: float) -> None:
         due = start + step.at * self._options.seconds
         await trio.sleep(max(0.0, due - clock.now()))
--- a/trial/upstream/behaviour.py
+++ b/trial/upstream/behaviour.py
@@ -4,7 +4,8 @@
 
 STATES = ("ready", "draining")
 FAULTS = ("", "errors", "slow")
-ANSWERS = ("", "late", "short", "duplicate")
+ANSWERS = ("", "late", "short", "duplicate", "stray")
+REPORTS = ("", "idle", "full", "stopped")
 
 
 class Behaviour(NamedTuple):
@@ -36,11 +37,15 @@
     slow_factor : float
     answer : str
         ``late`` answers 1 s after the deadline, ``short`` cuts the body,
-        ``duplicate`` sends the answer twice.
+        ``duplicate`` sends the answer twice and closes the connection, ``stray`` sends
+        it twice and keeps the connection open for the next request.
     answer_count : int
         Number of answers that ``answer`` changes.
     body_bytes : int
         Length of the filler in an answer.
+    report : str
+        ``idle`` reports no request in flight, ``full`` reports every slot taken,
+        ``stopped`` answers no load report.
     """
 
     state: str = "ready"
@@ -57,6 +62,7 @@
     answer: str = ""
     answer_count: int = 0
     body_bytes: int = 2000
+    report: str = ""
 
 
 def change(current: Behaviour, data: dict) -> Behaviour:
@@ -75,6 +81,7 @@
         result.state not in STATES
         or result.fault not in FAULTS
         or result.answer not in ANSWERS
+        or result.report not in REPORTS
     ):
-        raise ValueError(f"accepted: {STATES}, {FAULTS}, {ANSWERS}")
+        raise ValueError(f"accepted: {STATES}, {FAULTS}, {ANSWERS}, {REPORTS}")
     return result
--- a/trial/upstream/record.py
+++ b/trial/upstream/record.py
@@ -40,6 +40,7 @@
         self._received: list[bytes] = []
         self._arrivals: list[float] = []
         self._executions: list[Execution] = []
+        self._faulty: list[str] = []
         self._outcomes: collections.Counter[str] = collections.Counter()
 
     @property
@@ -64,6 +65,10 @@
         """Note that a request begins to run."""
         self._executions.append(execution)
 
+    def note_fault(self, request_id: str) -> None:
+        """Note that the configured fault hits a request."""
+        self._faulty.append(request_id)
+
     def leave(self, outcome: str) -> None:
         """Note that a request ended."""
         self._in_flight -= 1
@@ -81,6 +86,7 @@
             "outcomes": dict(self._outcomes),
             "arrivals": self._arrivals,
             "identities": dict(identities),
+            "faulty": self._faulty,
             "executions": [list(each) for each in self._executions],
             "received": [base64.b64encode(each).decode() for each in self._received],
         }
--- a/trial/upstream/server.py
+++ b/trial/upstream/server.py
@@ -2,7 +2,10 @@
 
 import hashlib
 import json
+import os
+import pathlib
 import random
+import signal
 from typing import NamedTuple
 
 import trio
@@ -58,7 +61,9 @@
     async def answer(self, request: http_server.Request) -> http_server.Response:
         """Answer one request."""
         if request.path == "/.load":
-            return http_server.json_response(self._load.read(clock.now()))
+            return self._report_load()
+        if request.path == "/.crash":
+            self._crash(json.loads(request.body)["record"])
         if request.path == "/.record":
             return http_server.json_response(self._record.report())
         if request.path == "/.control":
@@ -92,7 +97,9 @@
         if self._first_run_at is None:
             self._first_run_at = began
         self._record.begin(record.Execution(began, request.path, request_id, identity))
-        duration, failed = self._draw(request.path)
+        duration, faulty = self._draw(request.path)
+        if faulty:
+            self._record.note_fault(request_id)
         timeout = request.header("request-timeout")
         limit = float(timeout) / 1000 if timeout else None
         answer = self._take_answer()
@@ -103,7 +110,7 @@
             return http_server.Response(504, (("Rattanlug-Ran", "unknown"),))
         else:
             await trio.sleep(duration)
-        if failed:
+        if faulty and self._behaviour.fault == "errors":
             return http_server.Response(500, (), b"fault")
         fields = {
             "request_id": request_id,
@@ -115,25 +122,26 @@
             "version": self._identity.version,
         }
         content = body.build_body(fields, self._behaviour.body_bytes)
-        fault = answer if answer in ("short", "duplicate") else ""
+        fault = answer if answer in ("short", "duplicate", "stray") else ""
         return http_server.Response(200, (), content, fault)
 
     def _draw(self, path: str) -> tuple[float, bool]:
-        """Return the seconds that a request takes and whether it fails."""
+        """Return the seconds that a request takes and whether the fault hits it."""
         now = self._behaviour
         age_s = clock.now() - self._started
         duration = now.service_ms / 1000 * self._random.lognormvariate(0, now.spread)
         if age_s < now.cold_s:
             duration *= 1 + (now.cold_factor - 1) * (1 - age_s / now.cold_s)
-        faulty = (
-            clock.now() - self._first_run_at >= now.fault_after_s
+        faulty = bool(
+            now.fault
+            and clock.now() - self._first_run_at >= now.fault_after_s
             and self._record.in_flight >= now.fault_min_in_flight
             and path.startswith(now.fault_route)
             and self._random.random() < now.fault_ratio
         )
         if faulty and now.fault == "slow":
             duration *= now.slow_factor
-        return duration, faulty and now.fault == "errors"
+        return duration, faulty
 
     def _take_answer(self) -> str:
         now = self._behaviour
@@ -142,6 +150,21 @@
         self._behaviour = now._replace(answer_count=now.answer_count - 1)
         return now.answer
 
+    def _report_load(self) -> http_server.Response:
+        values = self._load.read(clock.now())
+        if self._behaviour.report == "stopped":
+            return http_server.Response(0, fault="close")
+        if self._behaviour.report == "idle":
+            values = {**values, "in_flight": 0}
+        elif self._behaviour.report == "full":
+            values = {**values, "in_flight": self._identity.slots}
+        return http_server.json_response(values)
+
+    def _crash(self, path: str) -> None:
+        """Write the record and end at once; nothing runs in between."""
+        pathlib.Path(path).write_text(json.dumps(self._record.report()))
+        os.kill(os.getpid(), signal.SIGKILL)
+
     def _refuses_work(self) -> bool:
         return (
             self._drained_at is not None
