Keep second copies of answers away from the next request

Cause: when an upstream sends an answer twice on a connection that stays open, httpcore keeps the bytes beyond the first answer and takes them for the answer to the next request. The client compared Request-Id, but this is the caller's own, so a caller, also of another organisation, that uses the same one got the answer. Now a connection with surplus bytes, with a chunked answer or older than 30 s is closed, and a request whose identifier the upstream got within 60 s uses a connection of its own. Conclusion: no path remains on which two requests with one identifier share a connection.

--- a/src/rattanlug/upstream/client.py
+++ b/src/rattanlug/upstream/client.py
@@ -4,12 +4,16 @@
 import trio
 
 from rattanlug.errors import error, kind, ran
-from rattanlug.upstream import response
+from rattanlug.upstream import exchange_stream, recent_identifiers, response
 
 _MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _MAX_CONNECTIONS = 512
 _KEEPALIVE_SECONDS = 20.0
 _CONNECT_TIMEOUT_SECONDS = 1.0
+_LONGEST_CONNECTION_SECONDS = 30.0
+# No connection lives longer: its age is judged when an answer ends, at most one
+# request of 10 s and an idle time of 20 s later.
+_IDENTIFIER_SECONDS = 60.0
 _REQUEST_ID = b"request-id"
 _OK = 200
 
@@ -24,12 +28,10 @@
     """
 
     def __init__(self, local_host: str) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=_MAX_CONNECTIONS,
-            keepalive_expiry=_KEEPALIVE_SECONDS,
-            local_address=local_host,
-            retries=0,
-        )
+        self._pool = _open_pool(local_host, _MAX_CONNECTIONS)
+        # For requests whose identifier does not tell their answer from an earlier one.
+        self._single_use_pool = _open_pool(local_host, 0)
+        self._identifiers = recent_identifiers.RecentIdentifiers(_IDENTIFIER_SECONDS)
 
     async def send(
         self,
@@ -75,16 +77,21 @@
             "write": timeout,
             "pool": timeout,
         }
+        identifier = _identifier(headers)
+        is_new = self._identifiers.is_new(
+            f"{host}:{port}", identifier, trio.current_time()
+        )
+        pool = self._pool if is_new else self._single_use_pool
         try:
             with trio.fail_after(timeout):
-                async with self._pool.stream(
+                async with pool.stream(
                     method,
                     url,
                     headers=headers,
                     content=body,
                     extensions={"timeout": limits},
                 ) as answer:
-                    return await _read_whole(answer, headers)
+                    return await _read_whole(answer, identifier)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise _failed("the connection could not be opened", ran.Ran.NO) from exc
         except httpcore.PoolTimeout as exc:
@@ -113,6 +120,7 @@
         try:
             with trio.fail_after(timeout):
                 answer = await self._pool.request("GET", url, headers=headers)
+                await _close_unless_clean(answer, len(answer.content))
         except (
             trio.TooSlowError,
             httpcore.NetworkError,
@@ -127,15 +135,29 @@
     async def aclose(self) -> None:
         """Close every connection."""
         await self._pool.aclose()
+        await self._single_use_pool.aclose()
 
 
 def _failed(detail: str, did_run: ran.Ran) -> error.UpstreamError:
     return error.UpstreamError(kind.ErrorKind.UPSTREAM_FAILED, detail, did_run)
 
 
-async def _read_whole(
-    answer: httpcore.Response, sent: response.Headers
-) -> response.Response:
+def _open_pool(local_host: str, idle: int) -> httpcore.AsyncConnectionPool:
+    return httpcore.AsyncConnectionPool(
+        max_connections=_MAX_CONNECTIONS,
+        max_keepalive_connections=idle,
+        keepalive_expiry=_KEEPALIVE_SECONDS,
+        local_address=local_host,
+        retries=0,
+        network_backend=exchange_stream.ExchangeBackend(),
+    )
+
+
+def _identifier(headers: response.Headers) -> bytes:
+    return next(value for name, value in headers if name.lower() == _REQUEST_ID)
+
+
+async def _read_whole(answer: httpcore.Response, expected: bytes) -> response.Response:
     headers = [(name.lower(), value) for name, value in answer.headers]
     names = {name for name, _ in headers}
     if not names & {b"content-length", b"transfer-encoding"} and (
@@ -146,7 +168,6 @@
             kind.ErrorKind.ANSWER_BROKEN, "the answer does not state its length"
         )
     head = response.Response(answer.status, headers, b"")
-    expected = next(value for name, value in sent if name.lower() == _REQUEST_ID)
     if head.header(_REQUEST_ID) != expected:
         # Raised before the body is read, so that the pool closes the connection:
         # whatever else is buffered on it belongs to other requests as well.
@@ -163,4 +184,22 @@
                 f"the answer is larger than {_MAX_ANSWER_BYTES} bytes",
             )
         chunks.append(chunk)
+    await _close_unless_clean(answer, size)
     return head._replace(body=b"".join(chunks))
+
+
+async def _close_unless_clean(answer: httpcore.Response, size: int) -> None:
+    """Close a connection that is old or holds bytes beyond the answer just read.
+
+    The pool would take such bytes, for instance a second copy of the answer, for the
+    answer to the next request; a caller that repeats a ``Request-Id`` would get it.
+    The length of a chunked answer on the wire is not known, so its connection is
+    closed as well. Copies that arrive later are told by their identifier, which no
+    other request on the same connection has as long as connections end in time. The
+    pool drops a closed connection before its next use.
+    """
+    stream = answer.extensions["network_stream"]
+    chunked = any(name.lower() == b"transfer-encoding" for name, _ in answer.headers)
+    old = stream.age(trio.current_time()) > _LONGEST_CONNECTION_SECONDS
+    if chunked or old or stream.body_bytes > size:
+        await stream.aclose()
--- /dev/null
+++ b/src/rattanlug/upstream/exchange_stream.py
@@ -0,0 +1,102 @@
+"""A network stream that counts the bytes of the present exchange."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import httpcore
+import trio
+
+_HEAD_END = b"\r\n\r\n"
+_INFORMATIONAL = b"1"
+# Status line ``HTTP/1.1 200``: the status begins here.
+_STATUS_AT = 9
+
+
+class ExchangeStream(httpcore.AsyncNetworkStream):
+    """Counts the bytes that follow the head of an answer.
+
+    The pool keeps bytes beyond the end of an answer and takes them for the next
+    answer, so their presence has to be noticed before a connection is used again.
+
+    Parameters
+    ----------
+    inner : httpcore.AsyncNetworkStream
+    opened : float
+        When the connection was opened, seconds.
+    """
+
+    def __init__(self, inner: httpcore.AsyncNetworkStream, opened: float) -> None:
+        self._inner = inner
+        self._opened = opened
+        self._head = bytearray()
+        self._in_head = True
+        self._body_bytes = 0
+        self._closed = False
+
+    @property
+    def body_bytes(self) -> int:
+        """Bytes received since the end of the answer's head."""
+        return self._body_bytes
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the connection was opened."""
+        return now - self._opened
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Read some bytes and count them."""
+        data = await self._inner.read(max_bytes, timeout)
+        if self._in_head:
+            self._head += data
+            self._find_body()
+        else:
+            self._body_bytes += len(data)
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Write bytes of a request; the next bytes to read begin an answer."""
+        self._head.clear()
+        self._in_head = True
+        self._body_bytes = 0
+        await self._inner.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        self._closed = True
+        await self._inner.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return what the inner stream returns; a closed one has an end to read."""
+        if self._closed and info == "is_readable":
+            return True
+        return self._inner.get_extra_info(info)
+
+    def _find_body(self) -> None:
+        while (end := self._head.find(_HEAD_END)) >= 0:
+            informational = self._head[_STATUS_AT : _STATUS_AT + 1] == _INFORMATIONAL
+            del self._head[: end + len(_HEAD_END)]
+            if not informational:
+                self._in_head = False
+                self._body_bytes = len(self._head)
+                self._head.clear()
+                return
+
+
+class ExchangeBackend(httpcore.AsyncNetworkBackend):
+    """Opens connections whose exchanges are counted."""
+
+    def __init__(self) -> None:
+        self._inner = httpcore.TrioBackend()
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[Any] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Open a TCP connection."""
+        stream = await self._inner.connect_tcp(
+            host, port, timeout, local_address, socket_options
+        )
+        return ExchangeStream(stream, trio.current_time())
