--- a/trial/upstream/record.py
+++ b/trial/upstream/record.py
@@ -47,6 +47,7 @@
         self._received: list[bytes] = []
         self._arrivals: list[float] = []
         self._executions: list[Execution] = []
+        self._faulty: list[str] = []
         self._outcomes: collections.Counter[str] = collections.Counter()
 
     @property
@@ -71,6 +72,10 @@
         """Note that a request begins to run."""
         self._executions.append(execution)
 
+    def note_fault(self, request_id: str) -> None:
+        """Note that the configured fault hits a request."""
+        self._faulty.append(request_id)
+
     def leave(self, outcome: str) -> None:
         """Note that a request ended."""
         self._in_flight -= 1
@@ -88,6 +93,7 @@
             "outcomes": dict(self._outcomes),
             "arrivals": self._arrivals,
             "identities": dict(identities),
+            "faulty": self._faulty,
             "executions": [list(each) for each in self._executions],
             "received": [base64.b64encode(each).decode() for each in self._received],
         }
