--- a/trial/launcher.py
+++ b/trial/launcher.py
@@ -95,6 +95,12 @@
         """Headers of operators' requests."""
         return {"Authorization": f"Bearer {self._operator_token}"}
 
+    def write_token_file(self) -> pathlib.Path:
+        """Write the operator token for the command line and return the file."""
+        path = self._directory / "operator-token"
+        path.write_text(self._operator_token + "\n")
+        return path
+
     async def start_stand_ins(self) -> None:
         """Start platform, upstreams and relays and wait until they listen."""
         self._processes.start(
--- a/trial/session.py
+++ b/trial/session.py
@@ -219,7 +219,14 @@
         print(f"curl -i {vm}{self._plan.services[0].open[2]}/1")
         print(f"curl -s '{vm}/.rattanlug/lookup?client=127.0.0.1'")
         print(f"curl -s -H 'Authorization: {token}' {vm}/.rattanlug/rules")
-        print(f"curl -s {vm}/.rattanlug/metrics", flush=True)
+        print(f"curl -s {vm}/.rattanlug/metrics")
+        host = self._places.vms[0].host
+        target = f"--vm {host}:{deployment.VM_PORT}"
+        target += f" --token-file {self._launch.write_token_file()}"
+        command = "python -m rattanlug"
+        print(f"{command} status {target}")
+        print(f"{command} key withdraw {name} {target} --who you --why 'to try it'")
+        print("# stop with Ctrl-C", flush=True)
 
 
 def _describe(group: BaseExceptionGroup) -> Iterator[str]:
