--- a/src/rattanlug/daemon/loops/block_table.py
+++ b/src/rattanlug/daemon/loops/block_table.py
@@ -7,7 +7,7 @@
 from rattanlug.lookup import block_table, sorted_blocks
 
 OBJECT_NAME = "lookup/blocks"
-_INTERVAL_SECONDS = 30.0
+_INTERVAL_SECONDS = 5.0
 
 
 @registry.register("block_table", _INTERVAL_SECONDS)
--- a/trial/http_client.py
+++ b/trial/http_client.py
@@ -32,11 +32,15 @@
 ) -> Reply:
     """Send one request on a connection of its own.
 
+    ``data`` is sent as it is when it is bytes, else as JSON.
+
     Raises
     ------
     httpcore.NetworkError, httpcore.ProtocolError, trio.TooSlowError
     """
-    body = None if data is None else json.dumps(data).encode()
+    body = data
+    if data is not None and not isinstance(data, bytes):
+        body = json.dumps(data).encode()
     url = httpcore.URL(scheme="http", host=host, port=port, target=target)
     async with httpcore.AsyncConnectionPool(local_address=source) as pool:
         with trio.fail_after(timeout):
--- a/trial/launcher.py
+++ b/trial/launcher.py
@@ -1,6 +1,7 @@
 """Starts all processes of a deployment."""
 
 import hashlib
+import ipaddress
 import json
 import pathlib
 import secrets
@@ -10,6 +11,7 @@
 import trio
 from cattrs.preconf import json as json_converter
 
+from rattanlug.lookup import block_change, block_table
 from trial import deployment, http_client, metrics_text, processes
 from trial.relay import build
 
@@ -133,8 +135,33 @@
         arguments += ["--seed", str(self._seed)]
         return self._processes.start(place.name, arguments)
 
+    async def store_blocks(self) -> None:
+        """Store the table that maps each client's block to its data centre."""
+        table = block_table.BlockTable()
+        sites = {
+            name: site
+            for site, (name, _) in enumerate(sorted(self._plan.data_centres), 1)
+        }
+        changes = [
+            block_change.BlockChange(
+                int(ipaddress.ip_network(f"{host}/24", strict=False).network_address),
+                sites[name],
+            )
+            for name, host in self._places.client_hosts.items()
+        ]
+        changes.sort(key=lambda change: change.start)
+        table.apply(block_table.pack_changes(0, changes))
+        await http_client.request(
+            self._places.platform_host,
+            deployment.PLATFORM_PORT,
+            "PUT",
+            "/v1/objects/lookup%2Fblocks",
+            table.to_bytes(),
+        )
+
     async def start_daemons(self) -> None:
         """Start the entry daemons and wait until they listen."""
+        await self.store_blocks()
         for each in self._places.vms:
             await self.list_vm(each, "live")
             self.start_daemon(each)
