Use ejected upstreams again when most are ejected

Conclusion: the last pass of a request ignores ejection when more than half of the data centre's upstreams are ejected; earlier passes keep to it.

--- a/src/rattanlug/routing/selection.py
+++ b/src/rattanlug/routing/selection.py
@@ -6,6 +6,8 @@
 from rattanlug.model import upstream
 from rattanlug.routing import registry, slot_ledger, upstream_state
 
+LARGEST_EJECTED_SHARE = 0.5
+
 
 def select(
     upstreams: Iterable[upstream.Upstream],
@@ -35,7 +37,8 @@
         Seconds.
     rng : random.Random
     suspects : bool
-        False leaves out upstreams that seem to stall.
+        False leaves out upstreams that seem to stall. True also uses ejected ones
+        when they are more than half.
     health : bool
         False keeps ejected upstreams, for experiments.
 
@@ -44,14 +47,17 @@
     str or None
         None when no upstream that takes work has a free slot.
     """
+    staying = [item for item in upstreams if states[item.name].leaving_since is None]
+    ejected = {item.name for item in staying if states[item.name].ejected(now)}
+    # When most upstreams fail, the cause is rarely theirs, and without them the others
+    # would be overloaded.
+    panic = suspects and len(ejected) > LARGEST_EJECTED_SHARE * len(staying)
     views = []
-    for item in upstreams:
-        free = ledger.free(item.name, now)
-        if not free:
-            continue
+    for item in staying:
         state = states[item.name]
-        if state.leaving_since is not None or (health and state.ejected(now)):
+        if item.name in ejected and health and not panic:
             continue
-        if suspects or not state.suspect(now):
+        free = ledger.free(item.name, now)
+        if free and (suspects or not state.suspect(now)):
             views.append(state.view(item.name, free, item.slots, now))
     return policy.pick(views, rng).name if views else None
--- /dev/null
+++ b/tests/routing/test_selection.py
@@ -0,0 +1,51 @@
+"""Guards against a choice that leaves no upstream or takes a stalled one."""
+
+import random
+
+from rattanlug.routing import policy, selection, slot_ledger, upstream_state
+from tests.routing import builders
+
+
+def choose(states, now, *, suspects):
+    upstreams = [builders.build().upstreams[name] for name in states]
+    ledger = slot_ledger.SlotLedger()
+    ledger.set_owned({name: [0, 1, 2] for name in states}, 0.0, 0.0)
+    chosen = policy.choose()
+    rng = random.Random(1)
+    return selection.select(
+        upstreams, ledger, states, chosen, now, rng, suspects=suspects
+    )
+
+
+def make_states(failing):
+    states = {}
+    for name in ("a1-1", "a2-1", "b1-1"):
+        states[name] = upstream_state.UpstreamState(0.0)
+        for n in range(3):
+            now = 0.1 * (n + 1)
+            request = states[name].start(now - 0.1)
+            states[name].finish(request, now, failed=name in failing)
+    return states
+
+
+def test_ejected_upstreams_are_left_out_unless_most_are():
+    """Ejecting all upstreams in a general fault would refuse what could succeed."""
+    states = make_states({"a1-1"})
+    assert choose(states, 0.4, suspects=True) != "a1-1"
+    states = make_states({"a1-1", "a2-1", "b1-1"})
+    assert choose(states, 0.4, suspects=False) is None
+    assert choose(states, 0.4, suspects=True) is not None
+    for state in states.values():
+        state.set_leaving(upstream_state.LeavingSign.RULE, True, 0.4)
+    assert choose(states, 0.4, suspects=True) is None
+
+
+def test_stalled_upstream_is_the_last_resort():
+    """Requests would queue up behind a stall although others are free."""
+    states = make_states(set())
+    for name in ("a1-1", "a2-1"):
+        states[name].start(0.4)
+    assert choose(states, 1.0, suspects=False) == "b1-1"
+    states["b1-1"].start(0.4)
+    assert choose(states, 1.0, suspects=False) is None
+    assert choose(states, 1.0, suspects=True) is not None
--- a/trial/experiments/fleet.py
+++ b/trial/experiments/fleet.py
@@ -275,12 +275,16 @@
             if region != self.region(each.data_centre):
                 charged = str(region), each.link.start(str(region), 500, self.now)
         work = item.expected(self.now) * request.item.work
-        if item.failing:
+        failed = item.failing
+        if failed:
             work = 0.005
+        elif item.error_share:
+            # The place is uniform; scaled, it gives each attempt its own draw.
+            failed = request.item.place * 1e6 * request.attempts % 1 < item.error_share
         end = self.now + delay + work
         use = (each, request, item, hold, lender, number, charged)
         if end <= request.deadline:
-            self.at(end, self._finish, use, "failed" if item.failing else "good")
+            self.at(end, self._finish, use, "failed" if failed else "good")
         else:
             self.at(max(self.now, request.deadline), self._finish, use, "abandoned")
 
--- a/trial/experiments/scenarios.py
+++ b/trial/experiments/scenarios.py
@@ -108,6 +108,19 @@
     return _constant(0.6), None
 
 
+@scenario("all_upstreams_failing")
+def all_upstreams_failing(model):
+    """Fail half of all requests after their full time for 10 s."""
+
+    def change(share):
+        for item in model.upstreams.values():
+            item.error_share = share
+
+    model.at(10.0, change, 0.5)
+    model.at(20.0, change, 0.0)
+    return _constant(0.6), None
+
+
 def run(name, where, policy_name, seed, **options) -> dict[str, float]:
     """Run one scenario once."""
     model = fleet.Fleet(where, policy_name, seed, DURATION, **options)
--- a/trial/experiments/upstream_model.py
+++ b/trial/experiments/upstream_model.py
@@ -40,6 +40,7 @@
         self.in_flight = 0
         self.answered = 10_000
         self.failing = False
+        self.error_share = 0.0
         self.draining_since: float | None = None
         self.last_start = 0.0
         self.empty_since: float | None = None
