Test that cold caches are tolerated but not a slow version

Cause: with the allowance for cold upstreams set to that for warm ones, all tests still passed. After: with the allowance set to 0.02 the new test fails; with 0.5 it passes.

--- a/tests/rollout/test_judge.py
+++ b/tests/rollout/test_judge.py
@@ -83,3 +83,16 @@
             step * 0.5,
         )
     assert not judge.judge("r", evidence, LOG_LIMIT).bad
+
+
+@pytest.mark.parametrize(("slow", "bad"), [(8, False), (20, True)])
+def test_cold_caches_are_tolerated_but_not_a_slow_version(slow, bad):
+    """Cold caches would roll back a good version, or hide one that is always slow."""
+    evidence = judge.RouteJudge()
+    for step in range(5):
+        evidence.add(
+            outcome_counts.OutcomeCounts(4000),
+            outcome_counts.OutcomeCounts(20, 0, slow, 20),
+            step * 1.0,
+        )
+    assert judge.judge("r", evidence, LOG_LIMIT).bad is bad
