Let pairs of failures use the upstreams and the lease that remain

Cause: a pair could send a control request to an upstream that the other failure had killed, or read the lease row while the platform was down, and then failed in the trial itself.

--- a/trial/failures/context.py
+++ b/trial/failures/context.py
@@ -19,6 +19,8 @@
 _STOP_TIMEOUT_S = 25.0
 # A VM that restarts learns the configuration and waits for its seat to lapse (11 s).
 _SERVING_TIMEOUT_S = 30.0
+# A lease lasts 5 s; an outage of the platform 12 s.
+_STEERING_TIMEOUT_S = 20.0
 _POLL_S = 0.1
 
 
@@ -38,6 +40,7 @@
         self.failures = facts.FailureFacts()
         self.upstream_records: dict[str, list[dict[str, Any]]] = {}
         self._directory = directory
+        self._down_upstreams: set[str] = set()
         self._away: collections.Counter[str] = collections.Counter()
         self._cut: collections.Counter[tuple[str, str]] = collections.Counter()
 
@@ -225,11 +228,19 @@
     async def control_upstream(
         self, place: deployment.UpstreamPlace, **behaviour: Any
     ) -> None:
-        """Change the behaviour of an upstream."""
+        """Change the behaviour of an upstream, unless it was killed."""
+        if place.name in self._down_upstreams:
+            return
         await self._post(place.host, deployment.UPSTREAM_PORT, behaviour)
 
+    def is_down(self, place: deployment.UpstreamPlace) -> bool:
+        """Return whether an upstream was killed and not restarted yet."""
+        return place.name in self._down_upstreams
+
     async def crash_upstream(self, place: deployment.UpstreamPlace) -> None:
         """Kill an upstream; its record survives."""
+        self._down_upstreams.add(place.name)
+        self.note(f"kill {place.name}")
         kept = self.upstream_records.setdefault(place.name, [])
         path = self._directory / f"{place.name}-record-{len(kept)}.json"
         with contextlib.suppress(*http_client.FAILURES):
@@ -244,14 +255,40 @@
             raise context.StepError(f"{place.name} did not end")
         kept.append(json.loads(path.read_text()))
 
+    async def restart_upstream(self, place: deployment.UpstreamPlace) -> None:
+        """Start an upstream that was killed and wait until it answers."""
+        self.launch.start_upstream(place)
+        with trio.move_on_after(_SERVING_TIMEOUT_S):
+            while self.is_down(place):
+                with contextlib.suppress(*http_client.FAILURES):
+                    await http_client.request(
+                        place.host, deployment.UPSTREAM_PORT, "GET", "/.load"
+                    )
+                    self._down_upstreams.discard(place.name)
+                await trio.sleep(_POLL_S)
+        if self.is_down(place):
+            raise context.StepError(f"{place.name} did not restart")
+        self.note(f"{place.name} listens")
+
     async def _post(self, host: str, port: int, data: dict[str, Any]) -> None:
         reply = await http_client.request(host, port, "POST", "/.control", data)
         if reply.status != 200:
             raise launcher.LaunchError(f"{host}: {reply.status} {reply.body[:200]!r}")
 
     async def find_steering_vm(self) -> deployment.VmPlace:
-        """Return the VM that holds the lease of the moves."""
-        row = await self.launch.read_row("leases", "moves")
-        if row is None:
-            raise context.StepError("no VM holds the lease of the moves")
-        return self.place_of(row["vm"])
+        """Return the live VM that holds the lease of the moves.
+
+        Raises
+        ------
+        context.StepError
+            None does, or the platform does not answer, for too long.
+        """
+        with trio.move_on_after(_STEERING_TIMEOUT_S):
+            while True:
+                row = None
+                with contextlib.suppress(*http_client.FAILURES):
+                    row = await self.launch.read_row("leases", "moves")
+                if row is not None and self.place_of(row["vm"]) in self.live:
+                    return self.place_of(row["vm"])
+                await trio.sleep(_POLL_S)
+        raise context.StepError("no live VM holds the lease of the moves")
--- a/trial/failures/upstreams.py
+++ b/trial/failures/upstreams.py
@@ -15,22 +15,26 @@
 def _choose(
     running: context.FailureContext, source: random.Random, count: int
 ) -> list[deployment.UpstreamPlace]:
-    found = [each for each in running.places.upstreams if each.version == "v1"]
+    found = [
+        each
+        for each in running.places.upstreams
+        if each.version == "v1" and not running.is_down(each)
+    ]
     return source.sample(found, count)
 
 
 @registry.failure("upstream-answers", order=1, seconds=16)
 async def break_answers(running: context.FailureContext, source: random.Random) -> str:
     """Upstreams answer late, short, twice and twice on a connection that stays open."""
+    running.note("answers late, short, duplicate and stray")
     for _ in range(_ROUNDS):
         for answer in ("late", "short", "duplicate", "stray"):
             for place in _choose(running, source, 3):
                 await running.control_upstream(place, answer=answer, answer_count=2)
         await trio.sleep(_FAULT_S / _ROUNDS)
-    running.note("answers late, short, duplicate and stray")
     for place in running.places.upstreams:
-        if place.name not in running.upstream_records:
-            await running.control_upstream(place, answer="", answer_count=0)
+        await running.control_upstream(place, answer="", answer_count=0)
+    running.note("answers are right")
     return f"{_ROUNDS} rounds of 2 broken answers at 12 upstreams"
 
 
@@ -40,11 +44,9 @@
     chosen = _choose(running, source, 3)
     for place in chosen:
         await running.crash_upstream(place)
-        running.note(f"kill {place.name}")
     await trio.sleep(_DOWN_S)
     for place in chosen:
-        running.launch.start_upstream(place)
-    running.note("restarted the upstreams")
+        await running.restart_upstream(place)
     return "killed " + ", ".join(each.name for each in chosen)
 
 
@@ -60,7 +62,6 @@
     running.note("9 upstreams report wrongly")
     await trio.sleep(_FAULT_S)
     for place in chosen:
-        if place.name not in running.upstream_records:
-            await running.control_upstream(place, report="")
+        await running.control_upstream(place, report="")
     running.note("reports are right")
     return "wrong: " + ", ".join(each.name for each in chosen)
