Pause VMs while slots are in use, lent and borrowed

Cause: with 20 ms a request hardly any slot was taken when a VM was paused, so that a holder that used its slots after the lease would not have shown.

--- a/trial/failures/vms.py
+++ b/trial/failures/vms.py
@@ -8,6 +8,10 @@
 from trial.failures import context, moves, registry
 
 _PAUSES_S = (3, 8, 15)
+# Requests of the second service hold about half of its slots, so that seats borrow
+# from each other and a VM is paused with slots in use, lent and borrowed.
+_BUSY_MS = 700.0
+_QUEUE_S = 2.0
 
 
 @registry.failure("kill", order=1, seconds=18)
@@ -51,9 +55,19 @@
     return "restarted " + ", ".join(each.vm for each in chosen)
 
 
+async def _occupy_slots(running: context.FailureContext) -> None:
+    service = running.plan.services[1].name
+    for place in running.places.upstreams:
+        if place.service == service:
+            await running.control_upstream(place, service_ms=_BUSY_MS)
+    running.note(f"{service} takes {_BUSY_MS:g} ms")
+    await trio.sleep(_QUEUE_S)
+
+
 def _register_pause(seconds: int) -> None:
-    @registry.failure(f"pause-{seconds}", order=1, seconds=seconds + 6)
+    @registry.failure(f"pause-{seconds}", order=1, seconds=seconds + 8)
     async def pause(running: context.FailureContext, source: random.Random) -> str:
+        await _occupy_slots(running)
         place = source.choice(running.live)
         async with running.paused(place):
             await trio.sleep(seconds)
