--- a/trial/failures/table.py
+++ b/trial/failures/table.py
@@ -16,18 +16,27 @@
     """Return JSON data of one scenario."""
     result = finding.result
     data = report.as_data(result)
-    refusals = collections.Counter(
-        attempt.kind
-        for outcome in result.report.outcomes
-        for attempt in outcome.attempts
-        if attempt.kind
-    )
+    outcomes = result.report.outcomes
+    by_route = collections.defaultdict(collections.Counter)
+    for each in outcomes:
+        by_route[each.route_kind][each.result] += 1
     return {
         **data,
         "scenario": finding.scenario.name,
         "seed": finding.scenario.seed,
         "load_seconds": round(finding.scenario.seconds, 1),
-        "refusals": dict(refusals),
+        "requests_by_route": {kind: dict(by_route[kind]) for kind in sorted(by_route)},
+        "without_answer": [
+            [
+                round(each.sent - finding.load_start, 2),
+                round(each.ended - each.sent, 2),
+                outcome.route,
+                each.vm,
+            ]
+            for outcome in outcomes
+            for each in outcome.attempts
+            if each.kind == "timeout"
+        ],
         "events": [
             [round(each.at - finding.load_start, 2), each.text]
             for each in finding.seen.events
@@ -60,6 +69,9 @@
     ]
     events = "; ".join(f"{at:.1f} s {text}" for at, text in data["events"])
     lines.append(f"  failures: {events}")
+    for kind, counts in data["requests_by_route"].items():
+        cells = " ".join(f"{name}:{count}" for name, count in sorted(counts.items()))
+        lines.append(f"  {kind}: {cells}")
     for each in data["steps"]:
         state = f"FAILED: {each['failure']}" if each["failure"] else each["seen"]
         lines.append(f"  {each['name']}: {state}")
