Answer operations before the deadline while the store does not answer

Cause: writing a claim waited 1.5 s for the store and reading it back another 1.5 s, whatever deadline the caller had; the answer came 3 s after the request, so callers with 1.5 s got none and could not try another VM. Now each step of the store before the answer takes at most 0.4 of the time left. Conclusion: nothing is sent without a confirmed claim, as before; a claim that may still land is marked in the background, as before.

--- a/src/rattanlug/daemon/operation_runner.py
+++ b/src/rattanlug/daemon/operation_runner.py
@@ -26,6 +26,11 @@
 Send = Callable[[], Awaitable[send_result.SendResult]]
 
 _STORE_TIMEOUT_SECONDS = 1.5
+# Part of the time that is left which one step of the store may take before the caller
+# is answered. A claim whose answer is lost is read back, and there has to be time for
+# both and for the caller to try another VM.
+_STORE_PART = 0.4
+_SHORTEST_STORE_TIMEOUT_SECONDS = 0.05
 # About 50 MB at the usual answer size of a few kilobytes.
 _MAX_REMEMBERED = 10_000
 
@@ -73,7 +78,7 @@
             await trio.sleep_forever()
 
     async def perform(
-        self, key: str, steps: operation.Operation, send: Send
+        self, key: str, steps: operation.Operation, send: Send, deadline: float
     ) -> reply.Reply | refuse.Refuse:
         """Perform an operation and return its answer.
 
@@ -87,13 +92,16 @@
         steps : operation.Operation
         send : callable
             Coroutine function that sends the request once.
+        deadline : float
+            When the caller stops waiting, on the clock of the runner, seconds. The
+            answer arrives earlier, whatever state the store is in.
 
         Returns
         -------
         reply.Reply or refuse.Refuse
         """
         sender, receiver = trio.open_memory_channel(1)
-        self._nursery.start_soon(self._drive, key, steps, send, sender)
+        self._nursery.start_soon(self._drive, key, steps, send, deadline, sender)
         return await receiver.receive()
 
     async def _drive(
@@ -101,20 +109,25 @@
         key: str,
         steps: operation.Operation,
         send: Send,
+        deadline: float,
         answers: trio.MemorySendChannel,
     ) -> None:
         self._active += 1
         try:
             step = steps.start(self._clock())
             late = send_result.SendResult(outcome.Outcome.UNKNOWN)
+            answered = False
             while step is not None:
                 result = None
                 if isinstance(step, reply.Reply | refuse.Refuse):
                     answers.send_nowait(step)
+                    answered = True
                 elif isinstance(step, read_record.ReadRecord):
-                    result = await self._read(step)
+                    timeout = self._store_timeout(deadline, answered)
+                    result = await self._read(step, timeout)
                 elif isinstance(step, write_record.WriteRecord):
-                    result = await self._write(step)
+                    timeout = self._store_timeout(deadline, answered)
+                    result = await self._write(step, timeout)
                 elif isinstance(step, send_request.SendRequest):
                     result = late = await send()
                 elif isinstance(step, await_answer.AwaitAnswer):
@@ -126,11 +139,17 @@
             if steps.done_record is not None:
                 self._remember(key, steps.done_record)
 
-    async def _read(self, step: read_record.ReadRecord) -> store_result.StoreResult:
+    def _store_timeout(self, deadline: float, answered: bool) -> float:
+        if answered:
+            return _STORE_TIMEOUT_SECONDS
+        part = _STORE_PART * (deadline - self._clock())
+        return min(_STORE_TIMEOUT_SECONDS, max(_SHORTEST_STORE_TIMEOUT_SECONDS, part))
+
+    async def _read(
+        self, step: read_record.ReadRecord, timeout: float
+    ) -> store_result.StoreResult:
         try:
-            found = await self._platform.get(
-                record.TABLE, step.key, timeout=_STORE_TIMEOUT_SECONDS
-            )
+            found = await self._platform.get(record.TABLE, step.key, timeout=timeout)
         except error.PlatformError:
             return store_result.StoreResult(store_status.StoreStatus.FAILED)
         if found is None:
@@ -141,15 +160,15 @@
             record.OperationRecord.from_json(found.value),
         )
 
-    async def _write(self, step: write_record.WriteRecord) -> store_result.StoreResult:
+    async def _write(
+        self, step: write_record.WriteRecord, timeout: float
+    ) -> store_result.StoreResult:
         await trio.sleep(step.delay)
         wanted = write.Write(
             record.TABLE, step.key, step.expected, step.value.to_json()
         )
         try:
-            revision = await self._commits.commit(
-                wanted, timeout=_STORE_TIMEOUT_SECONDS
-            )
+            revision = await self._commits.commit(wanted, timeout=timeout)
         except platform_error.ConflictError as exc:
             value = None
             if exc.row.value is not None:
--- a/src/rattanlug/daemon/proxy.py
+++ b/src/rattanlug/daemon/proxy.py
@@ -271,7 +271,7 @@
         async def send() -> send_result.SendResult:
             return await self._send_once(admitted)
 
-        step = await self._operations.perform(key, steps, send)
+        step = await self._operations.perform(key, steps, send, admitted.deadline)
         if isinstance(step, refuse.Refuse):
             raise error.RattanlugError(
                 step.error_kind, _ONCE_DETAILS[step.ran], step.ran
