Count requests that a reachable VM does not answer

Cause: operations that hung for longer than their deadline violated no check; the result of cut-platform showed them only among the answers.

--- a/tests/trial/test_failures.py
+++ b/tests/trial/test_failures.py
@@ -121,6 +121,19 @@
     assert len(checks.find_needless_stale(found, seen)) == 1
 
 
+def test_missing_answer_of_a_reachable_vm_is_found():
+    """Guards against operations that hang while the store cannot be reached."""
+    seen = facts.FailureFacts()
+    seen.cuts.append(facts.Cut(facts.PLATFORM, ("bizkaia-1",), 10.0, 40.0))
+    hanging = [_attempt(20.0, ended=21.6, status=0, kind="timeout")]
+    assert len(checks.find_missing_answers(_evidence(hanging), seen)) == 1
+    noted = evidence.Facts()
+    noted.isolated[VM] = [(21.0, 25.0)]
+    assert checks.find_missing_answers(_evidence(hanging, noted=noted), seen) == []
+    seen.cuts.append(facts.Cut(facts.PEERS, ("navarra-1",), 10.0, 40.0))
+    assert checks.find_missing_answers(_evidence(hanging), seen) == []
+
+
 def test_bad_version_above_its_share_and_after_it_was_found():
     """Guards against a bad version that gets more than 1% or comes back."""
     seen = facts.FailureFacts()
--- a/trial/failures/checks.py
+++ b/trial/failures/checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from trial.caller import settings
 from trial.checks import evidence, registry
 from trial.failures import facts
 
@@ -110,6 +111,47 @@
     ]
 
 
+@check("no answer from a VM that could be reached")
+def find_missing_answers(
+    found: evidence.Evidence, seen: facts.FailureFacts
+) -> list[str]:
+    """Return requests that a VM did not answer although it ran and was reachable."""
+    cut_off = {
+        each.vm: [
+            (cut.began, cut.ended)
+            for cut in seen.cuts
+            if cut.scope != facts.PLATFORM and each.data_centre in cut.data_centres
+        ]
+        for each in found.places.vms
+    }
+
+    def excused(attempt: settings.Attempt) -> bool:
+        periods = [
+            *found.facts.isolated.get(attempt.vm, ()),
+            *found.facts.outages.get(attempt.vm, ()),
+            *cut_off.get(attempt.vm, ()),
+        ]
+        # A cut is complete in the relays only some time after it began.
+        return any(
+            attempt.sent <= until + _EDGE_S and attempt.ended >= since - _EDGE_S
+            for since, until in periods
+        )
+
+    # A caller in the data centre that is cut off may also try VMs outside.
+    any_cut = [each for each in seen.cuts if each.scope != facts.PLATFORM]
+    return [
+        f"{attempt.request_id} at {attempt.vm}"
+        for outcome in found.report.outcomes
+        for attempt in outcome.attempts
+        if attempt.kind == "timeout"
+        and not excused(attempt)
+        and not any(
+            each.began - _EDGE_S <= attempt.ended and attempt.sent <= each.ended
+            for each in any_cut
+        )
+    ]
+
+
 @check("race without exactly one winner, or a change half applied")
 def find_race_faults(found: evidence.Evidence, seen: facts.FailureFacts) -> list[str]:
     """Return what was wrong about races of operators."""
