--- a/src/rattanlug/daemon/proxy.py
+++ b/src/rattanlug/daemon/proxy.py
@@ -340,7 +340,7 @@
             return await self._send_once(admitted, reserved)
 
         step = await self._wait_for_answer(
-            self._operations.start(key, steps, send), reserved
+            self._operations.start(key, steps, send, admitted.deadline), reserved
         )
         if isinstance(step, refuse.Refuse):
             raise error.RattanlugError(
