Serve own endpoints without a task that watches the caller

Cause: each look-up opened two nurseries, one to notice that the caller left and one to receive while the answer is sent. A look-up does not wait for anything, and a request that was read whole leaves at most one message.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -41,6 +41,9 @@
     all_counters : counters.Counters
     closing : callable, optional
         Tells whether callers should open their next connection elsewhere.
+    is_direct : callable, optional
+        Tells whether a request is served to its end even if its caller leaves; such
+        a request needs no task that watches the connection.
     """
 
     def __init__(
@@ -48,10 +51,12 @@
         handler: Handler,
         all_counters: counters.Counters,
         closing: Callable[[], bool] = lambda: False,
+        is_direct: Callable[[request.Request], bool] = lambda whole: False,
     ) -> None:
         self._handler = handler
         self._counters = all_counters
         self._closing = closing
+        self._is_direct = is_direct
         self._in_flight = 0
 
     @property
@@ -77,7 +82,9 @@
         whole, answer = None, None
         try:
             whole = await _read_request(scope, receive)
-            if whole is not None:
+            if whole is not None and self._is_direct(whole):
+                answer = await self._call(whole)
+            elif whole is not None:
                 answer = await self._call_until_disconnect(whole, receive)
         except error.RattanlugError as exc:
             answer = self._from_error(exc)
@@ -87,8 +94,10 @@
         if self._closing():
             headers = [*answer.headers, (b"connection", b"close")]
             answer = answer._replace(headers=headers)
-        if whole is None:
-            await _discard_body(receive)
+        if whole is not None:
+            await _send_reply(answer, send)
+            return
+        await _discard_body(receive)
         async with trio.open_nursery() as nursery:
             # Sending ends with a message to this application, which would wait for
             # room when the caller's body has filled the queue.
@@ -100,6 +109,20 @@
         self._counters.add("errors", kind=exc.kind.value)
         return reply.from_error(exc)
 
+    async def _call(self, whole: request.Request) -> reply.Reply:
+        try:
+            return await self._handler(whole)
+        except error.RattanlugError:
+            raise
+        except Exception as exc:
+            self._counters.add("internal_errors")
+            _LOG.exception("a request failed unexpectedly")
+            raise error.RattanlugError(
+                kind.ErrorKind.UPSTREAM_FAILED,
+                "an internal error ended the request",
+                ran.Ran.UNKNOWN,
+            ) from exc
+
     async def _call_until_disconnect(
         self, whole: request.Request, receive: Callable
     ) -> reply.Reply | None:
@@ -108,17 +131,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
             try:
-                answer = await self._handler(whole)
+                answer = await self._call(whole)
             except error.RattanlugError as exc:
                 failure = exc
-            except Exception:
-                self._counters.add("internal_errors")
-                _LOG.exception("a request failed unexpectedly")
-                failure = error.RattanlugError(
-                    kind.ErrorKind.UPSTREAM_FAILED,
-                    "an internal error ended the request",
-                    ran.Ran.UNKNOWN,
-                )
             nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
--- a/src/rattanlug/daemon/run.py
+++ b/src/rattanlug/daemon/run.py
@@ -78,7 +78,10 @@
     settings = entry.settings
     dispatcher = _Dispatcher(entry)
     app = application.Application(
-        dispatcher.serve, entry.counters, lambda: _is_leaving(entry)
+        dispatcher.serve,
+        entry.counters,
+        lambda: _is_leaving(entry),
+        lambda whole: whole.path.startswith(registry.PREFIX),
     )
     web = caller_server.Server(app, entry.counters)
     stop_http = trio.Event()
