--- a/trial/failures/context.py
+++ b/trial/failures/context.py
@@ -216,7 +216,8 @@
     async def platform_mode(self, mode: str, **more: Any) -> AsyncIterator[None]:
         """Put the platform in a mode; it is up again at the end."""
         await self.control_platform(mode=mode, **more)
-        began = self.note(f"platform {mode}")
+        delay = f", delay {more['delay']:.2f} s" if more.get("delay") else ""
+        began = self.note(f"platform {mode}{delay}")
         try:
             yield
         finally:
