--- a/tests/trial/test_failures.py
+++ b/tests/trial/test_failures.py
@@ -148,6 +148,9 @@
     found.records["l2-01"]["faulty"] = ["b0", "b1", "b2"]
     assert len(checks.find_bad_share(found, seen)) == 1
     assert checks.find_bad_after(found, seen) == []
+    (text,) = checks.describe_bad_versions(found, seen)
+    assert "3 requests hit, the first 5.00 s after" in text
+    assert "rolled back 15.00 s after the first" in text
     bad.append([35.1, "/listings/1", "c", ""])
     assert len(checks.find_bad_after(found, seen)) == 1
 
--- a/trial/failures/checks.py
+++ b/trial/failures/checks.py
@@ -182,6 +182,32 @@
     return requests
 
 
+def describe_bad_versions(
+    found: evidence.Evidence, seen: facts.FailureFacts
+) -> list[str]:
+    """Return when each bad version showed its fault and how long it got requests."""
+    texts = []
+    requests = _moved_requests(found)
+    for bad in seen.bad_versions:
+        began = [each.began for each in requests if each.is_faulty]
+        if not began:
+            texts.append(f"{bad.move}: the fault hit no request")
+            continue
+        own = [each.began for each in requests if each.is_v2]
+        text = (
+            f"{bad.move}: {len(began)} requests hit, the first "
+            f"{min(began) - bad.accepted:.2f} s after the acceptance, the last "
+            f"{max(began) - min(began):.2f} s later"
+        )
+        if bad.found is not None:
+            text += (
+                f"; rolled back {bad.found - min(began):.2f} s after the first, last "
+                f"request {max(own) - bad.found:+.2f} s from then"
+            )
+        texts.append(text)
+    return texts
+
+
 @check("bad version got more than 1% of a route")
 def find_bad_share(found: evidence.Evidence, seen: facts.FailureFacts) -> list[str]:
     """Return one entry for each faulty request above 1% of a route's requests."""
--- a/trial/failures/experiment.py
+++ b/trial/failures/experiment.py
@@ -121,6 +121,7 @@
         return records
 
     def _check(self, found: evidence.Evidence) -> dict[str, Any]:
+        self.seen.notes += checks.describe_bad_versions(found, self.seen)
         return super()._check(found) | checks.run_checks(found, self.seen)
 
 
--- a/trial/failures/facts.py
+++ b/trial/failures/facts.py
@@ -79,6 +79,8 @@
         Good versions that were rolled back.
     reached_done : list of str
         Bad versions whose move ended as done.
+    notes : list of str
+        Measured times that no check judges.
     """
 
     def __init__(self):
@@ -91,3 +93,4 @@
         self.unbounded_moves: list[str] = []
         self.false_rollbacks: list[str] = []
         self.reached_done: list[str] = []
+        self.notes: list[str] = []
--- a/trial/failures/table.py
+++ b/trial/failures/table.py
@@ -41,6 +41,7 @@
             [round(each.at - finding.load_start, 2), each.text]
             for each in finding.seen.events
         ],
+        "notes": finding.seen.notes,
         "machine_load": [round(each, 1) for each in finding.machine_load],
         "busy_machine": is_busy(finding),
     }
@@ -75,6 +76,7 @@
     for each in data["steps"]:
         state = f"FAILED: {each['failure']}" if each["failure"] else each["seen"]
         lines.append(f"  {each['name']}: {state}")
+    lines += [f"  {each}" for each in data["notes"]]
     for name, each in violated.items():
         lines.append(f"  {each['count']} x {name}, e.g. {'; '.join(each['examples'])}")
     counts = ", ".join(
