Send configuration changes between VMs as deltas

A VM that is one or a few versions behind gets the steps, any other one the full text. Rules that a release does not understand leave the version in force. Ruled out: a second copy of the state in the daemon, which had no steps.

--- a/src/rattanlug/configuration/history.py
+++ b/src/rattanlug/configuration/history.py
@@ -1,6 +1,7 @@
 """The newest version that this VM applied, and the steps that led to it."""
 
 import collections
+from collections.abc import Callable
 
 from rattanlug.configuration import delta, offer_result
 
@@ -12,13 +13,23 @@
 _MAX_EVIDENCE_AGE_S = 10.0
 
 
+PutInForce = Callable[[int, str, float], None]
+
+
 class ConfigurationState:
     """Applies offered versions; the version in force never falls.
 
     Version 0 is the empty text.
+
+    Parameters
+    ----------
+    put_in_force : callable, optional
+        ``put_in_force(version, text, now)`` is called before a version counts as
+        applied; when it raises, the version in force stays.
     """
 
-    def __init__(self):
+    def __init__(self, put_in_force: PutInForce | None = None):
+        self._put_in_force = put_in_force
         self._version = 0
         self._text = ""
         self._digest = delta.text_digest("")
@@ -99,10 +110,10 @@
             return self._offer_delta(version, digest, content, now)
         if delta.text_digest(content) != digest:
             return offer_result.OfferResult.REJECTED
+        self._apply(version, digest, content, now)
         # A step between versions that do not follow each other is of no use to
         # peers; those behind get the full text too.
         self._deltas.clear()
-        self._apply(version, digest, content, now)
         return offer_result.OfferResult.APPLIED
 
     def deltas_since(self, version: int, digest: str) -> list[delta.Delta] | None:
@@ -174,15 +185,17 @@
             text = delta.apply_delta(self._text, step)
         except delta.DeltaError:
             return offer_result.OfferResult.REJECTED
+        self._apply(version, digest, text, now)
         self._deltas.append(step)
         while len(self._deltas) > _MAX_DELTAS or (
             sum(len(kept.text) for kept in self._deltas) > _MAX_DELTA_CHARACTERS
         ):
             self._deltas.popleft()
-        self._apply(version, digest, text, now)
         return offer_result.OfferResult.APPLIED
 
     def _apply(self, version, digest, text, now):
+        if self._put_in_force is not None:
+            self._put_in_force(version, text, now)
         self._version, self._digest, self._text = version, digest, text
         behind = version < self._newest_heard
         self._behind_since = now if behind else None
--- a/src/rattanlug/daemon/configuration_sync.py
+++ b/src/rattanlug/daemon/configuration_sync.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
+from rattanlug.configuration import delta, history, offer_result
 from rattanlug.daemon import (
     active_configuration,
     configuration_store,
@@ -9,9 +10,11 @@
 )
 from rattanlug.errors import error, kind
 from rattanlug.logs import state as log_state
+from rattanlug.peer import configuration_messages
+from rattanlug.peer.generated import ttypes
 from rattanlug.rules import diff, parser
 
-Push = Callable[[stored_version.StoredVersion], Awaitable[list[str]]]
+Push = Callable[["ConfigurationSync", int, str], Awaitable[list[str]]]
 
 
 class ConfigurationSync:
@@ -24,8 +27,8 @@
     may_accept : callable
         ``may_accept(now)`` tells whether operators' changes may be taken.
     push : callable
-        Sends a version to the other VMs and returns the names of those that have not
-        acknowledged it.
+        ``push(sync, from_version, from_digest)`` sends the version in force to the
+        other VMs and returns the names of those that have not acknowledged it.
     is_accepted : callable
         ``is_accepted(version)`` tells whether a majority of data centres applied it.
     clock, wall_clock : callable
@@ -51,6 +54,8 @@
         self._wall_clock = wall_clock
         self._current = stored_version.StoredVersion(0, "", 0.0, "")
         self._newest = self._current
+        self._offered = self._current
+        self._state = history.ConfigurationState(self._put_in_force)
 
     @property
     def newest(self) -> stored_version.StoredVersion:
@@ -80,22 +85,63 @@
         return head.version
 
     def apply(self, found: stored_version.StoredVersion) -> bool:
-        """Put a version in force if it is newer."""
+        """Put a version in force if it is newer.
+
+        Raises
+        ------
+        error.InvalidInputError
+            When the rules are not valid; the version in force stays.
+        """
+        content: str | delta.Delta = found.rules
+        if found.version == self._state.version + 1 and found.rules.endswith("\n"):
+            # Kept as a step, so that peers that are one version behind get it.
+            content = delta.make_delta(
+                self._state.text, found.rules, self._state.version
+            )
+        self._offered = found
+        result = self._state.offer(found.version, found.digest, content, self._clock())
+        return result is offer_result.OfferResult.APPLIED
+
+    def apply_message(
+        self, message: ttypes.ConfigurationData
+    ) -> offer_result.OfferResult:
+        """Put the version that a peer sent in force if it is newer.
+
+        Raises
+        ------
+        error.InvalidInputError
+            When the rules are not valid; the version in force stays.
+        peer_error.MalformedMessageError
+            When the text cannot be decompressed.
+        """
+        self._offered = stored_version.StoredVersion(
+            message.version, message.author, message.at, ""
+        )
+        return configuration_messages.offer_message(self._state, message, self._clock())
+
+    def to_message(
+        self, from_version: int = 0, from_digest: str = ""
+    ) -> ttypes.ConfigurationData:
+        """Return the version in force for a peer: the steps, or the full text."""
+        message = configuration_messages.to_message(
+            self._state, from_version, from_digest
+        )
+        message.author, message.at = self._current.author, self._current.at
+        return message
+
+    def _put_in_force(self, version: int, text: str, now: float) -> None:
         before = self._active.configuration.version
-        if found.version <= before:
-            return False
-        earlier, self._newest = self._newest, found
+        earlier = self._newest
+        self._newest = self._offered._replace(version=version, rules=text)
         try:
-            if not self._active.apply(found.rules, found.version, self._clock()):
-                return False
+            self._active.apply(text, version, now)
         except error.InvalidInputError:
             self._newest = earlier
             raise
-        self._current = found
+        self._current = self._newest
         log_state.changed(
-            "configuration_version", before, found.version, author=found.author
+            "configuration_version", before, version, author=self._current.author
         )
-        return True
 
     async def propose(self, expected_version: int, rules: str, author: str) -> dict:
         """Store an operator's change and put it in force.
@@ -141,8 +187,9 @@
             head.version + 1, author, self._wall_clock(), rules
         )
         await self._store.append(head, candidate, _changes(self._active.text, rules))
+        base = self._active.configuration.version, self._active.digest
         self.apply(candidate)
-        missing = await self._push(candidate)
+        missing = await self._push(self, *base)
         return {
             "version": candidate.version,
             "in_force": self._is_accepted(candidate.version),
--- a/src/rattanlug/daemon/handlers/configuration.py
+++ b/src/rattanlug/daemon/handlers/configuration.py
@@ -1,7 +1,7 @@
 """Configuration versions that travel between VMs."""
 
+from rattanlug.configuration import offer_result
 from rattanlug.daemon import node as daemon_node
-from rattanlug.daemon import push
 from rattanlug.daemon.handlers import registry
 from rattanlug.peer import sender
 from rattanlug.peer.generated import ttypes
@@ -11,8 +11,8 @@
 async def fetch_configuration(
     node: daemon_node.Node, message: ttypes.FetchConfiguration, peer: sender.Sender
 ) -> ttypes.ConfigurationData:
-    """Answer with the version in force."""
-    return push.to_data(node.sync.current)
+    """Answer with the steps from the peer's version, or with the full text."""
+    return node.sync.to_message(message.from_version, message.from_digest)
 
 
 @registry.register(ttypes.PushConfiguration)
@@ -20,9 +20,9 @@
     node: daemon_node.Node, message: ttypes.PushConfiguration, peer: sender.Sender
 ) -> ttypes.ConfigurationAcknowledgement:
     """Apply a newer version and answer with the version in force."""
-    offered = push.from_data(message.configuration)
-    if offered is not None:
-        node.sync.apply(offered)
+    result = node.sync.apply_message(message.configuration)
     return ttypes.ConfigurationAcknowledgement(
-        node.active.configuration.version, node.active.digest, offered is not None
+        node.active.configuration.version,
+        node.active.digest,
+        result in (offer_result.OfferResult.APPLIED, offer_result.OfferResult.KNOWN),
     )
--- a/src/rattanlug/daemon/loops/gossip.py
+++ b/src/rattanlug/daemon/loops/gossip.py
@@ -1,6 +1,7 @@
 """Exchanges news with other VMs."""
 
-from rattanlug.daemon import clock, gossip_header, push
+from rattanlug.configuration import offer_result
+from rattanlug.daemon import clock, gossip_header
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
 from rattanlug.errors import error as error_tree
@@ -42,17 +43,19 @@
 
 
 async def _fetch_configuration(node: daemon_node.Node, peer: address.Address) -> None:
-    message = ttypes.FetchConfiguration(
-        node.active.configuration.version, node.active.digest
-    )
-    try:
-        data = await node.peers.call(peer, message, _TIMEOUT_SECONDS)
-    except (peer_error.PeerError, error_tree.RattanlugError):
-        return
-    found = push.from_data(data)
-    if found is None:
-        return
-    try:
-        node.sync.apply(found)
-    except error_tree.InvalidInputError:
-        node.counters.add("configuration_rejected")
+    """Fetch the steps to the peer's version, or its full text when they do not fit."""
+    version, digest = node.active.configuration.version, node.active.digest
+    for message in (
+        ttypes.FetchConfiguration(version, digest),
+        ttypes.FetchConfiguration(),
+    ):
+        try:
+            data = await node.peers.call(peer, message, _TIMEOUT_SECONDS)
+            result = node.sync.apply_message(data)
+        except error_tree.InvalidInputError:
+            node.counters.add("configuration_rejected")
+            return
+        except (peer_error.PeerError, error_tree.RattanlugError):
+            return
+        if result is not offer_result.OfferResult.NEEDS_TEXT:
+            return
--- a/src/rattanlug/peer/rattanlug.thrift
+++ b/src/rattanlug/peer/rattanlug.thrift
@@ -139,6 +139,7 @@
   3: optional binary compressed_text
   4: optional list<ConfigurationDelta> deltas
   5: string author = ""
+  6: double at = 0                     // when it was stored, seconds since the epoch
 }
 
 struct ConfigurationAcknowledgement {
