Send the head of an answer together with its body

Cause: the HTTP library writes the head, the body and an empty end one by one, which are two packets and three timed sends for each answer.

--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -21,6 +21,8 @@
 _MAX_HEADER_BYTES = 32 * 1024
 _BACKLOG = 1024
 _HTTP_2_PREFACE = b"PRI * HTTP/2"
+_HEAD = b"HTTP/1.1 "
+_INFORMATIONAL = b"HTTP/1.1 1"
 _REFUSALS = (b"HTTP/1.1 4", b"HTTP/1.1 5")
 # Each refusal of the application holds one of these headers, the library's hold none.
 _OWN_HEADERS = (b"\r\nrattanlug-ran:", b"\r\ncontent-type:")
@@ -136,6 +138,7 @@
     ) -> None:
         self._stream = stream
         self._counters = all_counters
+        self._head = b""
 
     @property
     def socket(self) -> trio.socket.SocketType:
@@ -152,10 +155,18 @@
 
     async def send_all(self, data: bytes) -> None:
         """Send, or break the connection when the caller does not read."""
-        if data.startswith(_REFUSALS) and not any(
-            header in data for header in _OWN_HEADERS
-        ):
+        refused = not self._head and data.startswith(_REFUSALS)
+        if refused and not any(header in data for header in _OWN_HEADERS):
             self._counters.add("requests_rejected", reason="malformed")
+        is_head = not self._head and data.startswith(_HEAD)
+        if is_head and not data.startswith(_INFORMATIONAL):
+            # The library sends the head, the body and an empty end one by one; one
+            # write for head and body spares a system call and a packet.
+            self._head = data
+            return
+        data, self._head = self._head + data, b""
+        if not data:
+            return
         with trio.move_on_after(SEND_SECONDS):
             await self._stream.send_all(data)
             return
