--- a/src/rattanlug/daemon/slot_access.py
+++ b/src/rattanlug/daemon/slot_access.py
@@ -12,6 +12,7 @@
     load_report,
     policy,
     registry,
+    selection,
     slot_hold,
     slot_ledger,
     slot_loan,
@@ -253,17 +254,27 @@
     def _pick(
         self, upstreams: tuple[upstream.Upstream, ...], excluded: frozenset[str]
     ) -> str | None:
+        """Return the upstream that the policy prefers, one that stalls only last."""
         now = self._clock()
         self._refresh(now)
-        views = []
-        for item in upstreams:
-            state = self._states.get(item.name)
-            if state is None or item.name in excluded or not state.accepts_work(now):
-                continue
-            free = self._ledger.free(item.name, now)
-            if free > 0:
-                views.append(state.view(item.name, free, item.slots, now))
-        return self._policy.pick(views, self._rng).name if views else None
+        usable = [
+            item
+            for item in upstreams
+            if item.name in self._states and item.name not in excluded
+        ]
+        for suspects in (False, True):
+            name = selection.select(
+                usable,
+                self._ledger,
+                self._states,
+                self._policy,
+                now,
+                self._rng,
+                suspects=suspects,
+            )
+            if name is not None:
+                return name
+        return None
 
     def _queue(self, service: str, version: str) -> fair_queue.FairQueue:
         return self._queues.setdefault((service, version), fair_queue.FairQueue())
