--- a/tests/seats/test_plan.py
+++ b/tests/seats/test_plan.py
@@ -1,6 +1,8 @@
 """Guards against shares and slots that two seats could use."""
 
-from hypothesis import given
+from unittest import mock
+
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from rattanlug.model import configuration, data_centre, link, upstream
@@ -30,6 +32,7 @@
 ).filter(lambda vms: sum(vms.values()))
 
 
+@settings(deadline=None)
 @given(plans)
 def test_each_slot_and_share_has_one_owner(vms):
     divided = _plan(1, vms)
@@ -43,6 +46,7 @@
         assert all(e.upstream == f"u-{seat[:2]}" for e in divided.slots(seat))
 
 
+@settings(deadline=None)
 @given(plans, plans, st.floats(0, 30))
 def test_seats_that_follow_different_plans_never_overlap(old, new, elapsed):
     before, after = _plan(1, old), _plan(2, new)
@@ -63,6 +67,20 @@
         assert len(owned) == len(set(owned))
 
 
+def test_a_plan_that_applies_at_once_hands_out_too_much():
+    before, after = _plan(1, {"a1": 2, "b1": 2}), _plan(2, {"a1": 1, "b1": 2})
+    shares = {}
+    for settling in (share_history.SETTLING_S, 0.0):
+        with mock.patch.object(share_history, "SETTLING_S", settling):
+            ahead = share_history.ShareHistory()
+            ahead.apply(before, accepted_at=-100.0)
+            ahead.apply(after)
+            ahead.accept(2, 0.0)
+            behind = [seat for seat in before.seats if seat != "b1/0"]
+            shares[settling] = ahead.share("b1/0", 1.0) + sum(map(before.share, behind))
+    assert shares[share_history.SETTLING_S] <= 1 < shares[0.0]
+
+
 def test_a_vm_that_knows_no_earlier_plan_uses_nothing_at_first():
     history = share_history.ShareHistory()
     history.apply(_plan(1, {"a1": 2}))
