Use the corrected majority contact and reports per incarnation; hand seats over under load

Gossip rounds and reports follow the corrected rule now. Cause 2: a restarted VM kept the seat of its earlier incarnation from lapsing, since reports were by name only. Cause 3: a seat was released only when no slot of the whole VM was in use, so a busy VM never handed a spare seat over; now only the seat's own slots count.

--- a/src/rattanlug/daemon/gossip_header.py
+++ b/src/rattanlug/daemon/gossip_header.py
@@ -11,13 +11,20 @@
 _MILLISECONDS_PER_SECOND = 1000
 
 
-def fill(node: daemon_node.Node, message: ttypes.Gossip, by_name: bool = False) -> None:
+def fill(
+    node: daemon_node.Node,
+    message: ttypes.Gossip,
+    data_centre: str,
+    by_name: bool = False,
+) -> None:
     """Write configuration version, evidence and information ages into a message.
 
     Parameters
     ----------
     node : node.Node
     message : ttypes.Gossip
+    data_centre : str
+        Data centre of the peer, empty if it is not known.
     by_name : bool
         Whether the peer names other data centres than this VM.
     """
@@ -28,9 +35,8 @@
     age = node.evidence.age(now) * _MILLISECONDS_PER_SECOND
     if age < constants.UNKNOWN_AGE_MS:
         message.evidence_age_ms = math.ceil(age)
-    ages = node.contact.ages(now)
-    if node.members.own.state is member_state.MemberState.SERVING:
-        ages[node.settings.data_centre] = 0.0
+    serving = node.members.own.state is member_state.MemberState.SERVING
+    ages = node.contact.report(now, data_centre, serving)
     information_ages.put_ages(message, ages, current.data_centres, by_name)
     message.finished_moves = [
         ttypes.MoveResult(name, state) for name, state in node.versions.finished_moves()
--- a/src/rattanlug/daemon/handlers/membership.py
+++ b/src/rattanlug/daemon/handlers/membership.py
@@ -7,6 +7,7 @@
 from rattanlug.peer.generated import ttypes
 
 _MILLISECONDS_PER_SECOND = 1000
+_LONGEST_SECONDS = 1e6
 
 
 @registry.register(ttypes.Gossip)
@@ -17,7 +18,8 @@
     names = node.active.configuration.data_centres
     by_name = message.data_centres_digest != information_ages.names_digest(names)
     response = node.exchange.answer(message, peer.vm, clock.now())
-    gossip_header.fill(node, response, by_name)
+    record = node.members.get(peer.vm)
+    gossip_header.fill(node, response, record.data_centre if record else "", by_name)
     return response
 
 
@@ -34,7 +36,6 @@
     node: daemon_node.Node, message: ttypes.FetchLastHeard, peer: sender.Sender
 ) -> ttypes.LastHeard:
     """Answer how long this VM has been up without hearing from another one."""
-    seconds = node.unheard_for(message.vm, clock.now())
-    return ttypes.LastHeard(
-        message.vm, 0, int(min(seconds, 1e6) * _MILLISECONDS_PER_SECOND)
-    )
+    seconds = node.unheard_for(message.vm, message.incarnation, clock.now())
+    age_ms = int(min(seconds, _LONGEST_SECONDS) * _MILLISECONDS_PER_SECOND)
+    return ttypes.LastHeard(message.vm, message.incarnation, age_ms)
--- a/src/rattanlug/daemon/loops/gossip.py
+++ b/src/rattanlug/daemon/loops/gossip.py
@@ -17,6 +17,7 @@
 @registry.register("gossip", _INTERVAL_SECONDS)
 async def gossip(node: daemon_node.Node, spawner: registry.Spawner) -> None:
     """Contact the peers of this round."""
+    node.contact.begin_round(clock.now())
     for choice in node.members.next_peers(clock.now(), node.rng):
         spawner.start_soon(_exchange, node, choice)
 
@@ -24,7 +25,8 @@
 async def _exchange(node: daemon_node.Node, choice: peer_choice.PeerChoice) -> None:
     asked_at = clock.now()
     request = node.exchange.request(choice.vm, asked_at)
-    gossip_header.fill(node, request)
+    known = node.members.get(choice.vm)
+    gossip_header.fill(node, request, known.data_centre if known else "")
     peer = address.Address(*choice.peer_address)
     try:
         response = await node.peers.call(peer, request, _TIMEOUT_SECONDS)
--- a/src/rattanlug/daemon/loops/seats.py
+++ b/src/rattanlug/daemon/loops/seats.py
@@ -8,7 +8,7 @@
 from rattanlug.peer.generated import ttypes
 from rattanlug.platform import error as platform_error
 from rattanlug.platform import write
-from rattanlug.seats import seat_row
+from rattanlug.seats import seat_row, takeover
 from rattanlug.settings import address
 
 _INTERVAL_SECONDS = 0.2
@@ -69,38 +69,48 @@
 def _finish_releases(node: daemon_node.Node) -> None:
     ledger = node.slots.ledger
     for seat in node.seats.releasing:
-        if not ledger.in_use and not ledger.lent and not node.quotas.outstanding(seat):
+        slots = node.active.plan.slots(seat)
+        busy = any(ledger.is_busy(each.upstream, each.index) for each in slots)
+        if not busy and not node.quotas.outstanding(seat):
             node.seats.finish_release(seat)
 
 
-async def _unheard_for(node: daemon_node.Node) -> dict[str, list[float]]:
-    """Return, for each VM that may have lapsed, how long nobody heard from it."""
+async def _unheard_for(
+    node: daemon_node.Node,
+) -> dict[tuple[str, int], list[float]]:
+    """Return, for each holder that may have lapsed, how long nobody heard from it."""
     now = clock.now()
-    own = node.settings.vm
+    own = (node.settings.vm, node.incarnation)
     others = [
         record
         for record in node.members.live_members(now, node.settings.data_centre)
-        if record.vm != own
+        if record.vm != node.settings.vm
     ]
-    live = {record.vm for record in others}
-    result: dict[str, list[float]] = {}
-    for vm in node.seats.holders:
-        if vm in live or vm == own:
-            continue
-        reports = [node.unheard_for(vm, now)]
+    live = {(record.vm, record.incarnation) for record in others}
+    result: dict[tuple[str, int], list[float]] = {}
+    for vm, incarnation in node.seats.holders - live - {own}:
+        reports = [node.unheard_for(vm, incarnation, now)]
         for record in others:
-            reports.append(await _ask_last_heard(node, record.peer_address, vm))
-        result[vm] = reports
+            # One report below the bound settles that the seat is not taken now.
+            if reports[-1] < takeover.TAKEOVER_S:
+                break
+            message = ttypes.FetchLastHeard(vm, incarnation)
+            reports.append(await _ask_last_heard(node, record.peer_address, message))
+        result[vm, incarnation] = reports
     return result
 
 
-async def _ask_last_heard(node: daemon_node.Node, peer, vm: str) -> float:
+async def _ask_last_heard(
+    node: daemon_node.Node, peer: tuple[str, int], message: ttypes.FetchLastHeard
+) -> float:
     try:
         answer = await node.peers.call(
-            address.Address(*peer), ttypes.FetchLastHeard(vm), _TIMEOUT_SECONDS
+            address.Address(*peer), message, _TIMEOUT_SECONDS
         )
     except (peer_error.PeerError, error_tree.RattanlugError):
         return 0.0
+    if answer.incarnation != message.incarnation:
+        return 0.0
     return answer.age_ms / _MILLISECONDS_PER_SECOND
 
 
--- a/src/rattanlug/daemon/node.py
+++ b/src/rattanlug/daemon/node.py
@@ -45,6 +45,8 @@
 # the bound leaves room for wall clocks that differ.
 _SETTLED_AFTER_SECONDS = 60.0
 _START_LIMIT_SECONDS = 15.0
+# Longer than the 11 s without contact that a takeover of a seat needs.
+_CONTACT_MEMORY_SECONDS = 60.0
 # The bound of the design page; decisions use a slightly smaller one.
 _MAX_KEY_AGE_SECONDS = 10.0
 
@@ -64,6 +66,7 @@
         self._rng = random.Random(f"{settings.vm}:{self._incarnation}")
         self._started_at = now
         self._next_seat_request = now
+        self._contacts: dict[tuple[str, int], float] = {}
         self._slot_terms: tuple[tuple[str, int], ...] = ()
         self._state = service_state.ServiceState.STARTING
         self._build_shared(now)
@@ -251,17 +254,38 @@
 
     def advance(self, now: float) -> None:
         """Bring the state, slots and link shares of this daemon up to date."""
+        self._note_contacts(now)
         self._update_slots(now)
         self._update_state(now)
         self._lookups.advance(now)
 
-    def unheard_for(self, vm: str, now: float) -> float:
-        """Return for how long this VM has been up without hearing from another."""
-        record = self._members.get(vm)
-        since = self._started_at
-        if record is not None:
-            since = max(since, record.last_contact)
-        return now - since
+    def unheard_for(self, vm: str, incarnation: int, now: float) -> float:
+        """Return for how long this VM has been up without hearing from another.
+
+        Parameters
+        ----------
+        vm : str
+        incarnation : int
+            A VM that was restarted is another one here: the earlier process may still
+            be paused.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        self._note_contacts(now)
+        heard = self._contacts.get((vm, incarnation), self._started_at)
+        return now - max(heard, self._started_at)
+
+    def _note_contacts(self, now: float) -> None:
+        for record in self._members.live_members(now, self._settings.data_centre):
+            self._contacts[record.vm, record.incarnation] = record.last_contact
+        forgotten = now - _CONTACT_MEMORY_SECONDS
+        for identity in [k for k, at in self._contacts.items() if at < forgotten]:
+            del self._contacts[identity]
 
     def may_ask_for_seat(self, now: float, interval: float) -> bool:
         """Return whether to ask for a seat, once in an interval at most."""
--- a/src/rattanlug/peer/rattanlug.thrift
+++ b/src/rattanlug/peer/rattanlug.thrift
@@ -194,6 +194,7 @@
 // Asks when the receiver last heard from a VM directly.
 struct FetchLastHeard {
   1: string vm = ""
+  2: i64 incarnation = 0
 }
 
 struct LastHeard {
--- a/src/rattanlug/routing/slot_ledger.py
+++ b/src/rattanlug/routing/slot_ledger.py
@@ -49,6 +49,16 @@
         """Slots of other VMs in use by requests of this VM."""
         return len(self._borrowed)
 
+    def is_busy(self, upstream: str, number: int) -> bool:
+        """Return whether one slot is in use by a request or lent.
+
+        True also for a slot that is no longer owned, until its request has ended.
+        """
+        token = self._taken.get((upstream, number))
+        if token is None:
+            return False
+        return token in self._in_use or f"{self._loan_prefix}/{token}" in self._loans
+
     def owned(self, upstream: str) -> int:
         """Return the number of own slots at one upstream, usable or not."""
         return len(self._usable_from.get(upstream, ()))
--- a/src/rattanlug/seats/holder.py
+++ b/src/rattanlug/seats/holder.py
@@ -62,10 +62,12 @@
         return tuple(self._leases)
 
     @property
-    def holders(self) -> frozenset[str]:
-        """VMs that the rows of the data centre's seats name."""
+    def holders(self) -> frozenset[tuple[str, int]]:
+        """VMs with incarnations that the rows of the data centre's seats name."""
         rows = (entry.row for entry in self._rows.values())
-        return frozenset(row.vm for row in rows if row is not None and row.vm)
+        return frozenset(
+            (row.vm, row.incarnation) for row in rows if row is not None and row.vm
+        )
 
     @property
     def releasing(self) -> tuple[str, ...]:
--- a/tests/routing/test_slot_ledger.py
+++ b/tests/routing/test_slot_ledger.py
@@ -135,3 +135,16 @@
     borrower = slot_ledger.SlotLedger("borrower")
     assert borrower.use_borrowed(loan, 0.0, 2.0) is None
     assert borrower.due_returns(2.0) == [loan]
+
+
+def test_slot_is_busy_until_its_request_or_loan_has_ended():
+    """Guards against a seat that is handed over while its slots are in use."""
+    ledger = slot_ledger.SlotLedger("vm")
+    ledger.set_owned({"u": [0, 1]}, 0.0, 0.0)
+    hold = ledger.acquire(["u"], 0.0)
+    loan = ledger.lend("s", "v1", ["u"], 0.0, 5.0)
+    ledger.set_owned({}, 0.1, 0.1)
+    assert ledger.is_busy("u", 0) and ledger.is_busy("u", 1)
+    ledger.release(hold, 0.2)
+    ledger.take_back(loan.loan_id, 0.3)
+    assert not ledger.is_busy("u", 0) and not ledger.is_busy("u", 1)
