Ask empty lenders of tokens less and less often

Cause: an organisation at 10 times its rate made 2,658 messages/s over 12 VMs, because a lender without tokens was asked again after 10 ms. Ruled out: fixed pauses of 50 and 100 ms (scratch copies), which refuse more of organisations with a small burst (13.25% and 15.10% instead of 10.43%). Now the pause doubles from 10 to 200 ms while the lender stays empty.

--- a/src/rattanlug/quota/quota.py
+++ b/src/rattanlug/quota/quota.py
@@ -24,8 +24,11 @@
 SETTLEMENT_DELAY_S = 0.1
 # Fewer tokens than this are not worth a message to one more lender.
 MIN_ASK_TOKENS = 0.5
-# A lender that had nothing to lend is left alone for a moment.
+# A lender that had nothing to lend is left alone for a moment, and for twice as long
+# each time in a row: an organisation that sends several times its rate would otherwise
+# keep every lender busy with requests for tokens that do not exist.
 EMPTY_LENDER_PAUSE_S = 0.01
+LONGEST_EMPTY_LENDER_PAUSE_S = 0.2
 # Weight of the newest answer in a lender's average of tokens granted to tokens asked.
 _GRANT_WEIGHT = 0.5
 _MIN_GRANT_RATIO = 0.1
@@ -70,6 +73,7 @@
         self._waiting = 0
         self._asks: dict[str, _Ask] = {}
         self._grant_ratios: dict[str, float] = {}
+        self._empty_pauses: dict[str, float] = {}
         self._round_trips: dict[str, float] = {}
         self._empty_until: dict[str, float] = {}
         self._turn = 0
@@ -200,7 +204,11 @@
             granted = sum(entry.tokens for entry in loans) / max(ask.tokens, _ROUNDING)
             self._note_grant(vm, granted)
             if granted < _MIN_GRANT_RATIO:
-                self._empty_until[vm] = now + EMPTY_LENDER_PAUSE_S
+                pause = self._empty_pauses.get(vm, EMPTY_LENDER_PAUSE_S)
+                self._empty_until[vm] = now + pause
+                self._empty_pauses[vm] = min(2 * pause, LONGEST_EMPTY_LENDER_PAUSE_S)
+            else:
+                self._empty_pauses.pop(vm, None)
         for entry in loans:
             self._borrowed.accept(entry, vm, asked_at, now)
 
