--- a/src/rattanlug/daemon/endpoints/status.py
+++ b/src/rattanlug/daemon/endpoints/status.py
@@ -4,6 +4,7 @@
 from rattanlug.daemon import clock
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.endpoints import registry
+from rattanlug.membership import member
 
 
 @registry.register("GET", "status", for_operators=True)
@@ -18,7 +19,7 @@
             "port": record.address[1],
             "state": record.state.name.lower(),
             "configuration_version": record.config_version,
-            "last_heard_seconds": round(max(0.0, now - record.last_heard), 3),
+            "last_heard_seconds": _silence(node, record, now),
         }
         for record in sorted(node.members.live_members(now))
     ]
@@ -55,3 +56,9 @@
 
 def _finite(seconds: float) -> float | None:
     return round(seconds, 3) if seconds < float("inf") else None
+
+
+def _silence(node: daemon_node.Node, record: member.Member, now: float) -> float:
+    if record.vm == node.settings.vm:
+        return 0.0
+    return round(max(0.0, now - record.last_heard), 3)
