--- a/tests/trial/test_failures.py
+++ b/tests/trial/test_failures.py
@@ -12,7 +12,7 @@
 from trial.caller import settings
 from trial.checks import answers, evidence, keys
 from trial.failures import checks, experiment, facts, registry, scenario
-from trial.upstream import behaviour
+from trial.upstream import behaviour, record
 from trial.upstream import server as upstream_server
 
 HOST = "127.0.0.1"
@@ -139,9 +139,14 @@
     seen = facts.FailureFacts()
     seen.bad_versions.append(facts.BadVersion("m", 10.0, 30.0, ""))
     found = _evidence([])
-    good = [[15.0, "/listings/1", f"a{each}", ""] for each in range(199)]
+    good = [
+        record.Execution(15.0, "/listings/1", f"a{each}", "", "o")
+        for each in range(199)
+    ]
     found.records["l-01"]["executions"] = good
-    bad = [[15.0, "/listings/1", f"b{each}", ""] for each in range(3)]
+    bad = [
+        record.Execution(15.0, "/listings/1", f"b{each}", "", "o") for each in range(3)
+    ]
     found.records["l2-01"]["executions"] = bad
     found.records["l2-01"]["faulty"] = ["b0", "b1"]
     assert checks.find_bad_share(found, seen) == []
@@ -151,7 +156,7 @@
     (text,) = checks.describe_bad_versions(found, seen)
     assert "3 requests hit, the first 5.00 s after" in text
     assert "rolled back 15.00 s after the first" in text
-    bad.append([35.1, "/listings/1", "c", ""])
+    bad.append(record.Execution(35.1, "/listings/1", "c", "", "o"))
     assert len(checks.find_bad_after(found, seen)) == 1
 
 
--- a/trial/failures/checks.py
+++ b/trial/failures/checks.py
@@ -177,7 +177,7 @@
         faulty = set(record["faulty"])
         requests += [
             _Request(began, path, each.version == "v2", request_id in faulty)
-            for began, path, request_id, _ in record["executions"]
+            for began, path, request_id, *_ in record["executions"]
         ]
     return requests
 
