--- a/trial/metrics_text.py
+++ b/trial/metrics_text.py
@@ -15,11 +15,11 @@
 def read_violations(text: str) -> dict[str, int]:
     """Return the violation counts by invariant, and the faults of the program.
 
-    A fault that the daemon survives would otherwise stay unseen in a trial.
+    A fault that the daemon survives would otherwise stay unseen in a trial. It is
+    exposed from its first occurrence on.
     """
     found = {name: int(float(count)) for name, count in _VIOLATIONS.findall(text)}
     if found:
-        found |= dict.fromkeys(_FAULTS, 0)
         for name, count in _FAULT.findall(text):
-            found[name] += int(float(count))
+            found[name] = found.get(name, 0) + int(float(count))
     return found
