--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -11,7 +11,7 @@
 
 Handler = Callable[[request.Request], Awaitable[reply.Reply]]
 
-_MAX_BODY_BYTES = 1024 * 1024
+MAX_BODY_BYTES = 1024 * 1024
 _MAX_HEADER_BYTES = 16 * 1024
 _BODY_TIMEOUT_SECONDS = 10.0
 # A caller that is still sending when it is refused reads the answer only if the
@@ -44,6 +44,8 @@
     is_direct : callable, optional
         Tells whether a request is served to its end even if its caller leaves; such
         a request needs no task that watches the connection.
+    max_body_bytes : callable, optional
+        Largest body that is accepted.
     """
 
     def __init__(
@@ -52,11 +54,13 @@
         all_counters: counters.Counters,
         closing: Callable[[], bool] = lambda: False,
         is_direct: Callable[[request.Request], bool] = lambda whole: False,
+        max_body_bytes: Callable[[], int] = lambda: MAX_BODY_BYTES,
     ) -> None:
         self._handler = handler
         self._counters = all_counters
         self._closing = closing
         self._is_direct = is_direct
+        self._max_body_bytes = max_body_bytes
         self._in_flight = 0
 
     @property
@@ -81,7 +85,7 @@
     ) -> None:
         whole, answer = None, None
         try:
-            whole = await _read_request(scope, receive)
+            whole = await _read_request(scope, receive, self._max_body_bytes())
             if whole is not None and self._is_direct(whole):
                 answer = await self._call(whole)
             elif whole is not None:
@@ -163,7 +167,9 @@
                 return
 
 
-async def _read_request(scope: dict, receive: Callable) -> request.Request | None:
+async def _read_request(
+    scope: dict, receive: Callable, max_body_bytes: int
+) -> request.Request | None:
     if scope["http_version"] not in _HTTP_1:
         raise error.RefusedError(
             kind.ErrorKind.REQUEST_MALFORMED, "accepted: HTTP/1.0 and HTTP/1.1"
@@ -177,10 +183,10 @@
             if message["type"] == "http.disconnect":
                 return None
             body += message.get("body", b"")
-            if len(body) > _MAX_BODY_BYTES:
+            if len(body) > max_body_bytes:
                 raise error.RefusedError(
                     kind.ErrorKind.REQUEST_TOO_LARGE,
-                    f"the body is larger than {_MAX_BODY_BYTES} bytes",
+                    f"the body is larger than {max_body_bytes} bytes",
                 )
             if not message.get("more_body", False):
                 break
--- a/src/rattanlug/caller/reply.py
+++ b/src/rattanlug/caller/reply.py
@@ -66,7 +66,7 @@
     answer = exc.answer
     extra = {"Rattanlug-Ran": answer.ran.value}
     if answer.retry_after is not None:
-        extra["Retry-After"] = str(answer.retry_after)
+        extra["Retry-After"] = f"{answer.retry_after:.3g}"
     value = {"kind": exc.kind.value, "detail": exc.detail, "ran": answer.ran.value}
     return from_json(value, answer.status, extra)
 
--- /dev/null
+++ b/src/rattanlug/canary/outcome_window.py
@@ -0,0 +1,53 @@
+"""Outcomes of the last seconds on each route of a service that is being moved."""
+
+import collections
+
+from rattanlug.fleet import outcome_count
+
+WINDOW_SECONDS = 3.0
+_BUCKET_SECONDS = 0.5
+_BUCKETS = int(WINDOW_SECONDS / _BUCKET_SECONDS)
+
+_Identity = tuple[str, str]
+
+
+class OutcomeWindow:
+    """Counts good and bad answers of the new and the old version.
+
+    A fault that begins late has to outweigh what was good before it, so that only
+    recent answers count.
+    """
+
+    def __init__(self) -> None:
+        self._buckets: collections.deque[tuple[int, dict[_Identity, list[int]]]] = (
+            collections.deque()
+        )
+
+    def add(
+        self, service: str, route: str, is_new: bool, bad: bool, now: float
+    ) -> None:
+        """Count an answer."""
+        number = int(now / _BUCKET_SECONDS)
+        if not self._buckets or self._buckets[-1][0] != number:
+            self._buckets.append((number, {}))
+        counts = self._buckets[-1][1].setdefault((service, route), [0, 0, 0, 0])
+        counts[(0 if is_new else 2) + int(bad)] += 1
+        self._expire(number)
+
+    def counts(self, now: float) -> tuple[outcome_count.OutcomeCount, ...]:
+        """Return the sums over the window."""
+        self._expire(int(now / _BUCKET_SECONDS))
+        sums: dict[_Identity, list[int]] = {}
+        for _, bucket in self._buckets:
+            for identity, counts in bucket.items():
+                total = sums.setdefault(identity, [0, 0, 0, 0])
+                for index, count in enumerate(counts):
+                    total[index] += count
+        return tuple(
+            outcome_count.OutcomeCount(*identity, *counts)
+            for identity, counts in sorted(sums.items())
+        )
+
+    def _expire(self, number: int) -> None:
+        while self._buckets and self._buckets[0][0] <= number - _BUCKETS:
+            self._buckets.popleft()
--- a/src/rattanlug/commands/registry.py
+++ b/src/rattanlug/commands/registry.py
@@ -70,7 +70,8 @@
         members = [
             cls for path, cls in COMMANDS.items() if len(path) > 1 and path[0] == name
         ]
-        tops.append(_parent(name, group_help, members))
+        if members:
+            tops.append(_parent(name, group_help, members))
     return _parent("rattanlug", "Global traffic steering.", tops)
 
 
--- a/src/rattanlug/daemon/configuration_store.py
+++ b/src/rattanlug/daemon/configuration_store.py
@@ -4,8 +4,8 @@
 
 from rattanlug.daemon import stored_version
 from rattanlug.errors import error, kind
-from rattanlug.platform import client, write
-from rattanlug.platform import error as platform_error
+from rattanlug.table_service import client, write
+from rattanlug.table_service import error as platform_error
 
 _TABLE = "configuration"
 _HEAD = "head"
--- a/src/rattanlug/daemon/loops/seats.py
+++ b/src/rattanlug/daemon/loops/seats.py
@@ -6,10 +6,10 @@
 from rattanlug.errors import error as error_tree
 from rattanlug.peer import error as peer_error
 from rattanlug.peer.generated import ttypes
-from rattanlug.platform import error as platform_error
-from rattanlug.platform import write
 from rattanlug.seats import seat_row, takeover
 from rattanlug.settings import address
+from rattanlug.table_service import error as platform_error
+from rattanlug.table_service import write
 
 _INTERVAL_SECONDS = 0.2
 _TIMEOUT_SECONDS = 0.5
--- a/src/rattanlug/daemon/node.py
+++ b/src/rattanlug/daemon/node.py
@@ -30,12 +30,12 @@
 from rattanlug.model import configuration
 from rattanlug.peer import client as peer_client
 from rattanlug.peer import codec, gossip_exchange
-from rattanlug.platform import client as platform_client
-from rattanlug.platform import group_commit
 from rattanlug.routing import link_budget, slot_ledger
 from rattanlug.seats import holder, share_history
 from rattanlug.settings import settings as settings_module
 from rattanlug.slo import recorder
+from rattanlug.table_service import client as platform_client
+from rattanlug.table_service import group_commit
 from rattanlug.upstream import client as upstream_client
 
 _MILLISECONDS_PER_SECOND = 1000
--- a/src/rattanlug/daemon/operation_runner.py
+++ b/src/rattanlug/daemon/operation_runner.py
@@ -21,8 +21,8 @@
     store_status,
     write_record,
 )
-from rattanlug.platform import client, group_commit, write
-from rattanlug.platform import error as platform_error
+from rattanlug.table_service import client, group_commit, write
+from rattanlug.table_service import error as platform_error
 
 Send = Callable[[], Awaitable[send_result.SendResult]]
 
--- a/src/rattanlug/daemon/steering.py
+++ b/src/rattanlug/daemon/steering.py
@@ -6,8 +6,6 @@
 from rattanlug.errors import error
 from rattanlug.logs import state as log_state
 from rattanlug.model import move
-from rattanlug.platform import client, write
-from rattanlug.platform import error as platform_error
 from rattanlug.rollout import (
     controller,
     lease_row,
@@ -17,6 +15,8 @@
     shares,
     steering_lease,
 )
+from rattanlug.table_service import client, write
+from rattanlug.table_service import error as platform_error
 
 _LEASE_TABLE = "leases"
 _LEASE_KEY = "moves"
--- /dev/null
+++ b/src/rattanlug/desired/__init__.py
@@ -0,0 +1,1 @@
+"""Desired state that operators write: routes, services and organisations."""
--- /dev/null
+++ b/src/rattanlug/desired/route_index.py
@@ -0,0 +1,37 @@
+"""Finds the route of a request."""
+
+from collections.abc import Iterable
+
+from rattanlug.desired import route
+
+
+class RouteIndex:
+    """Routes by host and prefix.
+
+    Parameters
+    ----------
+    routes : iterable of route.Route
+    """
+
+    def __init__(self, routes: Iterable[route.Route]) -> None:
+        self._hosts: dict[str, list[route.Route]] = {}
+        for each in routes:
+            self._hosts.setdefault(each.host.lower(), []).append(each)
+        for found in self._hosts.values():
+            found.sort(key=lambda each: len(each.prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> route.Route | None:
+        """Return the route with the longest prefix of a path, or None.
+
+        Parameters
+        ----------
+        host : str
+            Value of the ``Host`` header.
+        path : str
+            Path as it came, without query.
+        """
+        name = host.partition(":")[0].lower()
+        for each in self._hosts.get(name, ()):
+            if path.startswith(each.prefix):
+                return each
+        return None
--- /dev/null
+++ b/src/rattanlug/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstreams exist and what they say of themselves."""
--- a/src/rattanlug/errors/answer.py
+++ b/src/rattanlug/errors/answer.py
@@ -14,13 +14,13 @@
         HTTP status code.
     ran : ran.Ran
         What the answer states about execution unless the error overrides it.
-    retry_after : int or None
+    retry_after : float or None
         Seconds after which a repeat is useful, for the ``Retry-After`` header.
     """
 
     status: int
     ran: ran.Ran
-    retry_after: int | None = None
+    retry_after: float | None = None
 
 
 _NO = ran.Ran.NO
--- a/src/rattanlug/errors/error.py
+++ b/src/rattanlug/errors/error.py
@@ -14,6 +14,8 @@
         One sentence for the person who reads the answer.
     ran_override : ran.Ran, optional
         Statement about execution when it differs from the table.
+    retry_after : float, optional
+        Seconds after which a repeat is useful, when it differs from the table.
     """
 
     def __init__(
@@ -21,11 +23,13 @@
         error_kind: kind.ErrorKind,
         detail: str,
         ran_override: ran.Ran | None = None,
+        retry_after: float | None = None,
     ):
         super().__init__(detail)
         self._kind = error_kind
         self._detail = detail
         self._ran_override = ran_override
+        self._retry_after = retry_after
 
     @property
     def kind(self) -> kind.ErrorKind:
@@ -39,10 +43,12 @@
 
     @property
     def answer(self) -> answer.Answer:
-        """Answer of the table, with the override applied."""
+        """Answer of the table, with the overrides applied."""
         result = answer.answer_for(self._kind)
         if self._ran_override is not None:
             result = result._replace(ran=self._ran_override)
+        if self._retry_after is not None:
+            result = result._replace(retry_after=self._retry_after)
         return result
 
 
--- /dev/null
+++ b/src/rattanlug/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The other entry VMs: who is alive and what they report."""
--- /dev/null
+++ b/src/rattanlug/fleet/digest.thrift
@@ -0,0 +1,27 @@
+// Report of one entry VM to the others, one in a datagram.
+
+struct OutcomeCount {
+  1: string serviceName,
+  2: string route,
+  3: i32 newGood,
+  4: i32 newBad,
+  5: i32 oldGood,
+  6: i32 oldBad,
+}
+
+struct Digest {
+  1: i16 protocolVersion,
+  2: string vm,
+  3: i64 incarnation,
+  4: i64 sequence,
+  5: string dataCentre,
+  6: string host,
+  7: i32 port,
+  8: bool leaving,
+  9: i64 stateVersion,
+  10: map<string, double> demand,
+  11: list<OutcomeCount> outcomes,
+  12: list<i64> reverted,
+  // Set on a copy that another VM passes on.
+  13: bool passedOn,
+}
--- /dev/null
+++ b/src/rattanlug/fleet/digest_codec.py
@@ -0,0 +1,96 @@
+"""Encodes the reports that VMs send each other as datagrams."""
+
+from thrift import Thrift
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from rattanlug.fleet import digest, outcome_count
+from rattanlug.fleet.generated import ttypes
+
+PROTOCOL_VERSION = 1
+
+# Largest payload of a UDP datagram that the sockets accept here.
+MAX_BYTES = 8192
+
+_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
+    string_length_limit=1024, container_length_limit=4096
+)
+
+
+class UnreadableDigestError(ValueError):
+    """A datagram is no report of this protocol."""
+
+
+def encode(report: digest.Digest, passed_on: bool = False) -> bytes:
+    """Encode a report.
+
+    Parameters
+    ----------
+    report : digest.Digest
+    passed_on : bool
+        Whether this VM passes on the report of another one.
+    """
+    message = ttypes.Digest(
+        protocolVersion=PROTOCOL_VERSION,
+        vm=report.vm,
+        incarnation=report.incarnation,
+        sequence=report.sequence,
+        dataCentre=report.data_centre,
+        host=report.host,
+        port=report.port,
+        leaving=report.leaving,
+        stateVersion=report.state_version,
+        demand=dict(report.demand),
+        outcomes=[ttypes.OutcomeCount(*each) for each in report.outcomes],
+        reverted=list(report.reverted),
+        passedOn=passed_on,
+    )
+    buffer = TTransport.TMemoryBuffer()
+    message.write(_FACTORY.getProtocol(buffer))
+    return buffer.getvalue()
+
+
+def decode(data: bytes) -> tuple[digest.Digest, bool]:
+    """Decode a report; the second value tells whether another VM passed it on.
+
+    Raises
+    ------
+    UnreadableDigestError
+    """
+    message = ttypes.Digest()
+    try:
+        message.read(_FACTORY.getProtocol(TTransport.TMemoryBuffer(data)))
+        return _checked(message), bool(message.passedOn)
+    except (Thrift.TException, EOFError, TypeError, ValueError) as exc:
+        raise UnreadableDigestError(str(exc)) from exc
+
+
+def _checked(message: ttypes.Digest) -> digest.Digest:
+    if message.protocolVersion != PROTOCOL_VERSION:
+        raise UnreadableDigestError("the protocol version is unknown")
+    texts = (message.vm, message.dataCentre, message.host)
+    if not all(texts) or message.incarnation is None or message.sequence is None:
+        raise UnreadableDigestError("a field is missing")
+    return digest.Digest(
+        vm=message.vm,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        data_centre=message.dataCentre,
+        host=message.host,
+        port=message.port or 0,
+        leaving=bool(message.leaving),
+        state_version=message.stateVersion or 0,
+        demand=dict(message.demand or {}),
+        outcomes=tuple(
+            outcome_count.OutcomeCount(
+                each.serviceName,
+                each.route,
+                each.newGood or 0,
+                each.newBad or 0,
+                each.oldGood or 0,
+                each.oldBad or 0,
+            )
+            for each in message.outcomes or ()
+        ),
+        reverted=tuple(message.reverted or ()),
+    )
--- /dev/null
+++ b/src/rattanlug/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon of one VM."""
--- /dev/null
+++ b/src/rattanlug/gateway/endpoints.py
@@ -0,0 +1,82 @@
+"""Requests that the daemon answers itself."""
+
+import json
+
+from rattanlug.caller import reply, request
+from rattanlug.daemon import clock
+from rattanlug.errors import error, kind
+from rattanlug.fleet import lookup_answer
+from rattanlug.gateway import node as node_module
+from rattanlug.metrics import exposition
+from rattanlug.platform import lookup_codec, names
+
+# Short, so that callers learn soon of a VM that stops, and long enough that look-ups
+# cost little beside requests.
+LOOKUP_SECONDS = 2.0
+
+
+class Endpoints:
+    """Readiness, look-ups and metrics.
+
+    Parameters
+    ----------
+    node : node.Node
+    """
+
+    def __init__(self, node: node_module.Node) -> None:
+        self._node = node
+
+    async def serve_readiness(self, incoming: request.Request) -> reply.Reply:
+        """Tell the platform whether this VM serves requests."""
+        if incoming.path != names.READY_PATH:
+            raise _unknown(incoming)
+        if not self._node.ready:
+            raise error.RefusedError(
+                kind.ErrorKind.LEAVING
+                if self._node.leaving
+                else kind.ErrorKind.STARTING,
+                "this VM does not serve requests",
+            )
+        return reply.from_text("ready\n")
+
+    async def serve_lookup(self, incoming: request.Request) -> reply.Reply:
+        """Tell a caller which VMs to use."""
+        if incoming.path != names.LOOKUP_PATH:
+            raise _unknown(incoming)
+        node = self._node
+        wanted = lookup_codec.decode(incoming.parameters)
+        chosen = lookup_answer.choose_vms(
+            node.live_vms(clock.now()),
+            wanted.data_centre,
+            wanted.region,
+            node.settings.region_of,
+        )
+        node.counters.add("lookups", answered=str(bool(chosen)).lower())
+        if not chosen:
+            raise error.RefusedError(
+                kind.ErrorKind.STARTING, "no VM is known to serve requests"
+            )
+        seconds = min(LOOKUP_SECONDS, node.settings.bounds.longest_lookup)
+        return reply.from_json(lookup_codec.encode(chosen, seconds))
+
+    async def serve_metrics(self, incoming: request.Request) -> reply.Reply:
+        """Return all counters and histograms as text."""
+        if incoming.path != "/metrics":
+            raise _unknown(incoming)
+        node = self._node
+        now = clock.now()
+        gauges = {
+            "desired_state_version": float(node.desired.version),
+            "desired_state_age_seconds": min(node.desired.age(now), 1e9),
+            "upstreams": float(node.registry.size),
+            "live_vms": float(len(node.live_vms(now))),
+        }
+        return reply.from_text(
+            exposition.render(node.counters, node.histograms, gauges)
+        )
+
+
+def _unknown(incoming: request.Request) -> error.RefusedError:
+    return error.RefusedError(
+        kind.ErrorKind.ROUTE_UNKNOWN, f"nothing answers at {json.dumps(incoming.path)}"
+    )
--- /dev/null
+++ b/src/rattanlug/gateway/peers.py
@@ -0,0 +1,153 @@
+"""Exchange of reports between the entry VMs."""
+
+import json
+
+import trio
+
+from rattanlug.daemon import clock
+from rattanlug.fleet import digest_codec
+from rattanlug.gateway import node as node_module
+from rattanlug.gateway import store_reader
+from rattanlug.logs import state as log_state
+from rattanlug.platform import store_error, store_write
+
+# Reports a second decide how soon a dead VM is noticed and shares of rates follow.
+REPORT_SECONDS = 1.0
+# While a version is on trial, the evidence of all VMs has to come together sooner.
+TRIAL_REPORT_SECONDS = 0.5
+# VMs that registered and were never heard get a report in each n-th round only.
+SILENT_ROUNDS = 5
+# Rounds in which a starting VM also reports to its seeds.
+SEED_ROUNDS = 10
+# A VM that was not heard for this time is forgotten.
+FORGET_SECONDS = 60.0
+TABLE = "rattanlug-vms"
+RETRY_SECONDS = 1.0
+
+
+class Peers:
+    """Sends this VM's reports and receives those of the others.
+
+    Parameters
+    ----------
+    node : node.Node
+    """
+
+    def __init__(self, node: node_module.Node) -> None:
+        self._node = node
+        self._port = node.settings.peer_ports[0]
+        self._socket: trio.socket.SocketType | None = None
+        self._addresses: dict[str, str] = {}
+        self._round = 0
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Receive and send until cancelled."""
+        with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as own:
+            await own.bind((self._node.settings.host, self._port))
+            self._socket = own
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive)
+                nursery.start_soon(self._register)
+                task_status.started()
+                await self._report_regularly()
+
+    async def report(self) -> None:
+        """Send a report to the other VMs now."""
+        now = clock.now()
+        data = digest_codec.encode(self._node.own_digest(now))
+        for host in self._targets(now):
+            await self._send(data, host)
+
+    async def _report_regularly(self) -> None:
+        node = self._node
+        while True:
+            now = clock.now()
+            node.peers.forget(now - FORGET_SECONDS)
+            store_reader.share_rates(node, now)
+            await self.report()
+            self._round += 1
+            on_trial = any(
+                node.versions.is_trial(service, order.target)
+                for service, order in node.versions.orders.items()
+            )
+            await trio.sleep(TRIAL_REPORT_SECONDS if on_trial else REPORT_SECONDS)
+
+    def _targets(self, now: float) -> set[str]:
+        node = self._node
+        heard = node.peers.heard_within(FORGET_SECONDS, now)
+        targets = {each.host for each in heard}
+        if self._round % SILENT_ROUNDS == 0:
+            targets.update(self._addresses.values())
+        if self._round < SEED_ROUNDS:
+            targets.update(node.settings.seed_hosts)
+        return targets - {node.settings.host}
+
+    async def _receive(self) -> None:
+        node = self._node
+        while True:
+            try:
+                data, _ = await self._socket.recvfrom(65536)
+            except OSError:
+                # A port that is closed at the other side shows up here.
+                node.counters.add("peer_socket_errors")
+                continue
+            try:
+                report, passed_on = digest_codec.decode(data)
+            except digest_codec.UnreadableDigestError:
+                node.counters.add("peer_reports_unreadable")
+                continue
+            is_new = node.peers.hear(report, clock.now())
+            for order in report.reverted:
+                if node.versions.revert(order):
+                    log_state.changed("order", "running", "reverted", order=order)
+            if is_new:
+                log_state.changed("peer", None, report.vm, host=report.host)
+                await self._introduce(report, passed_on)
+
+    async def _introduce(self, report, passed_on: bool) -> None:
+        """Answer a VM that is new here, and tell the others of it once."""
+        now = clock.now()
+        own = digest_codec.encode(self._node.own_digest(now))
+        await self._send(own, report.host)
+        if passed_on:
+            return
+        data = digest_codec.encode(report, passed_on=True)
+        for host in self._targets(now) - {report.host}:
+            await self._send(data, host)
+
+    async def _send(self, data: bytes, host: str) -> None:
+        try:
+            await self._socket.sendto(data, (host, self._port))
+            self._node.counters.add("peer_report_bytes", len(data))
+        except OSError:
+            self._node.counters.add("peer_socket_errors")
+
+    async def _register(self) -> None:
+        """Write this VM's address into the store, and read those of the others."""
+        node = self._node
+        settings = node.settings
+        value = {"host": settings.host, "data_centre": settings.data_centre}
+        write = store_write.StoreWrite(
+            TABLE, settings.vm, json.dumps(value).encode(), None
+        )
+        while True:
+            try:
+                await node.store.commit([write])
+                read = await node.store.read_table(TABLE)
+            except store_error.StoreError:
+                await trio.sleep(RETRY_SECONDS * (1.0 + node.rng.random()))
+                continue
+            break
+        for row in read.rows:
+            self._take_row(row.key, row.value)
+        await self.report()
+
+    def _take_row(self, vm: str, data: bytes) -> None:
+        try:
+            found = json.loads(data)
+            host, data_centre = str(found["host"]), str(found["data_centre"])
+        except (KeyError, TypeError, ValueError):
+            self._node.counters.add("vm_rows_unreadable")
+            return
+        self._addresses[vm] = host
+        self._node.registered_vms.setdefault(data_centre, set()).add(vm)
--- /dev/null
+++ b/src/rattanlug/gateway/rollouts.py
@@ -0,0 +1,174 @@
+"""Moves services to new versions together with the other VMs."""
+
+import trio
+
+from rattanlug.canary import (
+    judgement,
+    record_codec,
+    rollout_order,
+    rollout_record,
+    rollout_state,
+    schedule,
+)
+from rattanlug.daemon import clock
+from rattanlug.errors import error
+from rattanlug.gateway import node as node_module
+from rattanlug.logs import state as log_state
+from rattanlug.platform import names, rollout_row, store_error, store_write
+
+ROUND_SECONDS = 0.4
+# Reads of the records while a move runs, so that a step or a return is known soon.
+READ_SECONDS = 0.8
+# Each VM waits for its turn to write, so that most never have to.
+TURN_SECONDS = 0.3
+_RUNNING = rollout_state.RolloutState.RUNNING
+
+
+async def run(node: node_module.Node) -> None:
+    """Work on all orders until cancelled."""
+    await _read_records_once(node)
+    read_at = clock.now()
+    first_seen: dict[int, float] = {}
+    while True:
+        now = clock.now()
+        orders = node.versions.orders.values()
+        open_orders = [each for each in orders if not _is_settled(node, each)]
+        if open_orders and now - read_at >= READ_SECONDS:
+            await _read_records(node)
+            read_at = now
+        for order in open_orders:
+            seen = first_seen.setdefault(order.row_version, now)
+            try:
+                await _advance(node, order, clock.now() - seen)
+            except (store_error.StoreError, error.ConflictError) as exc:
+                # Another VM was first, or the store is away; the next round looks.
+                node.log.write("move not written", now, reason=str(exc))
+        await trio.sleep(ROUND_SECONDS)
+
+
+def _is_settled(node: node_module.Node, order: rollout_order.RolloutOrder) -> bool:
+    record = node.versions.record(order.service)
+    return record is not None and record.state is not _RUNNING
+
+
+async def _read_records_once(node: node_module.Node) -> None:
+    while not await _read_records(node):
+        await trio.sleep(READ_SECONDS)
+
+
+async def _read_records(node: node_module.Node) -> bool:
+    try:
+        read = await node.store.read_table(record_codec.TABLE)
+    except store_error.StoreError:
+        return False
+    records = []
+    for row in read.rows:
+        try:
+            records.append(record_codec.decode(row.value, row.version))
+        except record_codec.UnreadableRecordError:
+            node.counters.add("move_records_unreadable")
+    node.versions.set_store_clock(read.store_now, clock.now())
+    node.versions.set_records(records, read.sent_at)
+    return True
+
+
+async def _advance(
+    node: node_module.Node, order: rollout_order.RolloutOrder, seen_for: float
+) -> None:
+    now = clock.now()
+    record = node.versions.record(order.service)
+    turn = _turn(node, now) * TURN_SECONDS
+    if record is None:
+        if seen_for >= turn:
+            await _begin(node, order, now)
+        return
+    bad = _evidence(node, order, now)
+    if bad is not None and node.versions.revert(order.row_version):
+        log_state.changed(
+            "order", "running", "reverted", order=order.row_version, **bad._asdict()
+        )
+    timeout = node.longest_timeout(order.service)
+    elapsed = node.versions.elapsed(record, now)
+    if order.row_version in node.versions.reverted:
+        reason = f"bad answers: {bad}" if bad is not None else "found bad elsewhere"
+        await _finish(node, record, rollout_state.RolloutState.ROLLED_BACK, reason)
+    elif schedule.may_complete(elapsed - turn, record.duration, timeout):
+        await _finish(node, record, rollout_state.RolloutState.COMPLETE, "")
+
+
+def _evidence(node: node_module.Node, order: rollout_order.RolloutOrder, now: float):
+    counts = list(node.outcomes.counts(now))
+    for report in node.peers.heard_within(node_module.RECENT_SECONDS, now):
+        counts.extend(report.outcomes)
+    return judgement.bad_route(order.service, counts)
+
+
+def _turn(node: node_module.Node, now: float) -> int:
+    """Return how many live VMs come before this one."""
+    own = node.settings.vm
+    return sum(each.vm < own for each in node.live_vms(now) if not each.leaving)
+
+
+async def _begin(
+    node: node_module.Node, order: rollout_order.RolloutOrder, now: float
+) -> None:
+    earlier = node.versions.any_record(order.service)
+    refused = set()
+    if earlier is not None and earlier.state is rollout_state.RolloutState.ROLLED_BACK:
+        refused.add(earlier.target)
+    present = {each.version for each in node.registry.of_service(order.service)}
+    base = tuple(sorted(present - refused - {order.target}))
+    if earlier is not None and earlier.state is rollout_state.RolloutState.COMPLETE:
+        base = (earlier.target,)
+    record = rollout_record.RolloutRecord(
+        order.service,
+        order.row_version,
+        order.target,
+        base,
+        node.versions.store_clock(now),
+        order.duration,
+        _RUNNING,
+        "",
+        earlier.row_version if earlier else 0,
+    )
+    await _write(node, record)
+
+
+async def _finish(
+    node: node_module.Node,
+    record: rollout_record.RolloutRecord,
+    state: rollout_state.RolloutState,
+    reason: str,
+) -> None:
+    await _write(node, record._replace(state=state, reason=reason))
+
+
+async def _write(node: node_module.Node, record: rollout_record.RolloutRecord) -> None:
+    """Write a record and what operators see, if the record did not change."""
+    status = rollout_row.encode_status(record.service, record.target, record.state)
+    version = await node.store.commit(
+        [
+            store_write.StoreWrite(
+                record_codec.TABLE,
+                record.service,
+                record_codec.encode(record),
+                record.row_version,
+            ),
+            store_write.StoreWrite(
+                names.STATUS_TABLE,
+                rollout_row.status_key(record.service),
+                status,
+                None,
+            ),
+        ]
+    )
+    written = record._replace(row_version=version)
+    node.versions.set_records([written], clock.now())
+    log_state.changed(
+        "move",
+        None,
+        record.state.value,
+        service=record.service,
+        target=record.target,
+        reason=record.reason,
+    )
--- /dev/null
+++ b/src/rattanlug/gateway/run.py
@@ -0,0 +1,133 @@
+"""Starts and stops the entry daemon."""
+
+import functools
+import gc
+import signal
+
+import trio
+
+from rattanlug.caller import application
+from rattanlug.caller import server as caller_server
+from rattanlug.daemon import clock
+from rattanlug.gateway import (
+    endpoints,
+    peers,
+    request_path,
+    rollouts,
+    store_reader,
+)
+from rattanlug.gateway import (
+    node as node_module,
+)
+from rattanlug.logs import state as log_state
+from rattanlug.settings import address, vm_settings
+
+METRICS_PORT = 9464
+# Time before the end of a stop in which no new request is taken any more.
+LAST_SECONDS = 1.0
+# Requests that run when this time is left are cut by the end of the process.
+END_SECONDS = 0.25
+# Collections of the oldest generation are rare, since most objects of a daemon live
+# as long as it does.
+_GC_THRESHOLDS = (20_000, 20, 50)
+# Largest body that is kept in memory for one request.
+MAX_BODY_BYTES = 16 << 20
+
+
+def run(settings: vm_settings.VmSettings) -> int:
+    """Run the daemon until SIGTERM; return the exit code."""
+    gc.set_threshold(*_GC_THRESHOLDS)
+    trio.run(_run, settings)
+    return 0
+
+
+async def _run(settings: vm_settings.VmSettings) -> None:
+    node = node_module.Node(settings)
+    log_state.changed(
+        "process", None, "started", vm=settings.vm, data_centre=settings.data_centre
+    )
+    received = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*received) as signals:
+        async with trio.open_nursery() as nursery:
+            parts = _Parts(node)
+            await nursery.start(parts.serve)
+            gc.freeze()
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                # Settings are read at the start only; all that changes while the
+                # process runs comes from the store.
+                log_state.changed("settings", "loaded", "kept", signal="SIGHUP")
+            await parts.stop()
+            nursery.cancel_scope.cancel()
+    await node.pools.aclose()
+    await node.store.aclose()
+    log_state.changed(
+        "process", "stopping", "stopped", requests_cut=parts.requests_in_flight
+    )
+
+
+class _Parts:
+    """Listeners and background tasks of one daemon."""
+
+    def __init__(self, node: node_module.Node) -> None:
+        self._node = node
+        self._path = request_path.RequestPath(node)
+        self._app = application.Application(
+            self._path.serve,
+            node.counters,
+            closing=lambda: node.leaving,
+            is_direct=self._path.is_once_only,
+            max_body_bytes=self._max_body_bytes,
+        )
+        self._peers = peers.Peers(node)
+        self._stop_callers = trio.Event()
+        self._callers = caller_server.Server(self._app, node.counters)
+
+    @property
+    def requests_in_flight(self) -> int:
+        """Requests of callers that are being served."""
+        return self._app.in_flight
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run everything until cancelled."""
+        node = self._node
+        settings = node.settings
+        own = endpoints.Endpoints(node)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(store_reader.follow_operators, node)
+            nursery.start_soon(store_reader.read_upstreams, node)
+            nursery.start_soon(rollouts.run, node)
+            await nursery.start(self._peers.run)
+            metrics = address.Address(settings.host, METRICS_PORT)
+            for handler, local in (
+                (own.serve_readiness, settings.readiness),
+                (own.serve_lookup, settings.lookups),
+                (own.serve_metrics, metrics),
+            ):
+                app = application.Application(handler, node.counters)
+                web = caller_server.Server(app, node.counters)
+                start = functools.partial(web.run, local, trio.Event(), 0.0)
+                await nursery.start(start)
+            await nursery.start(
+                self._callers.run, settings.callers, self._stop_callers, 0.0
+            )
+            task_status.started()
+
+    async def stop(self) -> None:
+        """Leave the look-ups, serve who still comes, and finish what runs."""
+        node = self._node
+        began = clock.now()
+        node.leaving = True
+        log_state.changed("process", "running", "stopping")
+        await self._peers.report()
+        grace = node.settings.bounds.stop
+        await trio.sleep(max(0.0, grace - LAST_SECONDS))
+        while clock.now() - began < grace - END_SECONDS and self._app.in_flight:
+            await trio.sleep(0.02)
+        self._stop_callers.set()
+
+    def _max_body_bytes(self) -> int:
+        state = self._node.desired.state
+        limit = state.limits.body_bytes if state else MAX_BODY_BYTES
+        return min(limit, MAX_BODY_BYTES)
--- /dev/null
+++ b/src/rattanlug/logs/non_blocking.py
@@ -0,0 +1,39 @@
+"""A log handler that never waits."""
+
+import logging
+import os
+
+
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a descriptor and drops those for which there is no room.
+
+    Parameters
+    ----------
+    descriptor : int
+        Set to non-blocking mode.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._dropped = 0
+        self._rest = b""
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were dropped."""
+        return self._dropped
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        line = self.format(record).encode() + b"\n"
+        data = self._rest + line
+        try:
+            written = os.write(self._descriptor, data)
+        except OSError:
+            # No room, or no reader any more.
+            self._dropped += 1
+            return
+        # A line that was written in part is completed before the next one.
+        self._rest = data[written:]
--- a/src/rattanlug/logs/setup.py
+++ b/src/rattanlug/logs/setup.py
@@ -5,11 +5,13 @@
 
 from pythonjsonlogger import json
 
+from rattanlug.logs import non_blocking
+
 LOGGER_NAME = "rattanlug"
 
 
-def configure(level: str, vm: str) -> logging.Logger:
-    """Write log records as JSON lines to standard error.
+def configure(level: str, vm: str, to_standard_output: bool = False) -> logging.Logger:
+    """Write log records as JSON lines.
 
     A second call replaces the first. Records of libraries go the same way, from
     ``WARNING`` on.
@@ -20,13 +22,19 @@
         Lowest level that is written, such as ``INFO``.
     vm : str
         Name of the VM, part of every line.
+    to_standard_output : bool
+        Write to standard output, and never wait for its reader: lines for which
+        there is no room are dropped. Otherwise, write to standard error.
 
     Returns
     -------
     logging.Logger
         Logger of rattanlug.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    if to_standard_output:
+        handler = non_blocking.NonBlockingHandler(sys.stdout.fileno())
+    else:
+        handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         json.JsonFormatter(
             ["message", "levelname", "name"],
--- /dev/null
+++ b/src/rattanlug/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream gets a request."""
--- a/src/rattanlug/platform/__init__.py
+++ b/src/rattanlug/platform/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP client for the platform's table service, object store and VM list."""
+"""Adapter for the users' platform: its names, formats and calls, and no decision."""
--- /dev/null
+++ b/src/rattanlug/platform/operator_table.py
@@ -0,0 +1,80 @@
+"""What operators have written: desired state, moves between versions, evacuations."""
+
+import logging
+
+from rattanlug.canary import rollout_order
+from rattanlug.desired import state
+from rattanlug.platform import (
+    decoding,
+    desired_state,
+    names,
+    rollout_row,
+    store_read,
+    store_row,
+)
+
+_LOG = logging.getLogger(__name__)
+
+
+class OperatorTable:
+    """Translates the operators' rows.
+
+    A row that can't be read keeps what was known of it before.
+    """
+
+    def __init__(self) -> None:
+        self._versions: dict[str, int] = {}
+        self._desired: state.DesiredState | None = None
+        self._orders: dict[str, rollout_order.RolloutOrder] = {}
+        self._evacuated: set[str] = set()
+
+    @property
+    def desired(self) -> state.DesiredState | None:
+        """Newest desired state."""
+        return self._desired
+
+    @property
+    def orders(self) -> dict[str, rollout_order.RolloutOrder]:
+        """Orders to move a service, by service."""
+        return self._orders
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Data centres whose upstreams are to get nothing."""
+        return frozenset(self._evacuated)
+
+    def apply_all(self, read: store_read.StoreRead) -> None:
+        """Take a read of the whole table."""
+        present = {each.key for each in read.rows}
+        for key in [key for key in self._versions if key not in present]:
+            self._apply(store_row.StoreRow(key, b"", read.version, removed=True))
+        self.apply_changes(read)
+
+    def apply_changes(self, read: store_read.StoreRead) -> None:
+        """Take rows that changed."""
+        for row in read.rows:
+            self._apply(row)
+
+    def _apply(self, row: store_row.StoreRow) -> None:
+        if row.version < self._versions.get(row.key, 0):
+            return
+        self._versions[row.key] = row.version
+        try:
+            self._decode(row)
+        except decoding.UnreadableError as exc:
+            _LOG.warning(
+                "an operator's row can't be read",
+                extra={"row": row.key, "reason": str(exc)},
+            )
+
+    def _decode(self, row: store_row.StoreRow) -> None:
+        kind, _, name = row.key.partition("/")
+        if row.key == names.DESIRED_STATE_KEY and not row.removed:
+            self._desired = desired_state.decode(row.value)
+        elif f"{kind}/" == names.ROLLOUT_PREFIX:
+            if row.removed:
+                self._orders.pop(name, None)
+            else:
+                self._orders[name] = rollout_row.decode_order(row)
+        elif f"{kind}/" == names.EVACUATION_PREFIX:
+            (self._evacuated.discard if row.removed else self._evacuated.add)(name)
--- /dev/null
+++ b/src/rattanlug/platform/store_client.py
@@ -0,0 +1,249 @@
+"""The one client of the platform's store."""
+
+import base64
+import json
+from collections.abc import Callable, Sequence
+from typing import Any
+from urllib import parse
+
+import httpcore
+import trio
+
+from rattanlug.metrics import counters, histograms
+from rattanlug.platform import store_error, store_read, store_row, store_write
+from rattanlug.settings import address
+
+# A round trip between regions takes about 0.11 s; two of them fit.
+CONNECT_SECONDS = 0.35
+# The store answers within some milliseconds unless it is overloaded.
+CALL_SECONDS = 0.8
+# Time for the answer of a feed beyond the wait that was asked for.
+FEED_EXTRA_SECONDS = 0.5
+# Below the idle time after which common HTTP servers close a connection.
+IDLE_SECONDS = 4.0
+_MAX_CONNECTIONS = 8
+_ROWS_PER_CALL = 500
+_MILLISECONDS = 1000.0
+
+
+class StoreClient:
+    """Reads tables, follows changes and writes on conditions.
+
+    Parameters
+    ----------
+    target : address.Address
+    local_host : str
+        Source address of connections.
+    clock : callable
+        Present time, seconds.
+    all_counters : counters.Counters
+    all_histograms : histograms.Histograms
+    """
+
+    def __init__(
+        self,
+        target: address.Address,
+        local_host: str,
+        clock: Callable[[], float],
+        all_counters: counters.Counters,
+        all_histograms: histograms.Histograms,
+    ) -> None:
+        self._target = target
+        self._clock = clock
+        self._counters = all_counters
+        self._histograms = all_histograms
+        self._pool = httpcore.AsyncConnectionPool(
+            local_address=local_host,
+            max_connections=_MAX_CONNECTIONS,
+            max_keepalive_connections=_MAX_CONNECTIONS,
+            keepalive_expiry=IDLE_SECONDS,
+            retries=0,
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def read_table(self, table: str) -> store_read.StoreRead:
+        """Read all rows of a table.
+
+        Raises
+        ------
+        store_error.StoreError
+        """
+        rows: list[store_row.StoreRow] = []
+        sent_at = self._clock()
+        while True:
+            query = {"table": table, "part": "", "limit": str(_ROWS_PER_CALL)}
+            if rows:
+                query["from"] = rows[-1].key + "\0"
+            found = await self._get("rows-get", query, CALL_SECONDS)
+            rows.extend(_rows(found))
+            if not found.get("has_more"):
+                break
+        return _read(found, rows, sent_at)
+
+    async def follow_table(
+        self, table: str, after: int, wait: float
+    ) -> store_read.StoreRead:
+        """Wait for changes of a table.
+
+        Parameters
+        ----------
+        table : str
+        after : int
+            Version from which on changes are wanted.
+        wait : float
+            Longest wait, seconds; then the result has no rows.
+
+        Raises
+        ------
+        store_error.HistoryLostError
+            The changes have to be found by reading the table.
+        store_error.StoreError
+        """
+        query = {
+            "table": table,
+            "after": str(after),
+            "wait_ms": str(int(wait * _MILLISECONDS)),
+        }
+        sent_at = self._clock()
+        found = await self._get("rows-feed", query, wait + FEED_EXTRA_SECONDS)
+        return _read(found, _rows(found), sent_at)
+
+    async def commit(self, writes: Sequence[store_write.StoreWrite]) -> int:
+        """Apply all writes or none.
+
+        Returns
+        -------
+        int
+            Version of the transaction.
+
+        Raises
+        ------
+        store_error.ConditionFailedError
+        store_error.StoreError
+        """
+        body = {
+            "expect": [
+                {**_identity(each), "row_version": each.expected_version}
+                for each in writes
+                if each.expected_version is not None
+            ],
+            "puts": [
+                {**_identity(each), "value": base64.b64encode(each.value).decode()}
+                for each in writes
+                if each.value is not None
+            ],
+            "remove": [_identity(each) for each in writes if each.value is None],
+        }
+        content = json.dumps(body, separators=(",", ":")).encode()
+        found = await self._call("POST", "/rows-tx", content, CALL_SECONDS)
+        return int(found.get("row_version", 0))
+
+    async def _get(self, call: str, query: dict[str, str], limit: float) -> dict:
+        target = f"/{call}?{parse.urlencode(query)}"
+        return await self._call("GET", target, None, limit)
+
+    async def _call(
+        self, method: str, target: str, content: bytes | None, limit: float
+    ) -> dict[str, Any]:
+        call = target.partition("?")[0][1:]
+        began = self._clock()
+        try:
+            found = await self._exchange(method, target, content, limit)
+        except store_error.ConditionFailedError:
+            self._counters.add("store_calls", call=call, outcome="conflict")
+            raise
+        except store_error.StoreError:
+            self._counters.add("store_calls", call=call, outcome="failed")
+            raise
+        self._counters.add("store_calls", call=call, outcome="ok")
+        self._histograms.record("store_call", self._clock() - began, call=call)
+        return found
+
+    async def _exchange(
+        self, method: str, target: str, content: bytes | None, limit: float
+    ) -> dict[str, Any]:
+        url = httpcore.URL(
+            scheme="http",
+            host=self._target.host,
+            port=self._target.port,
+            target=target,
+        )
+        headers = {"Host": f"{self._target.host}:{self._target.port}"}
+        if content is not None:
+            headers["Content-Type"] = "application/json"
+        is_write = content is not None
+        try:
+            with trio.fail_after(limit):
+                answer = await self._pool.request(
+                    method,
+                    url,
+                    headers=headers,
+                    content=content,
+                    extensions={"timeout": {"connect": CONNECT_SECONDS}},
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            raise store_error.StoreError("no connection to the store") from exc
+        except trio.TooSlowError as exc:
+            raise store_error.StoreError(
+                f"the store did not answer in {limit:g} s", is_write
+            ) from exc
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as exc:
+            raise store_error.StoreError(
+                f"the connection to the store broke: {type(exc).__name__}", is_write
+            ) from exc
+        return _parse(answer.status, answer.content, is_write)
+
+
+def _parse(status: int, content: bytes, is_write: bool) -> dict[str, Any]:
+    if status == 412:
+        raise store_error.ConditionFailedError("a row has another version")
+    if status == 410:
+        raise store_error.HistoryLostError("the store dropped its history")
+    if status != 200:
+        raise store_error.StoreError(f"the store answered with status {status}")
+    try:
+        found = json.loads(content)
+    except ValueError as exc:
+        raise store_error.StoreError(
+            "the store's answer is not JSON", is_write
+        ) from exc
+    if not isinstance(found, dict):
+        raise store_error.StoreError("the store's answer is not an object", is_write)
+    return found
+
+
+def _identity(write: store_write.StoreWrite) -> dict[str, str]:
+    return {"table": write.table, "part": "", "key": write.key}
+
+
+def _rows(found: dict[str, Any]) -> list[store_row.StoreRow]:
+    try:
+        return [
+            store_row.StoreRow(
+                str(each["key"]),
+                base64.b64decode(each.get("value") or ""),
+                int(each.get("row_version", 0)),
+                bool(each.get("tombstoned")),
+            )
+            for each in found["rows"]
+        ]
+    except (KeyError, TypeError, ValueError) as exc:
+        raise store_error.StoreError("the store's rows can't be read") from exc
+
+
+def _read(
+    found: dict[str, Any], rows: list[store_row.StoreRow], sent_at: float
+) -> store_read.StoreRead:
+    return store_read.StoreRead(
+        rows,
+        int(found.get("row_version", 0)),
+        float(found.get("now_s", 0.0)),
+        sent_at,
+    )
--- /dev/null
+++ b/src/rattanlug/rate_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rates of organisations, counted over all VMs together."""
--- /dev/null
+++ b/src/rattanlug/rate_limits/demand_meter.py
@@ -0,0 +1,30 @@
+"""Measures how many requests a second arrive."""
+
+import math
+
+# Time constant; a change of demand shows within about a second.
+SMOOTHING_SECONDS = 0.8
+
+
+class DemandMeter:
+    """Exponentially weighted rate of events.
+
+    Parameters
+    ----------
+    now : float
+        Seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._rate = 0.0
+        self._updated_at = now
+
+    def add(self, now: float) -> None:
+        """Count one event."""
+        self._rate = self.rate(now) + 1.0 / SMOOTHING_SECONDS
+        self._updated_at = now
+
+    def rate(self, now: float) -> float:
+        """Return events a second."""
+        elapsed = max(0.0, now - self._updated_at)
+        return self._rate * math.exp(-elapsed / SMOOTHING_SECONDS)
--- /dev/null
+++ b/src/rattanlug/rate_limits/limiter_table.py
@@ -0,0 +1,45 @@
+"""Limiters of all organisations."""
+
+from collections.abc import Iterable, Mapping
+
+from rattanlug.desired import organisation
+from rattanlug.rate_limits import organisation_limiter
+
+# Demands below this are not reported to other VMs, requests a second.
+LEAST_DEMAND = 0.05
+
+
+class LimiterTable:
+    """One limiter for each organisation that has a rate."""
+
+    def __init__(self) -> None:
+        self._limiters: dict[str, organisation_limiter.OrganisationLimiter] = {}
+
+    def configure(
+        self, organisations: Iterable[organisation.Organisation], now: float
+    ) -> None:
+        """Take the organisations of a new version."""
+        limiters = {}
+        for each in organisations:
+            known = self._limiters.get(each.name)
+            if known is None:
+                known = organisation_limiter.OrganisationLimiter(each, now)
+            else:
+                known.configure(each, now)
+            limiters[each.name] = known
+        self._limiters = limiters
+
+    def limiter(self, name: str) -> organisation_limiter.OrganisationLimiter:
+        """Return the limiter of an organisation in force."""
+        return self._limiters[name]
+
+    def demand(self, now: float) -> dict[str, float]:
+        """Return the demand at this VM, for its report to the others."""
+        found = {name: each.demand(now) for name, each in self._limiters.items()}
+        return {name: rate for name, rate in found.items() if rate >= LEAST_DEMAND}
+
+    def divide(self, elsewhere: list[Mapping[str, float]], now: float) -> None:
+        """Set all shares from the reports of the other VMs."""
+        for name, each in self._limiters.items():
+            demand = sum(report.get(name, 0.0) for report in elsewhere)
+            each.set_share(demand, len(elsewhere) + 1, now)
--- /dev/null
+++ b/src/rattanlug/rate_limits/organisation_limiter.py
@@ -0,0 +1,99 @@
+"""Share of one VM of an organisation's rate."""
+
+from rattanlug.desired import organisation
+from rattanlug.rate_limits import demand_meter
+
+# Part of the rate that is shared out evenly, so that a VM to which callers have just
+# moved serves some of them before the others know.
+EVEN_SHARE = 0.15
+# A limiter starts with the tokens of this time, since it can't know what the other
+# VMs, or its own earlier process, have admitted.
+START_SECONDS = 0.5
+
+
+class OrganisationLimiter:
+    """Token bucket for this VM's share of the rate and of the burst.
+
+    Shares follow the demand at each VM, so that they add up to the whole and each VM
+    has the same headroom relative to its demand.
+
+    Parameters
+    ----------
+    limits : organisation.Organisation
+    now : float
+        Seconds.
+    """
+
+    def __init__(self, limits: organisation.Organisation, now: float) -> None:
+        self._rate = limits.rate
+        self._burst = limits.burst
+        self._share = 1.0
+        self._demand = demand_meter.DemandMeter(now)
+        self._tokens = 0.0
+        self._updated_at = now
+        self._started = False
+
+    def configure(self, limits: organisation.Organisation, now: float) -> None:
+        """Take the rate and burst of a new version."""
+        self._refill(now)
+        self._rate, self._burst = limits.rate, limits.burst
+        self._tokens = min(self._tokens, self._capacity)
+
+    def set_share(self, demand_elsewhere: float, vms: int, now: float) -> None:
+        """Divide the rate anew.
+
+        Parameters
+        ----------
+        demand_elsewhere : float
+            Requests a second at the other VMs.
+        vms : int
+            Number of VMs that may admit requests, this one included.
+        now : float
+            Seconds.
+        """
+        self._refill(now)
+        own = self._demand.rate(now)
+        total = own + demand_elsewhere
+        proportional = own / total if total > 0.0 else 1.0 / vms
+        self._share = EVEN_SHARE / vms + (1.0 - EVEN_SHARE) * proportional
+        if not self._started:
+            self._started = True
+            self._tokens = START_SECONDS * self._rate * self._share
+        self._tokens = min(self._tokens, self._capacity)
+
+    def demand(self, now: float) -> float:
+        """Return the requests a second that arrive here."""
+        return self._demand.rate(now)
+
+    def admit(self, now: float) -> bool:
+        """Count a request; return whether it is within the share."""
+        self._demand.add(now)
+        if self._rate <= 0.0:
+            return True
+        self._refill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def give_back(self, now: float) -> None:
+        """Return the token of a request that reached no upstream."""
+        self._refill(now)
+        self._tokens = min(self._tokens + 1.0, self._capacity)
+
+    def wait_seconds(self) -> float:
+        """Return after what time the next token is there, seconds."""
+        refill = self._rate * self._share
+        missing = max(0.0, 1.0 - self._tokens)
+        return missing / refill if refill > 0.0 else 1.0
+
+    @property
+    def _capacity(self) -> float:
+        return max(1.0, self._burst * self._share)
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        self._tokens = min(
+            self._tokens + elapsed * self._rate * self._share, self._capacity
+        )
--- /dev/null
+++ b/src/rattanlug/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on sending a request to a second upstream."""
--- /dev/null
+++ b/src/rattanlug/retries/decision.py
@@ -0,0 +1,27 @@
+"""Whether a request may be sent to another upstream."""
+
+from rattanlug.errors import ran
+
+# With less time than this an upstream elsewhere can't answer, seconds.
+LEAST_TIME_LEFT = 0.05
+
+
+def may_send_again(
+    idempotent: bool, did_run: ran.Ran, sends: int, max_sends: int, time_left: float
+) -> bool:
+    """Decide after a failed send.
+
+    Parameters
+    ----------
+    idempotent : bool
+    did_run : ran.Ran
+        What is known of the failed send.
+    sends : int
+        Upstreams to which the request was sent.
+    max_sends : int
+    time_left : float
+        Seconds.
+    """
+    if sends >= max_sends or time_left < LEAST_TIME_LEFT:
+        return False
+    return idempotent or did_run is ran.Ran.NO
--- /dev/null
+++ b/src/rattanlug/settings/bounds.py
@@ -0,0 +1,64 @@
+"""Bounds that the operators of a deployment set."""
+
+from typing import NamedTuple
+
+
+class Bounds(NamedTuple):
+    """Bounds of a deployment; times in seconds.
+
+    Attributes
+    ----------
+    contact : float
+        A VM counts as connected after this time without a fault.
+    drain : float
+        Longest time until a leaving upstream gets no request.
+    stop : float
+        Time from SIGTERM to the end of the process.
+    apply : float
+        Longest time until a desired state is in force.
+    key_withdrawal : float
+        Longest time for which a withdrawn key may work.
+    strict_withdrawal : bool
+        Whether `key_withdrawal` also binds VMs that are cut off.
+    retry_ratio : float
+        Repeated sends for each request to a service.
+    retry_window : float
+    retry_slack : float
+        Repeated sends on top of the ratio, in one window.
+    rate_window : float
+    rate_overage : float
+        Share by which an organisation may exceed its rate in one window.
+    rate_slack : float
+        Requests on top of that.
+    canary_share : float
+        Share of a service's requests that a bad version may get.
+    canary_slack : float
+        Requests on top of that.
+    cold_factor : float
+        Factor on the rate that a cold upstream tolerates.
+    cold_slack : float
+        Requests on top of that, in one second.
+    longest_lookup : float
+        Longest lifetime of a look-up answer.
+    region_shift : float
+        Share of a region's requests that may change region within 2 s.
+    """
+
+    contact: float = 4.0
+    drain: float = 2.5
+    stop: float = 6.0
+    apply: float = 2.5
+    key_withdrawal: float = 5.0
+    strict_withdrawal: bool = True
+    retry_ratio: float = 0.2
+    retry_window: float = 10.0
+    retry_slack: float = 50.0
+    rate_window: float = 5.0
+    rate_overage: float = 0.1
+    rate_slack: float = 20.0
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    cold_factor: float = 1.5
+    cold_slack: float = 5.0
+    longest_lookup: float = 5.0
+    region_shift: float = 0.15
--- a/src/rattanlug/platform/client.py
+++ b/src/rattanlug/table_service/client.py
@@ -9,8 +9,8 @@
 import httpcore
 import trio
 
-from rattanlug.platform import error, listed_vm, row, write
 from rattanlug.settings import address
+from rattanlug.table_service import error, listed_vm, row, write
 
 # A connection inside a region opens in about 1 ms and between regions in about 60 ms.
 CONNECT_TIMEOUT_S = 0.5
--- a/src/rattanlug/platform/error.py
+++ b/src/rattanlug/table_service/error.py
@@ -1,7 +1,7 @@
 """Errors of the platform client."""
 
 from rattanlug.errors import error, kind
-from rattanlug.platform import row
+from rattanlug.table_service import row
 
 
 class PlatformError(error.PlatformError):
--- a/src/rattanlug/platform/group_commit.py
+++ b/src/rattanlug/table_service/group_commit.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from rattanlug.platform import client, error, write
+from rattanlug.table_service import client, error, write
 
 # Bounds a transaction to a few hundred kilobytes with the largest recorded responses.
 MAX_WRITES = 64
--- /dev/null
+++ b/src/rattanlug/upstream/answer_stream.py
@@ -0,0 +1,130 @@
+"""A network stream that shows only the answer to the present request."""
+
+import httpcore
+
+_HEAD_END = b"\r\n\r\n"
+_INFORMATIONAL = b"1"
+# Status line ``HTTP/1.1 200``: the status begins here.
+_STATUS_AT = 9
+_MAX_HEAD_BYTES = 64 * 1024
+
+
+class AnswerStream(httpcore.AsyncNetworkStream):
+    """Drops answers to earlier requests and counts the bytes of the present one.
+
+    Some upstreams answer a request a second time, late, where the answer to the next
+    request is expected. The identifier that each answer repeats tells them apart.
+
+    Parameters
+    ----------
+    inner : httpcore.AsyncNetworkStream
+    identifier_header : bytes
+        Header that each answer repeats, in lower case.
+    """
+
+    def __init__(
+        self, inner: httpcore.AsyncNetworkStream, identifier_header: bytes
+    ) -> None:
+        self._inner = inner
+        self._header = identifier_header
+        self._expected = b""
+        self._head = bytearray()
+        self._in_head = True
+        self._to_drop = 0
+        self._body_bytes = 0
+        self._dropped = 0
+        self._received = 0
+
+    @property
+    def body_bytes(self) -> int:
+        """Bytes received since the end of the answer's head."""
+        return self._body_bytes
+
+    @property
+    def received(self) -> int:
+        """Bytes received for the present request."""
+        return self._received
+
+    @property
+    def dropped(self) -> int:
+        """Answers to earlier requests that were dropped."""
+        return self._dropped
+
+    def expect(self, identifier: bytes) -> None:
+        """Begin a request; only its answer is shown from now on."""
+        self._expected = identifier
+        self._head.clear()
+        self._in_head = True
+        self._to_drop = 0
+        self._body_bytes = 0
+        self._received = 0
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Read bytes of the present answer; empty at the end of the connection."""
+        while True:
+            data = await self._inner.read(max_bytes, timeout)
+            self._received += len(data)
+            if not data:
+                rest = bytes(self._head)
+                self._head.clear()
+                return rest
+            shown = self._show(data)
+            if shown:
+                return shown
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Write bytes of a request."""
+        await self._inner.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._inner.aclose()
+
+    def get_extra_info(self, info: str) -> object:
+        """Return what the inner stream returns."""
+        return self._inner.get_extra_info(info)
+
+    def _show(self, data: bytes) -> bytes:
+        if not self._in_head:
+            self._body_bytes += len(data)
+            return data
+        self._head += data
+        while True:
+            if self._to_drop:
+                count = min(self._to_drop, len(self._head))
+                del self._head[:count]
+                self._to_drop -= count
+            end = self._head.find(_HEAD_END)
+            if self._to_drop or (end < 0 and len(self._head) <= _MAX_HEAD_BYTES):
+                return b""
+            head = bytes(self._head[: end + len(_HEAD_END)]) if end >= 0 else b""
+            length = self._length_of_other(head)
+            if length is None:
+                return self._release(head)
+            del self._head[: len(head)]
+            self._to_drop = length
+            self._dropped += 1
+
+    def _release(self, head: bytes) -> bytes:
+        shown = bytes(self._head)
+        self._head.clear()
+        if head[_STATUS_AT : _STATUS_AT + 1] == _INFORMATIONAL:
+            # The real head follows; it is shown together with this one.
+            rest = shown[len(head) :]
+            return head + (self._show(rest) if rest else b"")
+        self._in_head = False
+        self._body_bytes = len(shown) - len(head)
+        return shown
+
+    def _length_of_other(self, head: bytes) -> int | None:
+        """Return the body length of an answer to another request, else None."""
+        identifier, length = None, None
+        for line in head.split(b"\r\n")[1:]:
+            name, _, value = line.partition(b":")
+            if name.strip().lower() == self._header:
+                identifier = value.strip()
+            elif name.strip().lower() == b"content-length":
+                length = value.strip()
+        if identifier is None or identifier == self._expected:
+            return None
+        return int(length) if length is not None and length.isdigit() else None
--- /dev/null
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -0,0 +1,172 @@
+"""Connections to all upstreams."""
+
+import socket
+from collections.abc import Callable
+from typing import NamedTuple
+
+import httpcore
+import trio
+
+from rattanlug.errors import error, kind, ran
+from rattanlug.upstream import answer_stream, pooled_connection, response
+
+# Below the idle time after which common HTTP servers close a connection.
+IDLE_SECONDS = 4.0
+# Part of the idle time that an upstream announces.
+IDLE_SHARE = 0.6
+# A connection whose bytes are not acknowledged for this time is broken.
+UNACKNOWLEDGED_SECONDS = 1.5
+_MILLISECONDS = 1000
+
+
+class Exchange(NamedTuple):
+    """A whole answer and what the send showed of the connection.
+
+    Attributes
+    ----------
+    answer : response.Response
+    connect_seconds : float or None
+        Time that opening a connection took; None when one was reused.
+    """
+
+    answer: response.Response
+    connect_seconds: float | None
+
+
+class ConnectionPools:
+    """One pool for each address of an upstream.
+
+    Parameters
+    ----------
+    local_host : str
+        Source address of connections.
+    identifier_header : bytes
+        Header that each answer repeats from its request, in lower case.
+    clock : callable
+        Present time, seconds.
+    """
+
+    def __init__(
+        self, local_host: str, identifier_header: bytes, clock: Callable[[], float]
+    ) -> None:
+        self._local_host = local_host
+        self._identifier_header = identifier_header
+        self._clock = clock
+        self._backend = httpcore.TrioBackend()
+        self._idle: dict[tuple[str, int], list[pooled_connection.PooledConnection]] = {}
+        self._idle_seconds: dict[tuple[str, int], float] = {}
+
+    def set_idle_seconds(self, host: str, port: int, announced: float) -> None:
+        """Take the time for which an upstream keeps idle connections."""
+        self._idle_seconds[host, port] = min(IDLE_SECONDS, IDLE_SHARE * announced)
+
+    async def forget(self, host: str, port: int) -> None:
+        """Close the idle connections to an address."""
+        self._idle_seconds.pop((host, port), None)
+        for connection in self._idle.pop((host, port), []):
+            await connection.aclose()
+
+    async def send(
+        self,
+        host: str,
+        port: int,
+        request: httpcore.Request,
+        identifier: bytes,
+        connect_seconds: float,
+    ) -> Exchange:
+        """Send one request and return its whole answer.
+
+        The caller bounds the time. Cancelling the call closes the connection, which
+        tells the upstream to stop.
+
+        Parameters
+        ----------
+        host : str
+        port : int
+        request : httpcore.Request
+        identifier : bytes
+            Value of the identifier header.
+        connect_seconds : float
+            Longest time for opening a connection.
+
+        Raises
+        ------
+        error.UpstreamError
+            With ``ran`` NO when no byte can have left, else UNKNOWN.
+        """
+        connection = await self._reuse(host, port)
+        opened = None
+        if connection is None:
+            began = self._clock()
+            connection = await self._open(host, port, connect_seconds)
+            opened = self._clock() - began
+        try:
+            answer, reusable = await connection.exchange(
+                request, identifier, self._identifier_header
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as exc:
+            await self._close(connection)
+            raise error.UpstreamError(
+                kind.ErrorKind.ANSWER_BROKEN,
+                "the connection broke before the whole answer arrived",
+                ran.Ran.UNKNOWN,
+            ) from exc
+        except BaseException:
+            await self._close(connection)
+            raise
+        if reusable:
+            connection.note_idle(self._clock())
+            self._idle.setdefault((host, port), []).append(connection)
+        else:
+            await self._close(connection)
+        return Exchange(answer, opened)
+
+    async def aclose(self) -> None:
+        """Close every idle connection."""
+        for host, port in list(self._idle):
+            await self.forget(host, port)
+
+    async def _reuse(
+        self, host: str, port: int
+    ) -> pooled_connection.PooledConnection | None:
+        idle = self._idle.get((host, port))
+        limit = self._idle_seconds.get((host, port), IDLE_SECONDS)
+        while idle:
+            connection = idle.pop()
+            if connection.reusable(self._clock(), limit):
+                return connection
+            await self._close(connection)
+        return None
+
+    async def _open(
+        self, host: str, port: int, limit: float
+    ) -> pooled_connection.PooledConnection:
+        options = [
+            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+            (
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                int(UNACKNOWLEDGED_SECONDS * _MILLISECONDS),
+            ),
+        ]
+        try:
+            stream = await self._backend.connect_tcp(
+                host, port, limit, self._local_host, options
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            raise error.UpstreamError(
+                kind.ErrorKind.UPSTREAM_FAILED,
+                "the connection could not be opened",
+                ran.Ran.NO,
+            ) from exc
+        origin = httpcore.Origin(b"http", host.encode(), port)
+        shown = answer_stream.AnswerStream(stream, self._identifier_header)
+        return pooled_connection.PooledConnection(shown, origin, self._clock())
+
+    async def _close(self, connection: pooled_connection.PooledConnection) -> None:
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0):
+            await connection.aclose()
--- /dev/null
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -0,0 +1,93 @@
+"""One connection to an upstream."""
+
+import httpcore
+
+from rattanlug.errors import error, kind, ran
+from rattanlug.upstream import answer_stream, response
+
+_MAX_ANSWER_BYTES = 64 << 20
+
+
+class PooledConnection:
+    """An HTTP/1.1 connection that serves one request at a time.
+
+    Parameters
+    ----------
+    stream : answer_stream.AnswerStream
+    origin : httpcore.Origin
+    now : float
+        Seconds.
+    """
+
+    def __init__(
+        self, stream: answer_stream.AnswerStream, origin: httpcore.Origin, now: float
+    ) -> None:
+        self._stream = stream
+        self._http = httpcore.AsyncHTTP11Connection(origin=origin, stream=stream)
+        self._idle_since = now
+
+    def reusable(self, now: float, idle_seconds: float) -> bool:
+        """Tell whether the connection may carry another request.
+
+        Bytes that wait on an idle connection belong to no request, and an end of it
+        means that the upstream closed it.
+        """
+        return (
+            self._http.is_idle()
+            and now - self._idle_since < idle_seconds
+            and not self._stream.get_extra_info("is_readable")
+        )
+
+    def note_idle(self, now: float) -> None:
+        """Note that the connection waits for its next request."""
+        self._idle_since = now
+
+    async def exchange(
+        self, request: httpcore.Request, identifier: bytes, identifier_header: bytes
+    ) -> tuple[response.Response, bool]:
+        """Send a request and read its whole answer.
+
+        Returns
+        -------
+        tuple of response.Response and bool
+            The answer, and whether the connection may be used again.
+
+        Raises
+        ------
+        error.UpstreamError
+            The answer was broken or belongs to another request.
+        httpcore.NetworkError, httpcore.ProtocolError
+        """
+        self._stream.expect(identifier)
+        answer = await self._http.handle_async_request(request)
+        headers = [(name.lower(), value) for name, value in answer.headers]
+        head = response.Response(answer.status, headers, b"")
+        returned = head.header(identifier_header)
+        if returned is not None and returned != identifier:
+            raise _broken("the answer belongs to another request")
+        body = await self._read_body(answer)
+        framed = head.header(b"content-length") is not None
+        reusable = (
+            framed and self._stream.body_bytes <= len(body) and self._http.is_idle()
+        )
+        return head._replace(body=body), reusable
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    async def _read_body(self, answer: httpcore.Response) -> bytes:
+        chunks, size = [], 0
+        async for chunk in answer.aiter_stream():
+            size += len(chunk)
+            if size > _MAX_ANSWER_BYTES:
+                raise error.UpstreamError(
+                    kind.ErrorKind.ANSWER_TOO_LARGE, "the answer is too large"
+                )
+            chunks.append(chunk)
+        await answer.aclose()
+        return b"".join(chunks)
+
+
+def _broken(detail: str) -> error.UpstreamError:
+    return error.UpstreamError(kind.ErrorKind.ANSWER_BROKEN, detail, ran.Ran.UNKNOWN)
--- a/tests/daemon/harness.py
+++ b/tests/daemon/harness.py
@@ -14,9 +14,9 @@
 import trio
 
 from rattanlug.daemon import node, run, service_state
-from rattanlug.platform import error as platform_error  # noqa: F401
 from rattanlug.routing import upstream_state  # noqa: F401
 from rattanlug.settings import address, settings
+from rattanlug.table_service import error as platform_error  # noqa: F401
 from trial import http_server
 from trial.platform import server as platform_server
 
--- a/tests/daemon/test_operation_runner.py
+++ b/tests/daemon/test_operation_runner.py
@@ -15,8 +15,8 @@
     state,
 )
 from rattanlug.invariants import violations
-from rattanlug.platform import error as platform_error
-from rattanlug.platform import group_commit
+from rattanlug.table_service import error as platform_error
+from rattanlug.table_service import group_commit
 
 KEY = "urdina/1"
 DEADLINE_S = 1.5
--- a/tests/platform/test_client.py
+++ b/tests/table_service/test_client.py
@@ -3,8 +3,8 @@
 import pytest
 import trio
 
-from rattanlug.platform import client, error, write
 from rattanlug.settings import address
+from rattanlug.table_service import client, error, write
 from trial import http_client, http_server
 from trial.platform import server
 
--- a/tests/platform/test_group_commit.py
+++ b/tests/table_service/test_group_commit.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from rattanlug.platform import error, group_commit, row, write
+from rattanlug.table_service import error, group_commit, row, write
 
 
 class _Platform:
