Keep objects where they are warm, and share rates by demand and headroom

Routes use the same names for different objects, and VMs of a data centre with one upstream evicted each other's objects.

Cause 2: 1,154 answers of 429 where only one organisation was over its rate: the shares followed the demand of 0.8 s, so that VMs with few requests had 1.5% of a rate.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -19,6 +19,12 @@
 _MILLISECONDS = 1000
 # Part of the time after which a silent VM has to be gone from look-ups.
 ALIVE_SHARE = 0.85
+# Demand of a VM counts for this time after its last report: longer than it may accept
+# keys without the store.
+DEMAND_SECONDS = 7.0
+# If most VMs fall silent at once, this VM is more likely cut off than alone; their
+# demand then counts for this time.
+CUT_OFF_SECONDS = 25.0
 # VMs that were heard within this time count as senders and as sharers of budgets.
 RECENT_SECONDS = 12.0
 
@@ -43,7 +49,7 @@
         self.operators = operator_table.OperatorTable()
         self.registry = upstream_registry.UpstreamRegistry()
         self.peers = peer_table.PeerTable(settings.vm)
-        self.limiters = limiter_table.LimiterTable()
+        self.limiters = limiter_table.LimiterTable(settings.bounds)
         self.outcomes = outcome_window.OutcomeWindow()
         self.versions = version_choice.VersionChoice(self.rng)
         self.store = store_client.StoreClient(
@@ -100,6 +106,14 @@
             self._budgets[service] = found
         return found
 
+    def demand_elsewhere(self, now: float) -> list[dict[str, float]]:
+        """Return the demands that the other VMs reported, by organisation."""
+        heard = self.peers.heard_within(DEMAND_SECONDS, now)
+        earlier = self.peers.heard_within(CUT_OFF_SECONDS, now)
+        if 2 * len(heard) < len(earlier):
+            heard = earlier
+        return [each.demand for each in heard]
+
     def fleet_size(self, now: float) -> int:
         """Return the number of VMs that share the fleet's budgets."""
         heard = len(self.peers.heard_within(RECENT_SECONDS, now)) + 1
--- a/src/rattanlug/gateway/request_path.py
+++ b/src/rattanlug/gateway/request_path.py
@@ -139,7 +139,9 @@
         if not limiter.admit(now):
             raise _refusal(
                 kind.ErrorKind.RATE_LIMITED,
-                f"the rate of organisation {owner.name} is used up",
+                f"the rate of organisation {owner.name} is used up: "
+                f"share {limiter.share:.3f} of {owner.rate:g}/s, "
+                f"demand here {limiter.demand(now):.1f}/s",
                 limiter.wait_seconds() + self._retry_seconds(),
             )
         return owner
@@ -212,7 +214,6 @@
             ),
             excluded=excluded,
         )
-        node.placer.note_object(job.service, wanted.object_id)
         if wanted.time_left <= 0.0:
             return None
         return node.placer.choose(wanted, times, now)
@@ -356,10 +357,10 @@
         failed = answer.status >= _FIRST_FAILURE_STATUS
         load.note_outcome(failed, now)
         if not failed and busy < record.slots:
-            expected = times.warm if chosen.warm >= 1.0 else times.cold
-            if chosen.warm < 1.0 and times.is_warm(work):
-                expected = times.warm
+            hit = times.is_warm(work / load.slowdown(now))
+            expected = times.warm if hit else times.cold
             load.note_slowdown(work / expected, now)
+            node.placer.learn_warmth(job.service, chosen, hit)
             if load.slowdown(now) < SLOW_RATIO:
                 times.learn(work)
         cold = node.registry.cold_seconds(record.id, now) > 0.0
@@ -410,6 +411,8 @@
             expected=round(chosen.seconds, 3),
             busy=round(chosen.busy, 1),
             warm=round(chosen.warm, 2),
+            ground=chosen.ground.value,
+            object=_object_id(job),
         )
         headers = answer_facts.forwarded(answer.headers, len(answer.body))
         return reply.Reply(answer.status, headers, answer.body)
@@ -442,7 +445,10 @@
 
 
 def _object_id(job: _Job) -> str | None:
-    return job.facts.object_id if job.route.affinity else None
+    """Return a name of the request's object; routes may use the same names."""
+    if not job.route.affinity or job.facts.object_id is None:
+        return None
+    return f"{job.route.name} {job.facts.object_id}"
 
 
 def _home_regions(job: _Job) -> frozenset[str] | None:
--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -3,6 +3,7 @@
 import trio
 
 from rattanlug.daemon import clock
+from rattanlug.desired import state
 from rattanlug.gateway import node as node_module
 from rattanlug.logs import state as log_state
 from rattanlug.platform import names, store_error, store_read, upstream_table
@@ -88,7 +89,9 @@
 def _put_in_force(node: node_module.Node, read: store_read.StoreRead) -> None:
     now = clock.now()
     found = node.operators.desired
+    before = node.desired.state
     if found is not None and node.desired.accept(found):
+        _log_rates(before, found)
         node.limiters.configure(found.organisations, now)
         node.placer.configure(found.services)
         share_rates(node, now)
@@ -101,10 +104,24 @@
 
 def share_rates(node: node_module.Node, now: float) -> None:
     """Divide the rates of organisations anew, by the reports of the other VMs."""
-    reports = node.peers.heard_within(node_module.RECENT_SECONDS, now)
-    node.limiters.divide([each.demand for each in reports], now)
+    node.limiters.divide(node.demand_elsewhere(now), now)
 
 
 def _note_store(node: node_module.Node, outcome: str, reason: str) -> None:
     log_state.changed("store", node.store_outcome, outcome, reason=reason)
     node.store_outcome = outcome
+
+
+def _log_rates(before: state.DesiredState | None, after: state.DesiredState) -> None:
+    """Write a line for each organisation whose rate changed."""
+    known = {each.name: each for each in before.organisations} if before else {}
+    for each in after.organisations:
+        earlier = known.get(each.name)
+        old = (earlier.rate, earlier.burst) if earlier else None
+        log_state.changed(
+            "rate",
+            old,
+            (each.rate, each.burst),
+            organisation=each.name,
+            version=after.version,
+        )
--- a/src/rattanlug/placement/object_memory.py
+++ b/src/rattanlug/placement/object_memory.py
@@ -2,8 +2,8 @@
 
 import collections
 
-# Objects that an upstream is taken to keep warm; the number is not published.
-KEPT_OBJECTS = 32
+# Objects that are remembered of one upstream.
+REMEMBERED_OBJECTS = 64
 
 
 class ObjectMemory:
@@ -15,7 +15,7 @@
         Objects that the upstream is taken to keep.
     """
 
-    def __init__(self, kept: int = KEPT_OBJECTS) -> None:
+    def __init__(self, kept: int = REMEMBERED_OBJECTS) -> None:
         self._kept = kept
         self._objects: collections.OrderedDict[str, None] = collections.OrderedDict()
 
@@ -31,9 +31,25 @@
         if len(self._objects) > self._kept:
             self._objects.popitem(last=False)
 
-    def holds(self, object_id: str) -> bool:
-        """Tell whether the upstream handled an object recently."""
-        return object_id in self._objects
+    def holds(self, object_id: str, newest: float) -> bool:
+        """Tell whether an object is among the newest ones.
+
+        Parameters
+        ----------
+        object_id : str
+        newest : float
+            How many objects the upstream keeps.
+        """
+        if object_id not in self._objects:
+            return False
+        if len(self._objects) <= newest:
+            return True
+        for age, each in enumerate(reversed(self._objects)):
+            if age >= newest:
+                return False
+            if each == object_id:
+                return True
+        return False
 
     def clear(self) -> None:
         """Forget all objects, for instance since the upstream is cold again."""
--- a/src/rattanlug/placement/placement.py
+++ b/src/rattanlug/placement/placement.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from rattanlug.discovery import upstream_record
+from rattanlug.placement import warm_objects
 
 
 class Placement(NamedTuple):
@@ -19,6 +20,8 @@
         Estimated requests at the upstream.
     warm : float
         Probability that the upstream has the object warm.
+    ground : warm_objects.Ground
+        Why it may have it.
     """
 
     record: upstream_record.UpstreamRecord
@@ -26,3 +29,4 @@
     seconds: float
     busy: float
     warm: float
+    ground: warm_objects.Ground
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -16,18 +16,15 @@
     demand,
     distances,
     object_homes,
-    object_memory,
     placement,
     region_shift,
     service_times,
     upstream_load,
     valuation,
+    warm_objects,
 )
 from rattanlug.settings import bounds
 
-# Probability that the home of an object in a data centre has it warm, when this VM
-# has not sent it there, and the upstream can keep all its objects.
-HOME_WARM = 0.75
 # Worth of keeping an object at its home, so that other VMs find it warm there.
 HOME_BONUS = 0.05
 # Worth of sending the first requests to an upstream that is new.
@@ -88,7 +85,7 @@
         self._known: dict[tuple[str, int], _Known] = {}
         self._times: dict[str, service_times.ServiceTimes] = {}
         self._homes = object_homes.ObjectHomes()
-        self._objects: dict[str, object_memory.ObjectMemory] = {}
+        self._warm = warm_objects.WarmObjects(region, region_of)
         self._services: Mapping[str, service.Service] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._shift = region_shift.RegionShift(all_bounds.region_shift)
@@ -150,13 +147,17 @@
             Seconds.
         """
         groups = self._groups(wanted)
+        far = None
+        if wanted.object_id is not None:
+            self._warm.note_request(wanted.service, wanted.object_id)
+            far = self._warm.far_data_centre(wanted.object_id, list(groups))
         best: placement.Placement | None = None
         for data_centre, group in groups.items():
             region = self._region_of.get(data_centre, "")
             penalty = 0.0 if self._shift.allows(region, now) else SHIFT_PENALTY
             home = self._home(wanted, data_centre, group)
             for record in group:
-                found = self._value(wanted, times, record, home, len(group), now)
+                found = self._value(wanted, times, record, home, len(group), far, now)
                 if found is None:
                     continue
                 if found.value < LEAST_VALUE:
@@ -177,6 +178,12 @@
             known.load.objects.touch(object_id)
         return known.load.begin(now)
 
+    def learn_warmth(
+        self, service_name: str, chosen: placement.Placement, hit: bool
+    ) -> None:
+        """Take whether the object of a request turned out to be warm."""
+        self._warm.learn(service_name, chosen.ground, hit)
+
     def _entry(self, record: upstream_record.UpstreamRecord, now: float) -> _Known:
         identity = (record.id, record.incarnation)
         known = self._known.get(identity)
@@ -220,6 +227,7 @@
         record: upstream_record.UpstreamRecord,
         home: str | None,
         group_size: int,
+        far: str | None,
         now: float,
     ) -> placement.Placement | None:
         known = self._entry(record, now)
@@ -236,7 +244,8 @@
         if silence > SILENCE_RATIO * times.cold:
             wait += silence
         way = self._distances.round_trip(record.data_centre) + wait
-        warm = self._warm_probability(wanted, record, load, home, group_size)
+        ground = self._ground(wanted, record, load, home, group_size, far)
+        warm = self._warm.probability(ground)
         same = record.data_centre == self._data_centre
         value = -valuation.crossing_cost(
             wanted.kilobytes,
@@ -256,43 +265,34 @@
                 survival * worth - valuation.SLOT_SECOND_COST * work
             )
             seconds += probability * work
-        if record.id == home:
+        if record.id == home and ground is not warm_objects.Ground.NONE:
             value += HOME_BONUS
         if load.answers < NEWCOMER_ANSWERS and load.in_flight == 0 and same:
             value += NEWCOMER_BONUS
         value += JITTER * self._rng.random()
-        return placement.Placement(record, value, seconds, busy, warm)
+        return placement.Placement(record, value, seconds, busy, warm, ground)
 
-    def _warm_probability(
+    def _ground(
         self,
         wanted: demand.Demand,
         record: upstream_record.UpstreamRecord,
         load: upstream_load.UpstreamLoad,
         home: str | None,
         group_size: int,
-    ) -> float:
+        far: str | None,
+    ) -> warm_objects.Ground:
         if wanted.object_id is None:
-            return 0.0
-        if load.objects.holds(wanted.object_id):
-            return 1.0
-        if record.id != home:
-            return 0.0
-        objects = self._objects_of(wanted) / group_size
-        return HOME_WARM * min(1.0, object_memory.KEPT_OBJECTS / max(1.0, objects))
-
-    def _objects_of(self, wanted: demand.Demand) -> int:
-        seen = self._objects.get(wanted.service)
-        return seen.size if seen is not None else 0
-
-    def note_object(self, service_name: str, object_id: str | None) -> None:
-        """Note that an object of a service is asked for."""
-        if object_id is None:
-            return
-        seen = self._objects.get(service_name)
-        if seen is None:
-            seen = object_memory.ObjectMemory(kept=4096)
-            self._objects[service_name] = seen
-        seen.touch(object_id)
+            return warm_objects.Ground.NONE
+        kept = self._warm.kept(wanted.service)
+        return self._warm.ground(
+            wanted.service,
+            wanted.object_id,
+            record.data_centre,
+            group_size,
+            record.id == home,
+            load.objects.holds(wanted.object_id, kept),
+            far,
+        )
 
     def _cold_allows(
         self, record: upstream_record.UpstreamRecord, known: _Known, now: float
--- a/src/rattanlug/rate_limits/demand_meter.py
+++ b/src/rattanlug/rate_limits/demand_meter.py
@@ -3,7 +3,7 @@
 import math
 
 # Time constant; a change of demand shows within about a second.
-SMOOTHING_SECONDS = 0.8
+SMOOTHING_SECONDS = 1.5
 
 
 class DemandMeter:
--- a/src/rattanlug/rate_limits/limiter_table.py
+++ b/src/rattanlug/rate_limits/limiter_table.py
@@ -4,15 +4,22 @@
 
 from rattanlug.desired import organisation
 from rattanlug.rate_limits import organisation_limiter
+from rattanlug.settings import bounds
 
 # Demands below this are not reported to other VMs, requests a second.
 LEAST_DEMAND = 0.05
 
 
 class LimiterTable:
-    """One limiter for each organisation that has a rate."""
+    """One limiter for each organisation.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    all_bounds : bounds.Bounds
+    """
+
+    def __init__(self, all_bounds: bounds.Bounds) -> None:
+        self._bounds = all_bounds
         self._limiters: dict[str, organisation_limiter.OrganisationLimiter] = {}
 
     def configure(
@@ -23,7 +30,9 @@
         for each in organisations:
             known = self._limiters.get(each.name)
             if known is None:
-                known = organisation_limiter.OrganisationLimiter(each, now)
+                known = organisation_limiter.OrganisationLimiter(
+                    each, self._bounds, now
+                )
             else:
                 known.configure(each, now)
             limiters[each.name] = known
--- a/src/rattanlug/rate_limits/organisation_limiter.py
+++ b/src/rattanlug/rate_limits/organisation_limiter.py
@@ -2,10 +2,11 @@
 
 from rattanlug.desired import organisation
 from rattanlug.rate_limits import demand_meter
+from rattanlug.settings import bounds
 
-# Part of the rate that is shared out evenly, so that a VM to which callers have just
-# moved serves some of them before the others know.
-EVEN_SHARE = 0.15
+# Part of the tolerance of the bound that is added to the burst; the rest covers shares
+# that change while reports are on their way.
+TOLERANCE_SHARE = 0.6
 # A limiter starts with the tokens of this time, since it can't know what the other
 # VMs, or its own earlier process, have admitted.
 START_SECONDS = 0.5
@@ -14,25 +15,36 @@
 class OrganisationLimiter:
     """Token bucket for this VM's share of the rate and of the burst.
 
-    Shares follow the demand at each VM, so that they add up to the whole and each VM
-    has the same headroom relative to its demand.
+    Each VM gets the demand that it sees and an even part of the headroom. Without
+    headroom, the rate is divided in proportion to demand. Either way the shares add
+    up to the whole. The burst is divided evenly.
 
     Parameters
     ----------
     limits : organisation.Organisation
+    all_bounds : bounds.Bounds
     now : float
         Seconds.
     """
 
-    def __init__(self, limits: organisation.Organisation, now: float) -> None:
+    def __init__(
+        self, limits: organisation.Organisation, all_bounds: bounds.Bounds, now: float
+    ) -> None:
+        self._bounds = all_bounds
         self._rate = limits.rate
         self._burst = limits.burst
-        self._share = 1.0
+        self._share = 0.0
+        self._vms = 1
         self._demand = demand_meter.DemandMeter(now)
         self._tokens = 0.0
         self._updated_at = now
         self._started = False
 
+    @property
+    def share(self) -> float:
+        """Share of the rate that this VM may use."""
+        return self._share
+
     def configure(self, limits: organisation.Organisation, now: float) -> None:
         """Take the rate and burst of a new version."""
         self._refill(now)
@@ -54,8 +66,11 @@
         self._refill(now)
         own = self._demand.rate(now)
         total = own + demand_elsewhere
-        proportional = own / total if total > 0.0 else 1.0 / vms
-        self._share = EVEN_SHARE / vms + (1.0 - EVEN_SHARE) * proportional
+        if total < self._rate:
+            share = (own + (self._rate - total) / vms) / self._rate
+        else:
+            share = own / total if total > 0.0 else 1.0 / vms
+        self._share, self._vms = share, vms
         if not self._started:
             self._started = True
             self._tokens = START_SECONDS * self._rate * self._share
@@ -89,7 +104,10 @@
 
     @property
     def _capacity(self) -> float:
-        return max(1.0, self._burst * self._share)
+        window = self._rate * self._bounds.rate_window + self._burst
+        tolerance = window * self._bounds.rate_overage + self._bounds.rate_slack
+        total = self._burst + TOLERANCE_SHARE * tolerance
+        return max(1.0, total / self._vms)
 
     def _refill(self, now: float) -> None:
         elapsed = max(0.0, now - self._updated_at)
