Test the entry daemon with a store and upstreams of its own

A fleet of stand-ins and daemons in one process plays its promises: keys, withdrawn keys, a silent store, taken addresses, shed and broken requests, late second answers, leaving upstreams, evacuations, broken rows, a dropped history, leaving callers, look-ups and stops. Found by it: VMs learnt of each other from the store only in each fifth report.

--- a/src/rattanlug/gateway/peers.py
+++ b/src/rattanlug/gateway/peers.py
@@ -140,7 +140,9 @@
             break
         for row in read.rows:
             self._take_row(row.key, row.value)
-        await self.report()
+        data = digest_codec.encode(node.own_digest(clock.now()))
+        for host in set(self._addresses.values()) - {settings.host}:
+            await self._send(data, host)
 
     def _take_row(self, vm: str, data: bytes) -> None:
         try:
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -42,14 +42,13 @@
 
 
 async def _run(settings: vm_settings.VmSettings) -> None:
-    node = node_module.Node(settings)
     log_state.changed(
         "process", None, "started", vm=settings.vm, data_centre=settings.data_centre
     )
     received = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*received) as signals:
         async with trio.open_nursery() as nursery:
-            parts = _Parts(node)
+            parts = Parts(settings)
             await nursery.start(parts.serve)
             gc.freeze()
             async for number in signals:
@@ -60,17 +59,23 @@
                 log_state.changed("settings", "loaded", "kept", signal="SIGHUP")
             await parts.stop()
             nursery.cancel_scope.cancel()
-    await node.pools.aclose()
-    await node.store.aclose()
+    await parts.node.pools.aclose()
+    await parts.node.store.aclose()
     log_state.changed(
         "process", "stopping", "stopped", requests_cut=parts.requests_in_flight
     )
 
 
-class _Parts:
-    """Listeners and background tasks of one daemon."""
+class Parts:
+    """Listeners and background tasks of one daemon.
 
-    def __init__(self, node: node_module.Node) -> None:
+    Parameters
+    ----------
+    settings : vm_settings.VmSettings
+    """
+
+    def __init__(self, settings: vm_settings.VmSettings) -> None:
+        node = node_module.Node(settings)
         self._node = node
         self._path = request_path.RequestPath(node)
         self._app = application.Application(
@@ -86,6 +91,11 @@
             self._app, node.counters, refuse_early=self._path.refuse_early
         )
 
+    @property
+    def node(self) -> node_module.Node:
+        """State that the parts share."""
+        return self._node
+
     @property
     def requests_in_flight(self) -> int:
         """Requests of callers that are being served."""
--- /dev/null
+++ b/tests/gateway/test_fleet.py
@@ -0,0 +1,75 @@
+"""Tests of several entry daemons together."""
+
+import json
+
+import trio
+
+from rattanlug.daemon import clock
+from tests.gateway import caller
+from trial.shared_platform import fleet
+
+
+def named(answer):
+    return {each.partition(":")[0] for each in json.loads(answer.body)["addresses"]}
+
+
+async def look_up(vm, data_centre="north-a", region="north"):
+    query = f"/resolve?name={fleet.HOST}&region={region}&zone={data_centre}"
+    return await caller.ask(vm.node.settings.lookups, query)
+
+
+@caller.in_trio
+async def test_look_ups_name_the_live_vms_of_the_caller_s_data_centre():
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        first = await deployment.add_vm()
+        second = await deployment.add_vm()
+        other = await deployment.add_vm(data_centre="north-b")
+        await deployment.settle()
+        hosts = [each.node.settings.host for each in (first, second, other)]
+        assert named(await look_up(first)) == set(hosts[:2])
+        assert named(await look_up(first, "north-b")) == {hosts[2]}
+        assert named(await look_up(first, "south-a", "south")) == set(hosts)
+
+
+@caller.in_trio
+async def test_a_vm_that_stops_leaves_the_look_ups_and_still_serves():
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        staying = await deployment.add_vm()
+        stopping = await deployment.add_vm()
+        await deployment.settle()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stopping.stop)
+            await trio.sleep(0.3)
+            ready = await caller.ask(stopping.node.settings.readiness, "/readyz")
+            assert ready.status == 503
+            expected = {staying.node.settings.host}
+            assert named(await look_up(staying)) == expected
+            assert named(await look_up(stopping)) == expected
+            _, answer = await caller.send(stopping, "/view/x")
+            assert answer.status == 200
+            assert answer.headers["connection"] == "close"
+
+
+@caller.in_trio
+async def test_peers_find_each_other_through_seeds_without_the_store():
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        first = await deployment.add_vm()
+        deployment.store.status = 503
+        second = await deployment.add_vm(seeds=[first.node.settings.host])
+        third = await deployment.add_vm(seeds=[first.node.settings.host])
+        await deployment.settle()
+        for vm in (first, second, third):
+            assert len(vm.node.peers.heard_within(2.0, clock.now())) == 2
+
+
+@caller.in_trio
+async def test_a_vm_that_knows_nothing_yet_says_that_nothing_ran():
+    async with fleet.open_fleet() as deployment:
+        deployment.store.status = 503
+        vm = await deployment.add_vm()
+        _, answer = await caller.send(vm, "/claim/x", "POST", b"body")
+        assert answer.status == 503
+        assert (await caller.ask(vm.node.settings.readiness, "/readyz")).status == 503
--- /dev/null
+++ b/tests/gateway/test_request_path.py
@@ -0,0 +1,250 @@
+"""Tests of the way of a request through the entry daemon."""
+
+import contextlib
+
+import pytest
+import trio
+
+from tests.gateway import caller
+from trial.shared_platform import fleet
+
+
+@contextlib.asynccontextmanager
+async def one_vm(*upstreams):
+    async with fleet.open_fleet() as deployment:
+        for name in upstreams or ("u1", "u2"):
+            await deployment.add_upstream(name)
+        yield deployment, await deployment.add_vm()
+
+
+@caller.in_trio
+async def test_an_upstream_learns_the_organisation_and_not_the_key():
+    async with one_vm() as (deployment, vm):
+        request_id, answer = await caller.send(
+            vm, "/view/x?y=1", Rattanlug_Tenant="forged"
+        )
+        assert answer.status == 200
+        assert answer.body.endswith(request_id.encode())
+        assert answer.headers["rattanlug-server-stamp"].endswith(request_id)
+        (run,) = caller.runs(deployment, request_id)
+        assert run.organisation == fleet.ORGANISATION
+        assert fleet.KEY not in str(run.headers)
+        assert 0 < int(run.headers["rattanlug-deadline-ms"]) <= 1000
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/view/x", "unknown", 401),
+        ("/view/x", None, 401),
+        ("/none/x", fleet.KEY, 404),
+        ("/open/x", None, 200),
+    ],
+)
+@caller.in_trio
+async def test_keys_and_routes_decide_who_is_served(path, key, status):
+    async with one_vm() as (deployment, vm):
+        request_id, answer = await caller.send(vm, path, key=key)
+        assert answer.status == status
+        found = caller.runs(deployment, request_id)
+        assert len(found) == (status == 200)
+        if found:
+            assert found[0].organisation is None
+
+
+@caller.in_trio
+async def test_a_withdrawn_key_stops_and_versions_do_not_go_back():
+    async with one_vm() as (deployment, vm):
+        _, answer = await caller.send(vm, "/view/x")
+        assert answer.status == 200
+        deployment.store.put("op", "config", fleet.desired_state(5, tenants=[
+            {"name": "other", "api_keys": ["key-2"], "rate_per_s": 0, "burst": 0}
+        ]))  # fmt: skip
+        await trio.sleep(0.2)
+        assert (await caller.send(vm, "/view/x"))[1].status == 401
+        deployment.store.put("op", "config", fleet.desired_state(4))
+        await trio.sleep(0.2)
+        assert (await caller.send(vm, "/view/x"))[1].status == 401
+        assert vm.node.desired.version == 5
+
+
+@caller.in_trio
+async def test_keys_are_refused_when_the_store_has_been_silent_too_long():
+    async with one_vm() as (deployment, vm):
+        deployment.store.silent = True
+        request_id, answer = await caller.send(vm, "/view/x")
+        assert answer.status == 200
+        await trio.sleep(vm.node.settings.bounds.key_withdrawal)
+        request_id, answer = await caller.send(vm, "/view/x")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0.0
+        assert caller.runs(deployment, request_id) == []
+        assert (await caller.send(vm, "/open/x", key=None))[1].status == 200
+
+
+@caller.in_trio
+async def test_an_address_that_was_taken_over_does_not_run_the_request():
+    async with one_vm("u1", "u2") as (deployment, vm):
+        deployment.upstreams["u1"].name = "taken-over"
+        for _ in range(6):
+            request_id, answer = await caller.send(vm, "/claim/x", "POST", b"body")
+            assert answer.status == 200
+            assert len(caller.runs(deployment, request_id)) == 1
+
+
+@caller.in_trio
+async def test_a_request_that_was_shed_runs_elsewhere():
+    async with one_vm("u1", "u2") as (deployment, vm):
+        deployment.upstreams["u1"].shed = True
+        for _ in range(6):
+            request_id, answer = await caller.send(vm, "/claim/x", "POST", b"body")
+            assert answer.status == 200
+            assert len(caller.runs(deployment, request_id)) == 1
+
+
+@caller.in_trio
+async def test_not_run_is_said_only_of_requests_that_did_not_run():
+    async with one_vm("u1") as (deployment, vm):
+        deployment.upstreams["u1"].shed = True
+        request_id, answer = await caller.send(vm, "/claim/x", "POST", b"body")
+        assert answer.status == 503
+        assert caller.runs(deployment, request_id) == []
+        deployment.upstreams["u1"].shed = False
+        deployment.upstreams["u1"].fault = "short"
+        request_id, answer = await caller.send(vm, "/claim/x", "POST", b"body")
+        assert answer.status == 502
+        assert len(caller.runs(deployment, request_id)) == 1
+
+
+@caller.in_trio
+async def test_only_what_may_repeat_is_sent_again_after_a_broken_answer():
+    async with one_vm("u1", "u2") as (deployment, vm):
+        for each in deployment.upstreams.values():
+            each.fault = "close"
+        request_id, answer = await caller.send(vm, "/claim/x", "POST", b"body")
+        assert answer.status == 502
+        assert len(caller.runs(deployment, request_id)) == 1
+        request_id, answer = await caller.send(vm, "/view/x")
+        assert answer.status == 502
+        assert len(caller.runs(deployment, request_id)) == 2
+
+
+@caller.in_trio
+async def test_a_second_answer_never_reaches_another_caller():
+    async with one_vm("u1") as (deployment, vm):
+        deployment.upstreams["u1"].fault = "stray"
+        for _ in range(20):
+            request_id, answer = await caller.send(vm, "/view/x")
+            assert answer.status == 200
+            assert answer.body.endswith(request_id.encode())
+
+
+@caller.in_trio
+async def test_a_request_is_answered_when_its_route_s_time_is_over():
+    async with one_vm("u1") as (deployment, vm):
+        deployment.upstreams["u1"].silent = True
+        began = trio.current_time()
+        request_id, answer = await caller.send(vm, "/claim/x", "POST", b"body")
+        assert answer.status == 504
+        assert trio.current_time() - began < 1.25
+        assert len(caller.runs(deployment, request_id)) == 1
+
+
+@caller.in_trio
+async def test_a_leaving_upstream_and_an_evacuated_data_centre_get_nothing():
+    async with one_vm("u1", "u2", "u3") as (deployment, vm):
+        deployment.register("u1", sequence=2, state="draining")
+        deployment.register("u2", sequence=2, data_centre="north-b")
+        await trio.sleep(1.3)
+
+        async def names():
+            found = set()
+            for index in range(10):
+                cookie = f"Rattanlug-Affinity-Key={index}"
+                _, answer = await caller.send(vm, "/view/x", Cookie=cookie)
+                found.add(answer.body[:2])
+            return found
+
+        assert await names() <= {b"u2", b"u3"}
+        for data_centre, left in (("north-a", b"u2"), ("north-b", b"u3")):
+            deployment.store.put("op", f"evacuate/{data_centre}", {})
+            await trio.sleep(0.3)
+            assert await names() == {left}
+            deployment.store.remove("op", f"evacuate/{data_centre}")
+            await trio.sleep(0.3)
+
+
+@caller.in_trio
+async def test_rows_of_other_writers_name_nothing_and_the_rest_holds():
+    async with one_vm("u1") as (deployment, vm):
+        deployment.store.put("servers", "junk-1", b"\xff\x00")
+        deployment.store.put("servers", "junk-2", {"info": [], "status": 3})
+        deployment.store.put("op", "rollout/x", b"not json")
+        deployment.store.put("op", "unknown", {"a": 1})
+        await trio.sleep(1.2)
+        assert vm.node.registry.size == 1
+        assert (await caller.send(vm, "/view/x"))[1].status == 200
+
+
+@caller.in_trio
+async def test_a_dropped_history_is_made_up_by_reading_everything():
+    async with one_vm("u1") as (deployment, vm):
+        deployment.store.drop_history()
+        deployment.store.put("op", "config", fleet.desired_state(9))
+        await trio.sleep(0.3)
+        assert vm.node.desired.version == 9
+
+
+@caller.in_trio
+async def test_a_request_of_an_idempotent_route_ends_when_its_caller_leaves():
+    async with one_vm("u1") as (deployment, vm):
+        deployment.upstreams["u1"].silent = True
+        for path, method, expected in (("/view/x", "GET", 0), ("/claim/x", "POST", 1)):
+            with trio.move_on_after(0.2):
+                await caller.send(vm, path, method)
+            await trio.sleep(0.1)
+            assert vm.requests_in_flight == expected
+
+
+@caller.in_trio
+async def test_refused_requests_leave_the_connection_usable():
+    async with one_vm("u1") as (_, vm):
+        local = vm.node.settings.callers
+        stream = await trio.open_tcp_stream(local.host, local.port)
+        head = (
+            f"GET /view/x HTTP/1.1\r\nHost: {fleet.HOST}\r\n"
+            "Rattanlug-Request-Id: r\r\nAuthorization: Token "
+        )
+        statuses = []
+        for key in ("bad", fleet.KEY, "bad", "bad", fleet.KEY):
+            await stream.send_all(f"{head}{key}\r\n\r\n".encode())
+            data = b""
+            while b"\r\n\r\n" not in data:
+                data += await stream.receive_some(4096)
+            statuses.append(data[9:12])
+        assert statuses == [b"401", b"200", b"401", b"401", b"200"]
+
+
+@caller.in_trio
+async def test_an_organisation_over_its_rate_is_told_when_to_return():
+    async with one_vm("u1") as (deployment, vm):
+        deployment.store.put("op", "config", fleet.desired_state(3, tenants=[
+            {"name": "o", "api_keys": [fleet.KEY], "rate_per_s": 1, "burst": 1}
+        ]))  # fmt: skip
+        await trio.sleep(0.2)
+        answers = [(await caller.send(vm, "/view/x"))[1] for _ in range(40)]
+        refused = [each for each in answers if each.status == 429]
+        assert refused
+        assert all(float(each.headers["retry-after"]) > 0 for each in refused)
+        bound = (1 * 5 + 1) * 1.1 + 20
+        assert len(answers) - len(refused) <= bound
+
+
+@caller.in_trio
+async def test_no_connection_to_an_upstream_counts_as_not_run():
+    async with one_vm("u1") as (deployment, vm):
+        deployment.register("u1", address="127.0.0.1:1", sequence=2)
+        await trio.sleep(1.2)
+        request_id, answer = await caller.send(vm, "/claim/x", "POST", b"body")
+        assert answer.status == 503
+        assert caller.runs(deployment, request_id) == []
