Move shares of regions more slowly, and test placement and moves under load

Cause: a queueing model without network showed that one VM's limit of 0.6 of the bound let shares of a region move by 0.159 from one window of 2 s to the next (bound 0.15), since windows slide between the buckets.

--- a/src/rattanlug/placement/region_shift.py
+++ b/src/rattanlug/placement/region_shift.py
@@ -10,7 +10,7 @@
 LEAST_REQUESTS = 12
 # Part of the bound that one VM uses, since the sum over VMs moves with the mix of
 # their traffic too.
-USED_SHARE = 0.6
+USED_SHARE = 0.35
 
 
 class RegionShift:
--- /dev/null
+++ b/tests/gateway/test_rollouts.py
@@ -0,0 +1,80 @@
+"""Tests of moves between versions with several entry daemons."""
+
+import trio
+
+from tests.gateway import caller
+from trial.shared_platform import fleet
+
+DURATION = 7.0
+
+
+async def play(deployment, vms, seconds):
+    """Send to both VMs for some seconds; return runs of the new version over time."""
+    new, total, end = 0, 0, trio.current_time() + seconds
+    while trio.current_time() < end:
+        for vm in vms:
+            _, answer = await caller.send(
+                vm, "/view/x", Cookie=f"Rattanlug-Affinity-Key={total % 30}"
+            )
+            total += 1
+            new += answer.body.startswith((b"new", b"n")) and answer.status == 200
+            await trio.sleep(0.004)
+    return new, total
+
+
+async def start(deployment):
+    for name in ("old-1", "old-2"):
+        await deployment.add_upstream(name)
+    vms = [await deployment.add_vm() for _ in range(2)]
+    await deployment.settle()
+    for name in ("new-1", "new-2"):
+        await deployment.add_upstream(name, version="v2")
+    deployment.store.put(
+        "op",
+        f"rollout/{fleet.SERVICE}",
+        {"service": fleet.SERVICE, "target": "v2", "duration_s": DURATION},
+    )
+    return vms
+
+
+def status(deployment):
+    return deployment.store.value("status", f"rollout/{fleet.SERVICE}")
+
+
+@caller.in_trio
+async def test_a_good_version_takes_over_in_time():
+    async with fleet.open_fleet() as deployment:
+        vms = await start(deployment)
+        new, total = await play(deployment, vms, 2.0)
+        assert status(deployment)["state"] == "running"
+        assert new <= 0.2 * total
+        await play(deployment, vms, DURATION - 2.0)
+        assert status(deployment) == {
+            "service": fleet.SERVICE,
+            "target": "v2",
+            "state": "complete",
+        }
+        new, total = await play(deployment, vms, 0.3)
+        assert new == total
+
+
+@caller.in_trio
+async def test_a_bad_version_is_taken_back_on_all_vms():
+    async with fleet.open_fleet() as deployment:
+        vms = await start(deployment)
+        for name in ("new-1", "new-2"):
+            deployment.upstreams[name].status = 500
+        await play(deployment, vms, 4.0)
+        assert status(deployment)["state"] == "rolled_back"
+        before = sum(
+            len(each.executions)
+            for name, each in deployment.upstreams.items()
+            if name.startswith("new")
+        )
+        await play(deployment, vms, 1.0)
+        after = sum(
+            len(each.executions)
+            for name, each in deployment.upstreams.items()
+            if name.startswith("new")
+        )
+        assert after == before
--- /dev/null
+++ b/tests/placement/test_bounds.py
@@ -0,0 +1,134 @@
+"""Tests of the bounds that the choice of an upstream keeps."""
+
+import random
+
+import pytest
+
+from rattanlug.desired import service
+from rattanlug.discovery import upstream_record, upstream_registry
+from rattanlug.placement import cold_budget, demand, placer, region_shift
+from rattanlug.settings import bounds
+
+BOUNDS = bounds.Bounds()
+
+
+def record(name, data_centre="d1", version="v1", cold=0.0, sequence=1):
+    return upstream_record.UpstreamRecord(
+        name, 1, sequence, "s", version, "h", 1, data_centre, 5, False, cold
+    )
+
+
+def wanted(**changes):
+    found = demand.Demand("s", "r", "o", True, 0.4, 1.0, 1.0, None, None, frozenset())
+    return found._replace(**changes)
+
+
+def build(records, senders=2, data_centre="d1"):
+    registry = upstream_registry.UpstreamRegistry()
+    registry.apply(records, 1, 0.0)
+    regions = {"d1": "r1", "d2": "r1", "d3": "r2"}
+    found = placer.Placer(
+        data_centre,
+        regions[data_centre],
+        regions,
+        registry,
+        BOUNDS,
+        lambda name: senders,
+        random.Random(1),
+    )
+    found.configure({"s": service.Service("s", 100, 3.0, 7.4)})
+    return found
+
+
+def test_homes_versions_and_exclusions_are_kept():
+    chooser = build([record("u1"), record("u2", "d3", "v2")])
+    times = chooser.times("r", 0.4, True)
+
+    def name(**changes):
+        found = chooser.choose(wanted(**changes), times, 0.0)
+        return found and found.record.id
+
+    assert name() == "u1"
+    assert name(home_regions=frozenset({"r2"})) == "u2"
+    assert name(versions=frozenset({"v2"})) == "u2"
+    assert name(excluded=frozenset({"u1"})) == "u2"
+    assert name(home_regions=frozenset({"r2"}), excluded=frozenset({"u2"})) is None
+    chooser.evacuate(frozenset({"d1"}))
+    assert name() == "u2"
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_cold_upstream_gets_at_most_its_bound_from_all_vms(seed):
+    rng = random.Random(seed)
+    vms = [build([record("u1", cold=10.0)], senders=2) for _ in range(2)]
+    times = vms[0].times("r", 0.4, True)
+    sent, now = [], 0.0
+    while now < 8.0:
+        now += rng.expovariate(200.0)
+        vm = rng.choice(vms)
+        found = vm.choose(wanted(), times, now)
+        if found is not None:
+            token = vm.begin(found.record, "o", now)
+            vm.load(found.record, now).end(token)
+            sent.append(now)
+    bound = 7.4 * BOUNDS.cold_factor + BOUNDS.cold_slack
+    assert sent
+    for at in sent:
+        assert sum(at - 1.0 < each <= at for each in sent) <= bound
+
+
+def test_a_cold_upstream_of_another_data_centre_is_left_to_its_own_vms():
+    chooser = build([record("u1", "d2", cold=10.0)])
+    assert chooser.choose(wanted(), chooser.times("r", 0.4, True), 0.0) is None
+
+
+def test_cold_budgets_count_a_sliding_window():
+    budget = cold_budget.ColdBudget()
+    for at in (0.0, 0.1, 0.2, 0.3):
+        assert budget.allows(10.0, 2, at)
+        budget.count(at)
+    assert not budget.allows(10.0, 2, 0.9)
+    assert budget.allows(10.0, 2, 0.0 + cold_budget.WINDOW_SECONDS + 0.01)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_shares_of_regions_move_slowly(seed):
+    """A sudden wish to leave the region is followed over several windows."""
+    rng = random.Random(seed)
+    shift = region_shift.RegionShift(0.15)
+    runs, now = [], 0.0
+    while now < 20.0:
+        now += rng.expovariate(60.0)
+        region = "far" if now >= 6.0 else "near"
+        if not shift.allowed_regions(now)(region):
+            region = "near" if region == "far" else "far"
+        shift.count(region, now)
+        runs.append((now, region))
+    at = 4.0
+    while at + 4.0 < 20.0:
+        shares = []
+        for begin in (at, at + 2.0):
+            window = [each for when, each in runs if begin <= when < begin + 2.0]
+            shares.append(window.count("far") / len(window))
+        assert abs(shares[1] - shares[0]) <= 0.15
+        at += 0.1
+
+
+def test_a_new_upstream_gets_requests_soon():
+    chooser = build([record(f"u{n}") for n in range(3)])
+    times = chooser.times("r", 0.4, True)
+
+    def send(index, now):
+        chosen = chooser.choose(wanted(object_id=f"o{index % 20}"), times, now)
+        token = chooser.begin(chosen.record, f"o{index % 20}", now)
+        load = chooser.load(chosen.record, now)
+        load.end(token)
+        load.note_answer(now + 0.1)
+        return chosen.record.id
+
+    for index in range(200):
+        send(index, index * 0.05)
+    chooser._registry.apply([record(f"u{n}") for n in range(4)], 2, 10.0)
+    chooser.upstreams_changed()
+    got = [send(index, 10.0 + index * 0.05) for index in range(40)]
+    assert "u3" in got[:5]
