Let shares of regions grow evenly instead of in pulses

Old requests that leave the window raise the other share without any decision. Now each request adds a region's share and the allowed growth to its credit.

--- a/src/rattanlug/placement/region_shift.py
+++ b/src/rattanlug/placement/region_shift.py
@@ -1,20 +1,25 @@
 """Limits how fast requests move from one region to another."""
 
-import collections
+import math
 from collections.abc import Callable
 
+# Time constant of the present share of each region. A share may grow by the used part
+# of the bound in this time, which is also the window of the bound.
 WINDOW_SECONDS = 2.0
-_BUCKET_SECONDS = 0.25
-_BUCKETS = int(WINDOW_SECONDS / _BUCKET_SECONDS)
-# With fewer requests in the earlier window, its shares say nothing.
-LEAST_REQUESTS = 12
-# Part of the bound that one VM uses, since the sum over VMs moves with the mix of
-# their traffic too.
-USED_SHARE = 0.35
+# Part of the bound that one VM uses; the rest covers the chance of single requests and
+# changes of the traffic's mix over the VMs.
+USED_SHARE = 0.5
+# With fewer requests in the window, shares say nothing.
+LEAST_REQUESTS = 12.0
+# Requests by which a region may be ahead of its share.
+MOST_CREDIT = 2.0
 
 
 class RegionShift:
-    """Compares the shares of regions in a window with those in the window before.
+    """Lets the share of each region grow by a bounded amount in a time.
+
+    Each request adds the allowed share of a region to its credit, and one that runs
+    there takes one away, so that a growing share comes evenly and not in pulses.
 
     Parameters
     ----------
@@ -23,50 +28,32 @@
     """
 
     def __init__(self, bound: float) -> None:
-        self._bound = bound
-        self._buckets: collections.deque[tuple[int, collections.Counter[str]]] = (
-            collections.deque()
-        )
+        self._growth = USED_SHARE * bound
+        self._weights: dict[str, float] = {}
+        self._credits: dict[str, float] = {}
+        self._updated_at = 0.0
 
     def allowed_regions(self, now: float) -> Callable[[str], bool]:
         """Return a function that tells whether a request may run in a region."""
-        recent, earlier = self._windows(int(now / _BUCKET_SECONDS))
-        before = sum(earlier.values())
-        # One request more is always allowed, so that a share can grow from nothing.
-        total = sum(recent.values()) + 1
-        growth = USED_SHARE * self._bound
-
-        def allows(region: str) -> bool:
-            if before < LEAST_REQUESTS:
-                return True
-            share = earlier.get(region, 0) / before
-            return recent.get(region, 0) <= (share + growth) * total
-
-        return allows
+        self._decay(now)
+        if sum(self._weights.values()) < LEAST_REQUESTS:
+            return lambda region: True
+        return lambda region: self._credits.get(region, MOST_CREDIT) >= 1.0
 
     def count(self, region: str, now: float) -> None:
         """Count a request that was sent to a region."""
-        number = int(now / _BUCKET_SECONDS)
-        if not self._buckets or self._buckets[-1][0] != number:
-            self._buckets.append((number, collections.Counter()))
-            while self._buckets[0][0] <= number - 2 * _BUCKETS:
-                self._buckets.popleft()
-        self._buckets[-1][1][region] += 1
-
-    def clear(self) -> None:
-        """Start anew, after upstreams were lost or came back."""
-        self._buckets.clear()
-
-    def _windows(self, number: int) -> tuple[dict[str, int], dict[str, int]]:
-        recent: dict[str, int] = {}
-        earlier: dict[str, int] = {}
-        for each, counts in self._buckets:
-            if each > number - _BUCKETS:
-                target = recent
-            elif each > number - 2 * _BUCKETS:
-                target = earlier
-            else:
-                continue
-            for region, count in counts.items():
-                target[region] = target.get(region, 0) + count
-        return recent, earlier
+        self._decay(now)
+        self._weights.setdefault(region, 0.0)
+        total = sum(self._weights.values())
+        for each, weight in self._weights.items():
+            share = weight / total if total > 0.0 else 0.0
+            earned = self._credits.get(each, MOST_CREDIT) + share + self._growth
+            self._credits[each] = min(earned, MOST_CREDIT)
+        self._weights[region] += 1.0
+        self._credits[region] = max(-MOST_CREDIT, self._credits[region] - 1.0)
+
+    def _decay(self, now: float) -> None:
+        factor = math.exp(-max(0.0, now - self._updated_at) / WINDOW_SECONDS)
+        self._updated_at = now
+        for region in self._weights:
+            self._weights[region] *= factor
