Finish late requests of a stop before the process ends

Connections are now accepted until the longest timeout of a route before the end, idle ones close then, and the rest after their answer. The test sends through a whole stop: each request is answered, or was not run.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -167,15 +167,16 @@
         )
         return [own, *self.peers.heard_within(limit, now)]
 
-    def longest_timeout(self, service: str) -> float:
-        """Return the longest timeout of the routes of a service, seconds."""
+    def longest_timeout(self, service: str | None = None) -> float:
+        """Return the longest timeout of the routes of one or all services, seconds."""
         state = self.desired.state
         routes = state.routes if state else ()
         return max(
             (
                 each.timeout
                 for each in routes
-                if any(part.service == service for part in each.parts)
+                if service is None
+                or any(part.service == service for part in each.parts)
             ),
             default=1.0,
         )
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -23,9 +23,12 @@
 from rattanlug.settings import address, vm_settings
 
 METRICS_PORT = 9464
-# Time before the end of a stop in which no new request is taken any more.
-LAST_SECONDS = 1.0
-# Requests that run when this time is left are cut by the end of the process.
+# Longest part of a stop for the requests that still run after the last was taken.
+FINISH_SHARE = 0.5
+# Time for a request to be read and for its answer to be sent, beside the time that its
+# route allows, seconds.
+FINISH_EXTRA_SECONDS = 0.3
+# The process ends by this much before it would be killed, seconds.
 END_SECONDS = 0.25
 # Collections of the oldest generation are rare, since most objects of a daemon live
 # as long as it does.
@@ -61,9 +64,7 @@
             nursery.cancel_scope.cancel()
     await parts.node.pools.aclose()
     await parts.node.store.aclose()
-    log_state.changed(
-        "process", "stopping", "stopped", requests_cut=parts.requests_in_flight
-    )
+    log_state.changed("process", "finished", "stopped")
 
 
 class Parts:
@@ -123,7 +124,10 @@
                 start = functools.partial(web.run, local, trio.Event(), 0.0)
                 await nursery.start(start)
             await nursery.start(
-                self._callers.run, settings.callers, self._stop_callers, 0.0
+                self._callers.run,
+                settings.callers,
+                self._stop_callers,
+                settings.bounds.stop,
             )
             task_status.started()
 
@@ -134,11 +138,18 @@
         node.leaving = True
         log_state.changed("process", "running", "stopping")
         await self._peers.report()
-        grace = node.settings.bounds.stop
-        await trio.sleep(max(0.0, grace - LAST_SECONDS))
-        while clock.now() - began < grace - END_SECONDS and self._app.in_flight:
-            await trio.sleep(0.02)
+        grace = node.settings.bounds.stop - END_SECONDS
+        finish = min(
+            node.longest_timeout() + FINISH_EXTRA_SECONDS, FINISH_SHARE * grace
+        )
+        await trio.sleep(grace - finish)
+        # From now on no connection is accepted, and each closes with its next answer.
         self._stop_callers.set()
+        while self._callers.connections and clock.now() - began < grace:
+            await trio.sleep(0.02)
+        log_state.changed(
+            "process", "stopping", "finished", requests_cut=self._app.in_flight
+        )
 
     def _max_body_bytes(self) -> int:
         state = self._node.desired.state
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
-from rattanlug.desired import service
+from rattanlug.desired import bounds, service
 from rattanlug.discovery import upstream_record, upstream_registry
 from rattanlug.placement import (
     candidate_groups,
@@ -24,7 +24,6 @@
     valuation,
     warm_objects,
 )
-from rattanlug.settings import bounds
 
 # Worth of keeping an object at its home, so that other VMs find it warm there.
 HOME_BONUS = 0.05
--- a/src/rattanlug/platform/boot_settings.py
+++ b/src/rattanlug/platform/boot_settings.py
@@ -4,8 +4,9 @@
 import tomllib
 from typing import Any
 
+from rattanlug.desired import bounds
 from rattanlug.errors import error, kind
-from rattanlug.settings import address, bounds, store_access, vm_settings
+from rattanlug.settings import address, store_access, vm_settings
 
 PATH_VARIABLE = "RATTANLUG_BOOT"
 
--- a/src/rattanlug/rate_limits/limiter_table.py
+++ b/src/rattanlug/rate_limits/limiter_table.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from rattanlug.desired import organisation
+from rattanlug.desired import bounds, organisation
 from rattanlug.rate_limits import organisation_limiter
-from rattanlug.settings import bounds
 
 # Demands below this are not reported to other VMs, requests a second.
 LEAST_DEMAND = 0.05
--- a/src/rattanlug/rate_limits/organisation_limiter.py
+++ b/src/rattanlug/rate_limits/organisation_limiter.py
@@ -1,8 +1,7 @@
 """Share of one VM of an organisation's rate."""
 
-from rattanlug.desired import organisation
+from rattanlug.desired import bounds, organisation
 from rattanlug.rate_limits import demand_meter
-from rattanlug.settings import bounds
 
 # Part of the tolerance of the bound that is added to the burst; the rest covers shares
 # that change while reports are on their way.
--- a/src/rattanlug/settings/vm_settings.py
+++ b/src/rattanlug/settings/vm_settings.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from rattanlug.settings import address, bounds, store_access
+from rattanlug.desired import bounds
+from rattanlug.settings import address, store_access
 
 
 class VmSettings(NamedTuple):
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -2,6 +2,7 @@
 
 import json
 
+import httpcore
 import trio
 
 from rattanlug.daemon import clock
@@ -73,3 +74,31 @@
         _, answer = await caller.send(vm, "/claim/x", "POST", b"body")
         assert answer.status == 503
         assert (await caller.ask(vm.node.settings.readiness, "/readyz")).status == 503
+
+
+@caller.in_trio
+async def test_a_request_that_comes_late_in_a_stop_is_answered_or_not_read():
+    async with fleet.open_fleet() as deployment:
+        added = await deployment.add_upstream("u1")
+        added.cold_seconds = added.warm_seconds = 0.5
+        vm = await deployment.add_vm(bounds={"grace_s": 3})
+        answers = []
+
+        async def request(at):
+            await trio.sleep(at)
+            try:
+                request_id, answer = await caller.send(vm, "/claim/x", "POST", b"b")
+            except (OSError, httpcore.NetworkError, httpcore.ProtocolError):
+                answers.append(None)
+            else:
+                answers.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            for index in range(28):
+                nursery.start_soon(request, 0.1 * index)
+            await vm.stop()
+            assert vm.requests_in_flight == 0
+        # Whoever was not answered was not run either.
+        ran = sum(len(each.executions) for each in deployment.upstreams.values())
+        assert answers.count(200) == ran
+        assert set(answers) == {200, None}
--- a/tests/placement/queue_model.py
+++ b/tests/placement/queue_model.py
@@ -9,9 +9,9 @@
 import random
 from typing import NamedTuple
 
+from rattanlug.desired import bounds
 from rattanlug.discovery import upstream_record, upstream_registry
 from rattanlug.placement import demand, placer
-from rattanlug.settings import bounds
 
 SERVICE = "s"
 NEAR, REGION, FAR = 0.0002, 0.002, 0.07
--- a/tests/placement/test_bounds.py
+++ b/tests/placement/test_bounds.py
@@ -4,10 +4,9 @@
 
 import pytest
 
-from rattanlug.desired import service
+from rattanlug.desired import bounds, service
 from rattanlug.discovery import upstream_record, upstream_registry
 from rattanlug.placement import cold_budget, demand, placer, region_shift
-from rattanlug.settings import bounds
 
 BOUNDS = bounds.Bounds()
 
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,209 @@
+"""Tests of the translation of the platform's rows and headers."""
+
+import json
+
+import pytest
+
+from rattanlug.platform import (
+    answer_facts,
+    decoding,
+    desired_state,
+    operator_table,
+    request_facts,
+    rollout_row,
+    store_read,
+    store_row,
+    upstream_row,
+)
+from trial.shared_platform import fleet
+
+ROW = {
+    "address": "10.0.0.9:8080",
+    "born": 7,
+    "info": {"service": "s", "version": "v1", "zone": "d", "capacity": 5},
+    "status": {"state": "ready", "sequence": 4, "warmup_left_s": 1.5},
+}
+
+
+def changed(**changes):
+    found = json.loads(json.dumps(ROW))
+    for path, value in changes.items():
+        *parents, name = path.split("__")
+        target = found
+        for each in parents:
+            target = target[each]
+        if value is None:
+            del target[name]
+        else:
+            target[name] = value
+    return json.dumps(found).encode()
+
+
+def test_an_upstream_s_row():
+    found = upstream_row.decode("u1", changed())
+    assert (found.id, found.host, found.port, found.slots) == (
+        "u1", "10.0.0.9", 8080, 5,
+    )  # fmt: skip
+    assert (found.incarnation, found.sequence, found.cold_seconds) == (7, 4, 1.5)
+    assert not found.leaving
+    assert upstream_row.decode("u1", changed(status__state="draining")).leaving
+    assert upstream_row.decode("u1", changed(born=None)).incarnation == 0
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b'"text"',
+        changed(info=3),
+        changed(status=None),
+        changed(info__service=None),
+        changed(info__capacity="5"),
+        changed(info__capacity=True),
+        changed(info__capacity=0),
+        changed(status__state="dancing"),
+        changed(status__sequence=1.5),
+        changed(address="10.0.0.9"),
+        changed(address=17),
+        changed(born="soon"),
+        changed(status__warmup_left_s="long"),
+    ],
+)
+def test_rows_of_other_writers_are_told_apart(data):
+    with pytest.raises(decoding.UnreadableError):
+        upstream_row.decode("u1", data)
+
+
+def test_a_desired_state():
+    found = desired_state.decode(json.dumps(fleet.desired_state(12)).encode())
+    assert found.version == 12
+    routes = {each.name: each for each in found.routes}
+    assert routes["view"].idempotent
+    assert not routes["claim"].idempotent
+    assert routes["open"].public
+    assert routes["view"].parts[0].service == fleet.SERVICE
+    assert found.organisations[0].rate == 1000
+    assert fleet.KEY not in repr(found)
+
+
+def test_a_split_route():
+    state = fleet.desired_state()
+    path = state["virtual_hosts"][0]["paths"][0]
+    path["traffic_split"] = [
+        {"service": "a", "weight": 90},
+        {"service": "b", "weight": 10},
+    ]
+    del path["service"]
+    found = desired_state.decode(json.dumps(state).encode())
+    assert [tuple(each) for each in found.routes[0].parts] == [("a", 90), ("b", 10)]
+
+
+@pytest.mark.parametrize("text", ["", "r", "x7", "r-1", "1.5"])
+def test_what_is_no_version(text):
+    with pytest.raises(decoding.UnreadableError):
+        desired_state.version_number(text)
+
+
+def row(key, value, version):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return store_row.StoreRow(key, data, version)
+
+
+def read(*rows, version=100):
+    return store_read.StoreRead(list(rows), version, 0.0, 0.0)
+
+
+def test_operators_rows_come_and_go():
+    table = operator_table.OperatorTable()
+    order = {"service": "s", "target": "v2", "duration_s": 9}
+    table.apply_all(
+        read(
+            row("config", fleet.desired_state(3), 1),
+            row("rollout/s", order, 2),
+            row("evacuate/d", {}, 3),
+        )
+    )
+    assert table.desired.version == 3
+    assert table.orders["s"].row_version == 2
+    assert table.evacuated == {"d"}
+    table.apply_changes(read(store_row.StoreRow("evacuate/d", b"", 5, removed=True)))
+    assert table.evacuated == frozenset()
+    # A change that arrives late does not undo a newer one.
+    table.apply_changes(read(row("evacuate/d", {}, 4)))
+    assert table.evacuated == frozenset()
+    table.apply_changes(read(row("config", b"broken", 6)))
+    assert table.desired.version == 3
+    table.apply_all(read(row("config", fleet.desired_state(4), 7), version=101))
+    assert table.orders == {}
+    assert table.desired.version == 4
+
+
+def test_the_status_of_a_move():
+    state = rollout_row.rollout_state.RolloutState.ROLLED_BACK
+    data = rollout_row.encode_status("s", "v2", state)
+    assert json.loads(data) == {"service": "s", "target": "v2", "state": "rolled_back"}
+    assert rollout_row.decode_status(data) == ("v2", state)
+
+
+def test_the_headers_of_a_request():
+    headers = [
+        (b"host", b"a.example"),
+        (b"rattanlug-request-id", b"r1"),
+        (b"rattanlug-deadline-ms", b"1500"),
+        (b"authorization", b"Token k1"),
+        (b"cookie", b"x=1; Rattanlug-Affinity-Key=17"),
+        (b"connection", b"keep-alive, x-hop"),
+        (b"x-hop", b"1"),
+        (b"x-kept", b"2"),
+        (b"rattanlug-tenant", b"forged"),
+        (b"rattanlug-expect-instance", b"forged"),
+    ]
+    found = request_facts.decode(headers)
+    assert found == ("r1", 1.5, "k1", "17", "a.example")
+    sent = dict(
+        request_facts.for_upstream(
+            request_facts.forwarded(headers, "o1", True, 3), "u1", 0.25
+        )
+    )
+    assert sent == {
+        b"host": b"a.example",
+        b"rattanlug-request-id": b"r1",
+        b"cookie": b"x=1; Rattanlug-Affinity-Key=17",
+        b"x-kept": b"2",
+        b"rattanlug-tenant": b"o1",
+        b"rattanlug-expect-instance": b"u1",
+        b"rattanlug-deadline-ms": b"250",
+        b"content-length": b"3",
+    }
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_executed", "misdirected"),
+    [
+        (200, [], False, False),
+        (503, [], False, False),
+        (503, [(b"rattanlug-not-executed", b"1")], True, False),
+        (421, [(b"rattanlug-backend-id", b"u2")], True, True),
+        (421, [(b"rattanlug-server-stamp", b"s")], False, False),
+    ],
+)
+def test_what_an_answer_says_of_its_request(status, headers, not_executed, misdirected):
+    found = answer_facts.decode(status, headers)
+    assert found.not_executed is not_executed
+    assert found.misdirected is misdirected
+
+
+def test_load_and_idle_time_of_an_answer():
+    found = answer_facts.decode(
+        200,
+        [
+            (b"rattanlug-backend-load", b"3,2,8"),
+            (b"keep-alive", b"timeout=10, max=5"),
+            (b"connection", b"close"),
+        ],
+    )
+    assert (found.busy, found.idle_seconds, found.leaving) == (5, 10.0, True)
+    broken = answer_facts.decode(200, [(b"rattanlug-backend-load", b"many")])
+    assert broken.busy is None
--- a/tests/rate_limits/test_organisation_limiter.py
+++ b/tests/rate_limits/test_organisation_limiter.py
@@ -8,9 +8,8 @@
 
 import pytest
 
-from rattanlug.desired import organisation
+from rattanlug.desired import bounds, organisation
 from rattanlug.rate_limits import organisation_limiter
-from rattanlug.settings import bounds
 
 BOUNDS = bounds.Bounds()
 
--- a/trial/shared_platform/boot_file.py
+++ b/trial/shared_platform/boot_file.py
@@ -1,6 +1,6 @@
 """Writes a settings file in the platform's format."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 # Ports of one daemon on loopback, relative to the first one.
 CALLERS, READINESS, LOOKUPS, CONTROL, PEERS = range(5)
@@ -35,6 +35,7 @@
     data_centre: str = "north-a",
     region: str = "north",
     seeds: Sequence[str] = (),
+    bounds: Mapping[str, float] | None = None,
 ) -> str:
     """Return the text of a settings file for one daemon.
 
@@ -48,10 +49,14 @@
     data_centre, region : str
     seeds : sequence of str
         Hosts of other daemons.
+    bounds : Mapping of str to float, optional
+        Bounds that differ from the usual ones.
     """
     ports = [first_port + each for each in range(5)]
     seed_list = ",".join(f'"{each}:{ports[CONTROL]}"' for each in seeds)
-    limits = "\n".join(f"{key} = {value}" for key, value in BOUNDS.items())
+    limits = "\n".join(
+        f"{key} = {value}" for key, value in {**BOUNDS, **(bounds or {})}.items()
+    )
     return f"""
 node_name = "{name}"
 ip = "{host}"
--- a/trial/shared_platform/upstream.py
+++ b/trial/shared_platform/upstream.py
@@ -48,8 +48,8 @@
         self.shed = False
         self.silent = False
         self.fault = ""
-        self._cold = cold_seconds
-        self._warm = warm_seconds
+        self.cold_seconds = cold_seconds
+        self.warm_seconds = warm_seconds
         self._limiter = trio.CapacityLimiter(slots)
         self._objects: collections.OrderedDict[str, None] = collections.OrderedDict()
 
@@ -95,7 +95,7 @@
         warm = cookie in self._objects
         self._objects[cookie] = None
         self._objects.move_to_end(cookie)
-        return self._warm if warm else self._cold
+        return self.warm_seconds if warm else self.cold_seconds
 
 
 def registration(
