Read settings again on SIGHUP, and hide the state of the daemon

Cause: the platform may change the settings file of a running process; the daemon kept what it had read at the start. Faulty settings are logged and change nothing. The parts of a node are read through properties now, as the house style asks.

--- a/src/rattanlug/commands/gateway.py
+++ b/src/rattanlug/commands/gateway.py
@@ -38,4 +38,4 @@
         # Imported here so that the other commands start without the daemon's parts.
         from rattanlug.gateway import run
 
-        return run.run(loaded)
+        return run.run(loaded, path)
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -1,5 +1,7 @@
 """All parts of the entry daemon of one VM."""
 
+from __future__ import annotations
+
 import random
 
 from rattanlug.canary import outcome_window, version_choice
@@ -8,6 +10,7 @@
 from rattanlug.discovery import upstream_registry
 from rattanlug.fleet import digest, peer_table
 from rattanlug.gateway import decision_log, loop_lag
+from rattanlug.logs import state as log_state
 from rattanlug.metrics import counters, histograms
 from rattanlug.placement import placer
 from rattanlug.platform import names, operator_table, store_client
@@ -38,69 +41,190 @@
     """
 
     def __init__(self, settings: vm_settings.VmSettings) -> None:
-        now = clock.now()
-        self.settings = settings
-        self.incarnation = int(clock.wall_now() * _MILLISECONDS)
-        self.rng = random.Random(f"{settings.vm}:{self.incarnation}")
-        self.counters = counters.Counters()
-        self.histograms = histograms.Histograms()
-        self.log = decision_log.DecisionLog(self.counters)
-        self.desired = holder.StateHolder()
-        self.operators = operator_table.OperatorTable()
-        self.registry = upstream_registry.UpstreamRegistry()
-        self.peers = peer_table.PeerTable(settings.vm)
-        self.limiters = limiter_table.LimiterTable(settings.bounds)
-        self.lag = loop_lag.LoopLag()
-        self.outcomes = outcome_window.OutcomeWindow()
-        self.versions = version_choice.VersionChoice(self.rng)
-        self.store = store_client.StoreClient(
+        self._settings = settings
+        self._incarnation = int(clock.wall_now() * _MILLISECONDS)
+        self._rng = random.Random(f"{settings.vm}:{self._incarnation}")
+        self._counters = counters.Counters()
+        self._histograms = histograms.Histograms()
+        self._log = decision_log.DecisionLog(self._counters)
+        self._desired = holder.StateHolder()
+        self._operators = operator_table.OperatorTable()
+        self._registry = upstream_registry.UpstreamRegistry()
+        self._peers = peer_table.PeerTable(settings.vm)
+        self._limiters = limiter_table.LimiterTable(settings.bounds)
+        self._lag = loop_lag.LoopLag()
+        self._outcomes = outcome_window.OutcomeWindow()
+        self._versions = version_choice.VersionChoice(self._rng)
+        self._store = store_client.StoreClient(
             settings.store.address,
             settings.host,
             clock.now,
-            self.counters,
-            self.histograms,
+            self._counters,
+            self._histograms,
         )
-        self.pools = connection_pools.ConnectionPools(
-            settings.host, names.REQUEST_ID, clock.now, self.counters
+        self._pools = connection_pools.ConnectionPools(
+            settings.host, names.REQUEST_ID, clock.now, self._counters
         )
-        self.placer = placer.Placer(
+        self._placer = placer.Placer(
             settings.data_centre,
             settings.region,
             settings.region_of,
-            self.registry,
+            self._registry,
             settings.bounds,
             self.senders,
-            self.rng,
+            self._rng,
         )
         self._budgets: dict[str, service_budget.ServiceBudget] = {}
         # Hosts of VMs that registered in the store, by data centre.
-        self.registered_vms: dict[str, set[str]] = {}
-        self.started_at = now
-        self.upstreams_read = False
-        self.store_outcome = "unknown"
-        self.leaving = False
+        self._registered_vms: dict[str, set[str]] = {}
+        self._upstreams_read = False
+        self._store_outcome = "unknown"
+        self._leaving = False
         self._sequence = 0
 
+    @property
+    def settings(self) -> vm_settings.VmSettings:
+        """Settings of this daemon."""
+        return self._settings
+
+    @property
+    def incarnation(self) -> int:
+        """Number that rises with each start."""
+        return self._incarnation
+
+    @property
+    def rng(self) -> random.Random:
+        """Generator for choices that have to differ between VMs."""
+        return self._rng
+
+    @property
+    def counters(self) -> counters.Counters:
+        """Counters of this daemon."""
+        return self._counters
+
+    @property
+    def histograms(self) -> histograms.Histograms:
+        """Latency histograms of this daemon."""
+        return self._histograms
+
+    @property
+    def log(self) -> decision_log.DecisionLog:
+        """Lines for decisions."""
+        return self._log
+
+    @property
+    def lag(self) -> loop_lag.LoopLag:
+        """Delay of the event loop."""
+        return self._lag
+
+    @property
+    def desired(self) -> holder.StateHolder:
+        """Desired state in force."""
+        return self._desired
+
+    @property
+    def operators(self) -> operator_table.OperatorTable:
+        """What operators have written."""
+        return self._operators
+
+    @property
+    def registry(self) -> upstream_registry.UpstreamRegistry:
+        """Upstreams that are registered."""
+        return self._registry
+
+    @property
+    def peers(self) -> peer_table.PeerTable:
+        """Reports of the other VMs."""
+        return self._peers
+
+    @property
+    def limiters(self) -> limiter_table.LimiterTable:
+        """Rates of organisations."""
+        return self._limiters
+
+    @property
+    def outcomes(self) -> outcome_window.OutcomeWindow:
+        """Recent outcomes of versions on trial."""
+        return self._outcomes
+
+    @property
+    def versions(self) -> version_choice.VersionChoice:
+        """Versions that may serve a request."""
+        return self._versions
+
+    @property
+    def store(self) -> store_client.StoreClient:
+        """Client of the platform's store."""
+        return self._store
+
+    @property
+    def pools(self) -> connection_pools.ConnectionPools:
+        """Connections to upstreams."""
+        return self._pools
+
+    @property
+    def placer(self) -> placer.Placer:
+        """Choice of an upstream."""
+        return self._placer
+
+    @property
+    def leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._leaving
+
+    @property
+    def knows_upstreams(self) -> bool:
+        """Whether the upstreams were read since the start."""
+        return self._upstreams_read
+
     @property
     def ready(self) -> bool:
         """Whether this VM serves requests."""
         return (
-            not self.leaving and self.desired.state is not None and self.upstreams_read
+            not self._leaving
+            and self._desired.state is not None
+            and self._upstreams_read
         )
 
+    def reload(self, settings: vm_settings.VmSettings) -> list[str]:
+        """Take changed settings; return the names of those that differ."""
+        before = self._settings._asdict()
+        changed = [
+            name for name, value in settings._asdict().items() if before[name] != value
+        ]
+        self._settings = settings
+        return changed
+
+    def leave(self) -> None:
+        """Begin a planned stop."""
+        self._leaving = True
+
+    def note_upstreams_read(self) -> None:
+        """Note that the upstreams are known."""
+        self._upstreams_read = True
+
+    def note_store(self, outcome: str, reason: str) -> None:
+        """Log when the store is lost or reached again."""
+        log_state.changed("store", self._store_outcome, outcome, reason=reason)
+        self._store_outcome = outcome
+
+    def note_registered_vm(self, data_centre: str, vm: str) -> None:
+        """Note a VM that registered in the store."""
+        self._registered_vms.setdefault(data_centre, set()).add(vm)
+
     def keys_usable(self, now: float) -> bool:
         """Tell whether keys are known freshly enough to accept one."""
-        if not self.settings.bounds.strict_withdrawal:
-            return self.desired.state is not None
+        if not self._settings.bounds.strict_withdrawal:
+            return self._desired.state is not None
         return freshness.keys_usable(
-            self.desired.age(now), self.settings.bounds.key_withdrawal
+            self._desired.age(now), self._settings.bounds.key_withdrawal
         )
 
     def budget(self, service: str) -> service_budget.ServiceBudget:
         """Return the budget of repeated sends for a service."""
         found = self._budgets.get(service)
         if found is None:
-            all_bounds = self.settings.bounds
+            all_bounds = self._settings.bounds
             found = service_budget.ServiceBudget(
                 all_bounds.retry_ratio, all_bounds.retry_slack, all_bounds.retry_window
             )
@@ -109,16 +233,16 @@
 
     def demand_elsewhere(self, now: float) -> list[dict[str, float]]:
         """Return the demands that the other VMs reported, by organisation."""
-        heard = self.peers.heard_within(DEMAND_SECONDS, now)
-        earlier = self.peers.heard_within(CUT_OFF_SECONDS, now)
+        heard = self._peers.heard_within(DEMAND_SECONDS, now)
+        earlier = self._peers.heard_within(CUT_OFF_SECONDS, now)
         if 2 * len(heard) < len(earlier):
             heard = earlier
         return [each.demand for each in heard]
 
     def fleet_size(self, now: float) -> int:
         """Return the number of VMs that share the fleet's budgets."""
-        heard = len(self.peers.heard_within(RECENT_SECONDS, now)) + 1
-        return max(heard, sum(len(each) for each in self.registered_vms.values()))
+        heard = len(self._peers.heard_within(RECENT_SECONDS, now)) + 1
+        return max(heard, sum(len(each) for each in self._registered_vms.values()))
 
     def senders(self, data_centre: str) -> int:
         """Return the number of VMs in a data centre; all VMs for an empty name."""
@@ -127,49 +251,49 @@
             return self.fleet_size(now)
         heard = sum(
             each.data_centre == data_centre
-            for each in self.peers.heard_within(RECENT_SECONDS, now)
+            for each in self._peers.heard_within(RECENT_SECONDS, now)
         )
-        return heard + (data_centre == self.settings.data_centre)
+        return heard + (data_centre == self._settings.data_centre)
 
     def own_digest(self, now: float) -> digest.Digest:
         """Return this VM's report about itself, with the next number."""
         self._sequence += 1
-        settings = self.settings
+        settings = self._settings
         return digest.Digest(
             vm=settings.vm,
-            incarnation=self.incarnation,
+            incarnation=self._incarnation,
             sequence=self._sequence,
             data_centre=settings.data_centre,
             host=settings.host,
             port=settings.callers.port,
-            leaving=self.leaving,
-            state_version=self.desired.version,
-            demand=self.limiters.report(now),
-            outcomes=self.outcomes.counts(now),
-            reverted=tuple(sorted(self.versions.reverted)),
+            leaving=self._leaving,
+            state_version=self._desired.version,
+            demand=self._limiters.report(now),
+            outcomes=self._outcomes.counts(now),
+            reverted=tuple(sorted(self._versions.reverted)),
         )
 
     def live_vms(self, now: float) -> list[digest.Digest]:
         """Return the reports of VMs that are believed to be alive, own one first."""
-        limit = ALIVE_SHARE * self.settings.bounds.contact
+        limit = ALIVE_SHARE * self._settings.bounds.contact
         own = digest.Digest(
-            self.settings.vm,
-            self.incarnation,
+            self._settings.vm,
+            self._incarnation,
             self._sequence,
-            self.settings.data_centre,
-            self.settings.host,
-            self.settings.callers.port,
+            self._settings.data_centre,
+            self._settings.host,
+            self._settings.callers.port,
             not self.ready,
-            self.desired.version,
+            self._desired.version,
             {},
             (),
             (),
         )
-        return [own, *self.peers.heard_within(limit, now)]
+        return [own, *self._peers.heard_within(limit, now)]
 
     def longest_timeout(self, service: str | None = None) -> float:
         """Return the longest timeout of the routes of one or all services, seconds."""
-        state = self.desired.state
+        state = self._desired.state
         routes = state.routes if state else ()
         return max(
             (
--- a/src/rattanlug/gateway/peers.py
+++ b/src/rattanlug/gateway/peers.py
@@ -152,4 +152,4 @@
             self._node.counters.add("vm_rows_unreadable")
             return
         self._addresses[vm] = host
-        self._node.registered_vms.setdefault(data_centre, set()).add(vm)
+        self._node.note_registered_vm(data_centre, vm)
--- a/src/rattanlug/gateway/request_path.py
+++ b/src/rattanlug/gateway/request_path.py
@@ -138,7 +138,7 @@
     ) -> _Job:
         node = self._node
         state = node.desired.state
-        if state is None or not node.upstreams_read:
+        if state is None or not node.knows_upstreams:
             raise _refusal(
                 kind.ErrorKind.STARTING,
                 "this VM does not know its routes and upstreams yet",
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -9,6 +9,7 @@
 from rattanlug.caller import application
 from rattanlug.caller import server as caller_server
 from rattanlug.daemon import clock
+from rattanlug.errors import error
 from rattanlug.gateway import (
     endpoints,
     peers,
@@ -20,6 +21,7 @@
     node as node_module,
 )
 from rattanlug.logs import state as log_state
+from rattanlug.platform import boot_settings
 from rattanlug.settings import address, vm_settings
 
 METRICS_PORT = 9464
@@ -37,14 +39,34 @@
 MAX_BODY_BYTES = 16 << 20
 
 
-def run(settings: vm_settings.VmSettings) -> int:
-    """Run the daemon until SIGTERM; return the exit code."""
+def run(settings: vm_settings.VmSettings, settings_path: str) -> int:
+    """Run the daemon until SIGTERM; return the exit code.
+
+    Parameters
+    ----------
+    settings : vm_settings.VmSettings
+    settings_path : str
+        Where the settings are read again on SIGHUP.
+    """
     gc.set_threshold(*_GC_THRESHOLDS)
-    trio.run(_run, settings)
+    trio.run(_run, settings, settings_path)
     return 0
 
 
-async def _run(settings: vm_settings.VmSettings) -> None:
+def reload(node: node_module.Node, settings_path: str) -> None:
+    """Read the settings again; faulty ones are logged and change nothing.
+
+    Listeners stay as they are until the next start.
+    """
+    try:
+        changed = node.reload(boot_settings.read(settings_path))
+    except error.InvalidInputError as exc:
+        log_state.changed("settings", "loaded", "rejected", reason=exc.detail)
+        return
+    log_state.changed("settings", "loaded", "reloaded", changed=changed)
+
+
+async def _run(settings: vm_settings.VmSettings, settings_path: str) -> None:
     log_state.changed(
         "process", None, "started", vm=settings.vm, data_centre=settings.data_centre
     )
@@ -57,9 +79,7 @@
             async for number in signals:
                 if number != signal.SIGHUP:
                     break
-                # Settings are read at the start only; all that changes while the
-                # process runs comes from the store.
-                log_state.changed("settings", "loaded", "kept", signal="SIGHUP")
+                reload(parts.node, settings_path)
             await parts.stop()
             nursery.cancel_scope.cancel()
     await parts.node.pools.aclose()
@@ -135,7 +155,7 @@
         """Leave the look-ups, serve who still comes, and finish what runs."""
         node = self._node
         began = clock.now()
-        node.leaving = True
+        node.leave()
         log_state.changed("process", "running", "stopping")
         await self._peers.report()
         grace = node.settings.bounds.stop - END_SECONDS
--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -36,7 +36,7 @@
             version = None
             continue
         except store_error.StoreError as exc:
-            _note_store(node, "lost", str(exc))
+            node.note_store("lost", str(exc))
             # The whole table is read again, since changes may have been missed.
             version = None
             await trio.sleep(pause)
@@ -44,7 +44,7 @@
             continue
         pause = FIRST_PAUSE_SECONDS
         version = read.version
-        _note_store(node, "reached", "")
+        node.note_store("reached", "")
         _put_in_force(node, read)
 
 
@@ -76,7 +76,7 @@
         node.log.write(
             "upstreams changed", now, count=node.registry.size, read=read.version
         )
-    node.upstreams_read = True
+    node.note_upstreams_read()
     node.versions.set_store_clock(read.store_now, now)
     versions: dict[str, set[str]] = {}
     for each in records:
@@ -107,11 +107,6 @@
     node.limiters.divide(node.demand_elsewhere(now), now)
 
 
-def _note_store(node: node_module.Node, outcome: str, reason: str) -> None:
-    log_state.changed("store", node.store_outcome, outcome, reason=reason)
-    node.store_outcome = outcome
-
-
 def _log_rates(before: state.DesiredState | None, after: state.DesiredState) -> None:
     """Write a line for each organisation whose rate changed."""
     known = {each.name: each for each in before.organisations} if before else {}
