--- a/src/rattanlug/gateway/request_path.py
+++ b/src/rattanlug/gateway/request_path.py
@@ -317,7 +317,7 @@
         if found.idle_seconds is not None:
             node.pools.set_idle_seconds(record.host, record.port, found.idle_seconds)
         if found.busy is not None:
-            load.note_report(found.busy + 1, now)
+            load.note_report(found.busy, now)
         if found.not_executed:
             load.note_outcome(not found.misdirected, now)
             if found.misdirected:
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -26,7 +26,7 @@
 )
 
 # Worth of keeping an object at its home, so that other VMs find it warm there.
-HOME_BONUS = 0.05
+HOME_BONUS = 0.1
 # Worth of sending the first requests to an upstream that is new.
 NEWCOMER_BONUS = 0.4
 # Answers after which an upstream is not new any more.
@@ -38,6 +38,8 @@
 SILENCE_RATIO = 2.0
 # Requests at an upstream relative to its slots, beyond which it gets no more.
 FULL_RATIO = 3.0
+# A value of an upstream in the own data centre above which no other is looked at.
+GOOD_VALUE = 0.85
 # Below this value a request is refused instead of sent.
 LEAST_VALUE = 0.0
 # Upstreams of another data centre that are considered besides those that may have the
@@ -156,18 +158,40 @@
             far = self._warm.far_data_centre(wanted.object_id, list(groups))
         allowed = self._shift.allowed_regions(now)
         best: placement.Placement | None = None
-        for data_centre, group in groups.items():
-            region = self._region_of.get(data_centre, "")
-            penalty = 0.0 if allowed(region) else SHIFT_PENALTY
-            home = self._home(wanted, data_centre, group)
-            for record in self._considered(wanted, data_centre, group, home, now):
-                found = self._value(wanted, times, record, home, len(group), far, now)
-                if found is None or found.value < LEAST_VALUE:
-                    continue
-                if penalty:
-                    found = found._replace(value=found.value - penalty)
-                if best is None or found.value > best.value:
-                    best = found
+        # The own data centre first: a good answer there spares a look at the others.
+        for data_centre in sorted(groups, key=self._is_elsewhere):
+            if best is not None and best.value >= GOOD_VALUE:
+                break
+            found = self._best_of(wanted, times, data_centre, groups, far, now)
+            if found is None:
+                continue
+            if not allowed(self._region_of.get(data_centre, "")):
+                found = found._replace(value=found.value - SHIFT_PENALTY)
+            if best is None or found.value > best.value:
+                best = found
+        return best
+
+    def _is_elsewhere(self, data_centre: str) -> bool:
+        return data_centre != self._data_centre
+
+    def _best_of(
+        self,
+        wanted: demand.Demand,
+        times: service_times.ServiceTimes,
+        data_centre: str,
+        groups: candidate_groups.Groups,
+        far: str | None,
+        now: float,
+    ) -> placement.Placement | None:
+        group = groups[data_centre]
+        home = self._home(wanted, data_centre, group)
+        best: placement.Placement | None = None
+        for record in self._considered(wanted, data_centre, group, home, now):
+            found = self._value(wanted, times, record, home, len(group), far, now)
+            if found is None or found.value < LEAST_VALUE:
+                continue
+            if best is None or found.value > best.value:
+                best = found
         return best
 
     def begin(
@@ -257,6 +281,7 @@
             value -= valuation.crossing_cost(wanted.kilobytes, near)
         seconds = way
         survival = 1.0 - load.failure_share(now)
+        slot_cost = valuation.slot_second_cost(busy, record.slots)
         for probability, work in ((warm, times.warm), (1.0 - warm, times.cold)):
             if probability <= 0.0:
                 continue
@@ -264,9 +289,7 @@
             worth = valuation.answer_worth(
                 way + work, wanted.target_left, wanted.time_left
             )
-            value += probability * (
-                survival * worth - valuation.SLOT_SECOND_COST * work
-            )
+            value += probability * (survival * worth - slot_cost * work)
             seconds += probability * work
         if record.id == home and ground is not warm_objects.Ground.NONE:
             value += HOME_BONUS
--- a/src/rattanlug/placement/service_times.py
+++ b/src/rattanlug/placement/service_times.py
@@ -1,13 +1,16 @@
 """How long upstreams work on the requests of one route."""
 
-# Times at the start, relative to the target latency of the route.
-COLD_TO_TARGET = 1.2
-WARM_TO_TARGET = 0.4
-# Weight of one new measurement.
+# Times at the start, relative to the target latency of the route. A new route has to
+# be tried before it is refused for its slowness.
+COLD_TO_TARGET = 0.7
+WARM_TO_TARGET = 0.3
+# Least weight of one new measurement; the first ones weigh more.
 SMOOTHING = 0.05
 # A measurement beyond this multiple of the cold time says more about its upstream
 # than about the route.
 LARGEST_RATIO = 1.6
+# Measurements before that is said.
+FIRST_COUNT = 10
 
 
 class ServiceTimes:
@@ -23,6 +26,7 @@
 
     def __init__(self, target_latency: float, affinity: bool) -> None:
         self._affinity = affinity
+        self._cold_count = self._warm_count = 0
         self._cold = COLD_TO_TARGET * target_latency
         self._warm = (WARM_TO_TARGET if affinity else COLD_TO_TARGET) * target_latency
 
@@ -42,11 +46,17 @@
 
     def learn(self, seconds: float) -> None:
         """Take the time of one request that found a free slot."""
-        if seconds > LARGEST_RATIO * self._cold:
+        if self._cold_count > FIRST_COUNT and seconds > LARGEST_RATIO * self._cold:
             return
         if self.is_warm(seconds):
-            self._warm += SMOOTHING * (seconds - self._warm)
-        else:
-            self._cold += SMOOTHING * (seconds - self._cold)
-            if not self._affinity:
-                self._warm = self._cold
+            self._warm_count += 1
+            self._warm += _weight(self._warm_count) * (seconds - self._warm)
+            return
+        self._cold_count += 1
+        self._cold += _weight(self._cold_count) * (seconds - self._cold)
+        if not self._affinity:
+            self._warm = self._cold
+
+
+def _weight(count: int) -> float:
+    return max(SMOOTHING, 1.0 / (count + 1))
--- a/src/rattanlug/placement/upstream_load.py
+++ b/src/rattanlug/placement/upstream_load.py
@@ -107,11 +107,14 @@
     def note_report(self, busy: int, now: float) -> None:
         """Take the upstream's own count, which came with an answer.
 
-        The request that was answered is no longer in the report and still counted
-        here.
+        Parameters
+        ----------
+        busy : int
+            Requests that run or wait there, without the one that was answered.
+        now : float
+            Seconds; the request that was answered has ended here.
         """
-        reported = max(0.0, busy - (self.in_flight - 1))
-        self._others = reported
+        self._others = max(0.0, float(busy - self.in_flight))
         self._others_at = now
 
     def note_answer(self, now: float) -> None:
--- a/src/rattanlug/placement/valuation.py
+++ b/src/rattanlug/placement/valuation.py
@@ -11,8 +11,12 @@
 DATA_CENTRE_COST = 0.07
 REGION_COST = 0.08
 # What a second of a slot costs, relative to the worth of an answer in time: it is
-# missing for other requests.
+# missing for other requests. The cost rises with the load, since on a full upstream
+# each cold object takes the place of several warm ones.
 SLOT_SECOND_COST = 0.25
+BUSY_SLOT_SECOND_COST = 2.0
+# Load, relative to the slots, from which on the cost rises.
+BUSY_RATIO = 0.9
 
 
 def answer_worth(seconds: float, target_left: float, time_left: float) -> float:
@@ -37,6 +41,19 @@
     return kilobytes * (DATA_CENTRE_COST if same_region else REGION_COST)
 
 
+def slot_second_cost(busy: float, slots: int) -> float:
+    """Return what a second of a slot costs on an upstream.
+
+    Parameters
+    ----------
+    busy : float
+        Requests that run or wait there.
+    slots : int
+    """
+    over = max(0.0, busy / slots - BUSY_RATIO)
+    return SLOT_SECOND_COST + BUSY_SLOT_SECOND_COST * over
+
+
 def _probability(seconds: float, limit: float) -> float:
     if limit <= 0.0:
         return 0.0
--- a/src/rattanlug/placement/warm_objects.py
+++ b/src/rattanlug/placement/warm_objects.py
@@ -13,7 +13,7 @@
 
 # Objects that an upstream is taken to keep at first, and the limits of what is learnt.
 FIRST_KEPT = 32.0
-LEAST_KEPT = 4.0
+LEAST_KEPT = 16.0
 MOST_KEPT = 512.0
 # Factors on the kept objects after a hit and a miss; they balance at one miss in
 # about eight requests.
--- a/src/rattanlug/upstream/answer_stream.py
+++ b/src/rattanlug/upstream/answer_stream.py
@@ -7,6 +7,8 @@
 # Status line ``HTTP/1.1 200``: the status begins here.
 _STATUS_AT = 9
 _MAX_HEAD_BYTES = 64 * 1024
+# Larger bodies are not kept; their connections are used once if they are chunked.
+KEPT_BODY_BYTES = 64 * 1024
 
 
 class AnswerStream(httpcore.AsyncNetworkStream):
@@ -32,6 +34,7 @@
         self._in_head = True
         self._to_drop = 0
         self._body_bytes = 0
+        self._body = bytearray()
         self._dropped = 0
         self._received = 0
 
@@ -40,6 +43,11 @@
         """Bytes received since the end of the answer's head."""
         return self._body_bytes
 
+    @property
+    def body(self) -> bytes:
+        """First bytes received since the end of the answer's head."""
+        return bytes(self._body)
+
     @property
     def received(self) -> int:
         """Bytes received for the present request."""
@@ -57,6 +65,7 @@
         self._in_head = True
         self._to_drop = 0
         self._body_bytes = 0
+        self._body.clear()
         self._received = 0
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
@@ -86,7 +95,7 @@
 
     def _show(self, data: bytes) -> bytes:
         if not self._in_head:
-            self._body_bytes += len(data)
+            self._note_body(data)
             return data
         self._head += data
         while True:
@@ -113,9 +122,14 @@
             rest = shown[len(head) :]
             return head + (self._show(rest) if rest else b"")
         self._in_head = False
-        self._body_bytes = len(shown) - len(head)
+        self._note_body(shown[len(head) :])
         return shown
 
+    def _note_body(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        if self._body_bytes <= KEPT_BODY_BYTES:
+            self._body += data
+
     def _length_of_other(self, head: bytes) -> int | None:
         """Return the body length of an answer to another request, else None."""
         identifier, length = None, None
--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -11,10 +11,12 @@
 from rattanlug.metrics import counters
 from rattanlug.upstream import answer_stream, pooled_connection, response
 
-# Below the idle time after which common HTTP servers close a connection.
+# Below the idle time after which common HTTP servers close a connection; for
+# upstreams that announce none.
 IDLE_SECONDS = 4.0
-# Part of the idle time that an upstream announces.
-IDLE_SHARE = 0.6
+# Part of the idle time that an upstream announces, and its longest use.
+IDLE_SHARE = 0.7
+LONGEST_IDLE_SECONDS = 20.0
 # A connection whose bytes are not acknowledged for this time is broken.
 UNACKNOWLEDGED_SECONDS = 1.5
 _MILLISECONDS = 1000
@@ -65,7 +67,9 @@
 
     def set_idle_seconds(self, host: str, port: int, announced: float) -> None:
         """Take the time for which an upstream keeps idle connections."""
-        self._idle_seconds[host, port] = min(IDLE_SECONDS, IDLE_SHARE * announced)
+        self._idle_seconds[host, port] = min(
+            LONGEST_IDLE_SECONDS, IDLE_SHARE * announced
+        )
 
     async def forget(self, host: str, port: int) -> None:
         """Close the idle connections to an address."""
--- a/src/rattanlug/upstream/pooled_connection.py
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -3,7 +3,7 @@
 import httpcore
 
 from rattanlug.errors import error, kind, ran
-from rattanlug.upstream import answer_stream, response
+from rattanlug.upstream import answer_stream, chunked, response
 
 _MAX_ANSWER_BYTES = 64 << 20
 
@@ -72,7 +72,7 @@
         if not self._http.is_idle():
             return "closed"
         if head.header(b"content-length") is None:
-            return "length unknown"
+            size = chunked.body_length(self._stream.body) or 0
         return "extra bytes" if self._stream.body_bytes > size else ""
 
     async def aclose(self) -> None:
--- a/tests/placement/queue_model.py
+++ b/tests/placement/queue_model.py
@@ -115,11 +115,16 @@
             random.Random(f"{site.name} {number}"),
         )
 
-    def play(self, seconds, warm_up=5.0):
-        """Play for some seconds; return outcomes by data centre after the warm-up."""
+    def play(self, seconds, warm_up=5.0, burst=(0.0, 0.0, 1.0)):
+        """Play for some seconds; return outcomes by data centre after the warm-up.
+
+        ``burst`` is its beginning, its end, and the factor on all rates.
+        """
         for site in self._sites.values():
             at = 0.0
-            while (at := at + self._rng.expovariate(site.rate)) < seconds:
+            while at < seconds:
+                factor = burst[2] if burst[0] <= at < burst[1] else 1.0
+                at += self._rng.expovariate(site.rate * factor)
                 self._push(at, self._arrive, site, at >= warm_up)
         while self._events:
             now, _, action, arguments = heapq.heappop(self._events)
@@ -179,7 +184,7 @@
         load = vm.load(record, now)
         load.end(token)
         load.note_answer(now)
-        load.note_report(busy + 1, now)
+        load.note_report(busy, now)
         work = now - sent - 2 * way
         if chosen is not None and chosen.busy < record.slots:
             hit = times.is_warm(work)
