--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -95,7 +95,12 @@
         node.limiters.configure(found.organisations, now)
         node.placer.configure(found.services)
         share_rates(node, now)
-        log_state.changed("desired_state", None, found.version, read=read.version)
+        log_state.changed(
+            "desired_state",
+            before.version if before else None,
+            found.version,
+            read=read.version,
+        )
     if found is not None:
         node.desired.confirm(read.sent_at)
     node.versions.set_orders(node.operators.orders)
