Hear VMs whose clock was set back, and complete moves only with room

Cause: found by reading: a VM that starts again after its time of day was set back has a lower incarnation, and its reports were dropped for a minute; and a move whose upstreams never came would have been completed by its schedule, which stops the old ones. Both have tests that failed before.

--- a/src/rattanlug/canary/schedule.py
+++ b/src/rattanlug/canary/schedule.py
@@ -5,6 +5,9 @@
 TRIAL_SHARE = 0.05
 # Steps after the trial: part of the duration that has passed, and share from then on.
 STEPS = ((0.60, 0.25), (0.69, 0.5), (0.76, 1.0))
+# Slots of the new version, relative to the old one's, without which the steps after the
+# trial would overload it; the old version is stopped when a move is complete.
+LEAST_ROOM = 0.5
 # Time after the last step for requests that still run at the old version: their
 # longest time and as much again for VMs that learn of the step late, seconds.
 SETTLE_SECONDS = 1.2
@@ -41,3 +44,14 @@
     latest = duration - longest_timeout - 2.0 * SETTLE_SECONDS
     wanted = STEPS[-1][0] * duration
     return min(1.0, max(0.3, latest / wanted)) if wanted > 0.0 else 1.0
+
+
+def has_room(new_slots: int, old_slots: int) -> bool:
+    """Tell whether the new version can take over.
+
+    Parameters
+    ----------
+    new_slots, old_slots : int
+        Slots of the upstreams of both versions that take requests.
+    """
+    return new_slots >= LEAST_ROOM * old_slots and new_slots > 0
--- a/src/rattanlug/canary/version_choice.py
+++ b/src/rattanlug/canary/version_choice.py
@@ -111,7 +111,7 @@
     def allowed(
         self,
         service: str,
-        present: frozenset[str],
+        present: Mapping[str, int],
         longest_timeout: float,
         now: float,
     ) -> frozenset[str] | None:
@@ -120,13 +120,14 @@
         Parameters
         ----------
         service : str
-        present : frozenset of str
-            Versions of the upstreams that are registered.
+        present : Mapping of str to int
+            Slots of the upstreams that are registered, by version.
         longest_timeout : float
             Longest time that a request may run, seconds.
         now : float
             Seconds.
         """
+        slots, present = present, frozenset(present)
         target = self._target(service)
         settled = self._settled.get(service)
         if target is None:
@@ -146,7 +147,9 @@
             return self._or_any(present & base, base)
         elapsed = self.elapsed(record, now)
         wanted = schedule.share(elapsed, record.duration, longest_timeout)
-        if now - self._read_at > STALE_SECONDS:
+        old_slots = sum(slots[each] for each in present & base)
+        has_room = schedule.has_room(slots.get(target, 0), old_slots)
+        if now - self._read_at > STALE_SECONDS or not has_room:
             wanted = min(wanted, schedule.TRIAL_SHARE)
         if target in present and self._rng.random() < wanted:
             return frozenset({target})
--- a/src/rattanlug/discovery/upstream_registry.py
+++ b/src/rattanlug/discovery/upstream_registry.py
@@ -26,6 +26,7 @@
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}
         self._by_service: dict[str, tuple[upstream_record.UpstreamRecord, ...]] = {}
+        self._slots: dict[str, dict[str, int]] = {}
         self._read_version = -1
         self._trusted_from = 0.0
 
@@ -75,6 +76,10 @@
         """Return the upstreams of a service that take new requests, by id."""
         return self._by_service.get(service, ())
 
+    def slots_by_version(self, service: str) -> dict[str, int]:
+        """Return the slots of upstreams that take new requests, by version."""
+        return self._slots.get(service, {})
+
     def record(self, upstream_id: str) -> upstream_record.UpstreamRecord | None:
         """Return what is known of an upstream, None when it is gone."""
         entry = self._entries.get(upstream_id)
@@ -109,6 +114,11 @@
             if not entry.record.leaving:
                 grouped.setdefault(entry.record.service, []).append(entry.record)
         self._by_service = {name: tuple(each) for name, each in grouped.items()}
+        self._slots = {}
+        for name, records in grouped.items():
+            slots = self._slots.setdefault(name, {})
+            for each in records:
+                slots[each.version] = slots.get(each.version, 0) + each.slots
 
 
 def _essence(entries: dict[str, _Entry]) -> dict[str, tuple]:
--- a/src/rattanlug/fleet/peer_table.py
+++ b/src/rattanlug/fleet/peer_table.py
@@ -4,6 +4,9 @@
 
 from rattanlug.fleet import digest
 
+# Longer than a report may be on its way, shorter than a VM takes to be noticed missing.
+SUCCESSION_SECONDS = 2.5
+
 
 class _Peer(NamedTuple):
     report: digest.Digest
@@ -25,14 +28,17 @@
     def hear(self, report: digest.Digest, now: float) -> bool:
         """Take a report; return whether its VM, or its present start, is new.
 
-        An older report than the last one of the same VM is dropped.
+        An older report than the last one of the same VM is dropped, unless that one
+        was heard some time ago: a VM whose time of day was set back starts again with
+        a lower number.
         """
         if report.vm == self._own_vm:
             return False
         known = self._peers.get(report.vm)
         if known is not None:
             order = (report.incarnation, report.sequence)
-            if order <= (known.report.incarnation, known.report.sequence):
+            last = (known.report.incarnation, known.report.sequence)
+            if order <= last and now - known.heard_at < SUCCESSION_SECONDS:
                 return False
         self._peers[report.vm] = _Peer(report, now)
         return known is None or known.report.incarnation != report.incarnation
--- a/src/rattanlug/gateway/request_path.py
+++ b/src/rattanlug/gateway/request_path.py
@@ -263,9 +263,6 @@
         self, job: _Job, excluded: frozenset[str], now: float
     ) -> placement.Placement | None:
         node = self._node
-        present = frozenset(
-            each.version for each in node.registry.of_service(job.service)
-        )
         times = self._times(job.route)
         wanted = demand.Demand(
             service=job.service,
@@ -277,7 +274,10 @@
             kilobytes=self._kilobytes(job),
             home_regions=_home_regions(job),
             versions=node.versions.allowed(
-                job.service, present, node.longest_timeout(job.service), now
+                job.service,
+                node.registry.slots_by_version(job.service),
+                node.longest_timeout(job.service),
+                now,
             ),
             excluded=excluded,
         )
--- a/src/rattanlug/gateway/rollouts.py
+++ b/src/rattanlug/gateway/rollouts.py
@@ -92,10 +92,20 @@
     if order.row_version in node.versions.reverted:
         reason = f"bad answers: {bad}" if bad is not None else "found bad elsewhere"
         await _finish(node, record, rollout_state.RolloutState.ROLLED_BACK, reason)
-    elif schedule.may_complete(elapsed - turn, record.duration, timeout):
+    elif _can_take_over(node, record) and schedule.may_complete(
+        elapsed - turn, record.duration, timeout
+    ):
         await _finish(node, record, rollout_state.RolloutState.COMPLETE, "")
 
 
+def _can_take_over(
+    node: node_module.Node, record: rollout_record.RolloutRecord
+) -> bool:
+    slots = dict(node.registry.slots_by_version(record.service))
+    new = slots.pop(record.target, 0)
+    return schedule.has_room(new, sum(slots.get(each, 0) for each in record.base))
+
+
 def _evidence(node: node_module.Node, order: rollout_order.RolloutOrder, now: float):
     counts = list(node.outcomes.counts(now))
     for report in node.peers.heard_within(node_module.RECENT_SECONDS, now):
--- a/tests/canary/test_version_choice.py
+++ b/tests/canary/test_version_choice.py
@@ -12,7 +12,7 @@
     version_choice,
 )
 
-BOTH = frozenset({"v1", "v2"})
+BOTH = {"v1": 10, "v2": 10}
 STATE = rollout_state.RolloutState
 
 
@@ -100,3 +100,10 @@
     assert record_codec.decode(record_codec.encode(found), 6) == found
     with pytest.raises(record_codec.UnreadableRecordError):
         record_codec.decode(b'{"service": "s"}', 1)
+
+
+def test_a_version_with_too_few_upstreams_stays_on_trial():
+    choice = build(order(), records=[record()], at=13.0)
+    found = [choice.allowed("s", {"v1": 100, "v2": 10}, 1.0, 13.0) for _ in range(1000)]
+    assert sum(each == {"v2"} for each in found) < 100
+    assert choice.allowed("s", {"v1": 100}, 1.0, 13.0) == {"v1"}
--- a/tests/fleet/test_peer_table.py
+++ b/tests/fleet/test_peer_table.py
@@ -52,3 +52,11 @@
     gone = [report("a", leaving=True), *live[1:]]
     assert names(gone, "d1", "r1") == ["b"]
     assert names(live[2:], "d1", "r1") == ["c"]
+
+
+def test_a_vm_whose_clock_was_set_back_is_heard_again_after_its_restart():
+    table = peer_table.PeerTable("a")
+    table.hear(report(incarnation=100, sequence=50), 1.0)
+    assert not table.hear(report(incarnation=90), 1.5)
+    assert table.hear(report(incarnation=90, sequence=3), 4.0)
+    assert [each.incarnation for each in table.heard_within(1.0, 4.5)] == [90]
