--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -248,3 +248,16 @@
         request_id, answer = await caller.send(vm, "/claim/x", "POST", b"body")
         assert answer.status == 503
         assert caller.runs(deployment, request_id) == []
+
+
+@caller.in_trio
+async def test_a_connection_that_is_not_opened_in_time_counts_as_not_run(monkeypatch):
+    async with one_vm("u1") as (deployment, vm):
+
+        async def never(*arguments):
+            await trio.sleep_forever()
+
+        monkeypatch.setattr(vm.node.pools, "_open", never)
+        request_id, answer = await caller.send(vm, "/claim/x", "POST", b"body")
+        assert answer.status == 503
+        assert caller.runs(deployment, request_id) == []
