--- /dev/null
+++ b/src/rattanlug/gateway/__main__.py
@@ -0,0 +1,32 @@
+"""Runs the entry daemon as ``python -m rattanlug.gateway``.
+
+The platform starts it this way: without the command line, a daemon is back sooner
+after a loss of power, and smaller.
+"""
+
+import sys
+
+from rattanlug.commands import single_process
+
+
+def main() -> int:
+    """Run with the settings file that the platform names; return the exit code."""
+    single_process.prevent_library_searches()
+    # Imported after that, because they import trio.
+    from rattanlug.errors import error
+    from rattanlug.gateway import run
+    from rattanlug.logs import setup
+    from rattanlug.platform import boot_settings
+
+    try:
+        path = boot_settings.path_from_environment()
+        settings = boot_settings.read(path)
+    except error.InvalidInputError as exc:
+        print(exc.detail, file=sys.stderr)
+        return 2
+    setup.configure("INFO", settings.vm, to_standard_output=True)
+    return run.run(settings, path)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/rattanlug/gateway/peers.py
+++ b/src/rattanlug/gateway/peers.py
@@ -58,6 +58,18 @@
         for host in self._targets(now):
             await self._send(data, host)
 
+    async def leave(self) -> None:
+        """Tell the other VMs of a stop, and remove this VM's address from the store.
+
+        A VM that is replaced never registers again; its row would stay for good.
+        """
+        await self.report()
+        row = store_write.StoreWrite(TABLE, self._node.settings.vm, None, None)
+        try:
+            await self._node.store.commit([row])
+        except store_error.StoreError as exc:
+            log_state.changed("address", "registered", "kept", reason=str(exc))
+
     async def _report_regularly(self) -> None:
         node = self._node
         while True:
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -157,12 +157,12 @@
         began = clock.now()
         node.leave()
         log_state.changed("process", "running", "stopping")
-        await self._peers.report()
+        await self._peers.leave()
         grace = node.settings.bounds.stop - END_SECONDS
         finish = min(
             node.longest_timeout() + FINISH_EXTRA_SECONDS, FINISH_SHARE * grace
         )
-        await trio.sleep(grace - finish)
+        await trio.sleep(max(0.0, began + grace - finish - clock.now()))
         # From now on no connection is accepted, and each closes with its next answer.
         self._stop_callers.set()
         while self._callers.connections and clock.now() - began < grace:
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -30,7 +30,7 @@
 # Worth of bringing an object to its home in the own data centre while that has free
 # slots: the requests to come are spared the way to another region, where the object
 # happens to be warm.
-HOMECOMING_BONUS = 0.35
+LOCAL_HOME_BONUS = 0.35
 # Worth of sending the first requests to an upstream that is new.
 NEWCOMER_BONUS = 0.4
 # Answers after which an upstream is not new any more.
@@ -299,7 +299,7 @@
             value += HOME_BONUS
             near = ground is warm_objects.Ground.HOME_NEAR
             if near and same and busy < record.slots:
-                value += HOMECOMING_BONUS
+                value += LOCAL_HOME_BONUS
         if same and load.answers < NEWCOMER_ANSWERS and load.in_flight == 0:
             value += NEWCOMER_BONUS
         return placement.Placement(record, value, seconds, busy, warm, ground)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -41,8 +41,11 @@
         stopping = await deployment.add_vm()
         await deployment.settle()
         async with trio.open_nursery() as nursery:
+            assert deployment.store.value("rattanlug-vms", "vm-2")
             nursery.start_soon(stopping.stop)
             await trio.sleep(0.3)
+            assert deployment.store.value("rattanlug-vms", "vm-2") is None
+            assert deployment.store.value("rattanlug-vms", "vm-1")
             ready = await caller.ask(stopping.node.settings.readiness, "/readyz")
             assert ready.status == 503
             expected = {staying.node.settings.host}
