Keep log lines whole, and answer early before a connection closes

Cause: found by reading: a line that was written in part grew without bound behind a slow reader, and a stop could close a connection between an early answer's decision and its bytes. Tests: a full pipe drops whole lines and counts them.

--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -86,7 +86,10 @@
             early = self._early_answer(data)
             if early is None:
                 break
+            # A stop closes connections between requests; this one has its answer first.
+            self._between_requests = False
             await self._send_bounded(early)
+            self._between_requests = True
             data = await self._receive(max_bytes)
         self._between_requests = False
         if data.startswith(_HTTP_2_PREFACE):
--- a/src/rattanlug/logs/non_blocking.py
+++ b/src/rattanlug/logs/non_blocking.py
@@ -28,12 +28,23 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Write one record."""
         line = self.format(record).encode() + b"\n"
-        data = self._rest + line
+        if self._rest and not self._write_rest():
+            self._dropped += 1
+            return
+        self._rest = line
+        if not self._write_rest() and self._rest == line:
+            self._rest = b""
+            self._dropped += 1
+
+    def _write_rest(self) -> bool:
+        """Write what is left of a line; return whether nothing is left.
+
+        A line that was written in part is completed before the next one.
+        """
         try:
-            written = os.write(self._descriptor, data)
+            written = os.write(self._descriptor, self._rest)
         except OSError:
             # No room, or no reader any more.
-            self._dropped += 1
-            return
-        # A line that was written in part is completed before the next one.
-        self._rest = data[written:]
+            return False
+        self._rest = self._rest[written:]
+        return not self._rest
--- /dev/null
+++ b/tests/logs/test_non_blocking.py
@@ -0,0 +1,48 @@
+"""Tests of the log handler that never waits."""
+
+import logging
+import os
+
+from rattanlug.logs import non_blocking
+
+
+def record(text):
+    return logging.LogRecord("n", logging.INFO, "f", 1, text, (), None)
+
+
+def read_all(descriptor):
+    os.set_blocking(descriptor, False)
+    data = b""
+    try:
+        while chunk := os.read(descriptor, 65536):
+            data += chunk
+    except BlockingIOError:
+        pass
+    return data
+
+
+def test_lines_without_room_are_dropped_and_the_others_are_whole():
+    reader, writer = os.pipe()
+    handler = non_blocking.NonBlockingHandler(writer)
+    line = "x" * 3000
+    for index in range(60):
+        handler.emit(record(f"{index} {line}"))
+    assert handler.dropped > 0
+    seen = read_all(reader)
+    handler.emit(record("after"))
+    seen += read_all(reader)
+    lines = seen.decode().splitlines()
+    assert lines[-1] == "after"
+    assert all(each.endswith(line) for each in lines[:-1])
+    assert len(lines) - 1 + handler.dropped == 60
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_reader_that_is_gone_does_not_matter():
+    reader, writer = os.pipe()
+    os.close(reader)
+    handler = non_blocking.NonBlockingHandler(writer)
+    handler.emit(record("text"))
+    assert handler.dropped == 1
+    os.close(writer)
