Help out an overloaded data centre, and refuse before the library is set up

Refused callers are answered before that now, and while a VM was late in the last seconds its data centre's look-ups name the region's other VMs too.

--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -9,6 +9,7 @@
 
 # A caller that does not read its answer holds the memory of it.
 SEND_SECONDS = 20.0
+_READ_BYTES = 65536
 _HTTP_2_PREFACE = b"PRI * HTTP/2"
 _HEAD = b"HTTP/1.1 "
 _HEAD_END = b"\r\n\r\n"
@@ -44,8 +45,9 @@
     ) -> None:
         self._stream = stream
         self._counters = all_counters
-        self._answer_early = answer_early
+        self._find_early_answer = answer_early
         self._head = b""
+        self._pending = b""
         # Whether the next byte received begins a request.
         self._between_requests = True
         self._last_used = trio.current_time()
@@ -79,10 +81,31 @@
         """Return for how long nothing was received or sent, seconds."""
         return now - self._last_used
 
+    async def answer_early(self) -> bool:
+        """Answer requests that need no upstream until another one comes.
+
+        Returns
+        -------
+        bool
+            Whether a request waits to be received; otherwise the caller has left.
+        """
+        data = await self._receive_request(_READ_BYTES)
+        self._pending = data
+        return bool(data)
+
     async def receive_some(self, max_bytes: int) -> bytes:
         """Receive; an HTTP/2 preface counts as the end of the stream."""
+        data, self._pending = self._pending, b""
+        if not data:
+            data = await self._receive_request(max_bytes)
+        if data.startswith(_HTTP_2_PREFACE):
+            self._counters.add("requests_rejected", reason="http_2")
+            return b""
+        return data
+
+    async def _receive_request(self, max_bytes: int) -> bytes:
         data = await self._receive(max_bytes)
-        while self._between_requests and self._answer_early is not None:
+        while self._between_requests and self._find_early_answer is not None:
             early = self._early_answer(data)
             if early is None:
                 break
@@ -92,9 +115,6 @@
             self._between_requests = True
             data = await self._receive(max_bytes)
         self._between_requests = False
-        if data.startswith(_HTTP_2_PREFACE):
-            self._counters.add("requests_rejected", reason="http_2")
-            return b""
         return data
 
     async def send_all(self, data: bytes) -> None:
@@ -132,7 +152,7 @@
 
     def _early_answer(self, data: bytes) -> bytes | None:
         head = request_head.parse_whole(data)
-        return None if head is None else self._answer_early(head)
+        return None if head is None else self._find_early_answer(head)
 
     async def _send_bounded(self, data: bytes) -> None:
         self._last_used = trio.current_time()
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -114,6 +114,17 @@
                 stream.abort()
             serving.cancel_scope.cancel()
 
+    async def _run_library(self, caller: caller_stream.CallerStream) -> None:
+        connection = tcp_server.TCPServer(
+            self._app,
+            self._config,
+            self._context,
+            hypercorn_typing.ConnectionState({}),
+            caller,
+        )
+        connection.idle_task = _NoIdleTask()
+        await connection.run()
+
     async def _serve_scope(self, scope: dict, receive: Callable, send: Callable):
         client = scope.get("client")
         if client is not None:
@@ -136,16 +147,13 @@
         caller = caller_stream.CallerStream(stream, self._counters, self._answer_early)
         self._streams.add(caller)
         self._by_caller[caller.identity] = caller
-        connection = tcp_server.TCPServer(
-            self._app,
-            self._config,
-            self._context,
-            hypercorn_typing.ConnectionState({}),
-            caller,
-        )
-        connection.idle_task = _NoIdleTask()
         try:
-            await connection.run()
+            # The library's parts are set up for callers with a request for it only:
+            # callers that are refused come back on a new connection each time.
+            if await caller.answer_early():
+                await self._run_library(caller)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._counters.add("connections_broken")
         except Exception:
             # A fault in one connection must not end the others.
             self._counters.add("connection_failures")
--- a/src/rattanlug/fleet/digest.py
+++ b/src/rattanlug/fleet/digest.py
@@ -27,6 +27,8 @@
     outcomes : tuple of outcome_count.OutcomeCount
     reverted : tuple of int
         Orders that this VM has found to be for a bad version.
+    overloaded : bool
+        Whether the VM was behind with its work in the last seconds.
     """
 
     vm: str
@@ -40,3 +42,4 @@
     demand: dict[str, float]
     outcomes: tuple[outcome_count.OutcomeCount, ...]
     reverted: tuple[int, ...]
+    overloaded: bool = False
--- a/src/rattanlug/fleet/digest.thrift
+++ b/src/rattanlug/fleet/digest.thrift
@@ -24,4 +24,5 @@
   12: list<i64> reverted,
   // Set on a copy that another VM passes on.
   13: bool passedOn,
+  14: bool overloaded,
 }
--- a/src/rattanlug/fleet/digest_codec.py
+++ b/src/rattanlug/fleet/digest_codec.py
@@ -44,6 +44,7 @@
         outcomes=[ttypes.OutcomeCount(*each) for each in report.outcomes],
         reverted=list(report.reverted),
         passedOn=passed_on,
+        overloaded=report.overloaded,
     )
     buffer = TTransport.TMemoryBuffer()
     message.write(_FACTORY.getProtocol(buffer))
@@ -93,4 +94,5 @@
             for each in message.outcomes or ()
         ),
         reverted=tuple(message.reverted or ()),
+        overloaded=bool(message.overloaded),
     )
--- a/src/rattanlug/fleet/lookup_answer.py
+++ b/src/rattanlug/fleet/lookup_answer.py
@@ -17,7 +17,9 @@
     """Return the VMs nearest to a caller.
 
     Those of the caller's data centre; without one, those of its region; without one,
-    all.
+    all. While one in the data centre is overloaded, those of the region that are not
+    take their part. This answers data centres with unequal numbers of VMs whose
+    callers ask for more than their processors can do.
 
     Parameters
     ----------
@@ -31,6 +33,14 @@
     """
     serving = [each for each in live if not each.leaving]
     near = [each for each in serving if each.data_centre == data_centre]
+    if any(each.overloaded for each in near):
+        near += [
+            each
+            for each in serving
+            if region_of.get(each.data_centre) == region
+            and each.data_centre != data_centre
+            and not each.overloaded
+        ]
     if not near:
         near = [each for each in serving if region_of.get(each.data_centre) == region]
     return (near or serving)[:MAX_ADDRESSES]
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -271,6 +271,7 @@
             demand=self._limiters.report(now),
             outcomes=self._outcomes.counts(now),
             reverted=tuple(sorted(self._versions.reverted)),
+            overloaded=self._lag.overloaded(now),
         )
 
     def live_vms(self, now: float) -> list[digest.Digest]:
@@ -288,6 +289,7 @@
             {},
             (),
             (),
+            self._lag.overloaded(now),
         )
         return [own, *self._peers.heard_within(limit, now)]
 
--- a/tests/fleet/test_peer_table.py
+++ b/tests/fleet/test_peer_table.py
@@ -60,3 +60,20 @@
     assert not table.hear(report(incarnation=90), 1.5)
     assert table.hear(report(incarnation=90, sequence=3), 4.0)
     assert [each.incarnation for each in table.heard_within(1.0, 4.5)] == [90]
+
+
+def test_an_overloaded_data_centre_is_helped_out_by_its_region():
+    regions = {"d1": "r1", "d2": "r1", "d3": "r2"}
+    live = [
+        report("a")._replace(overloaded=True),
+        report("b", data_centre="d2"),
+        report("c", data_centre="d2")._replace(overloaded=True),
+        report("d", data_centre="d3"),
+    ]
+    chosen = lookup_answer.choose_vms(live, "d1", "r1", regions)
+    assert [each.vm for each in chosen] == ["a", "b"]
+    # The callers of the other data centre stay there.
+    calm = [live[0], live[1], live[3]]
+    assert [
+        each.vm for each in lookup_answer.choose_vms(calm, "d2", "r1", regions)
+    ] == ["b"]
