--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from rattanlug.daemon import clock
 from tests.gateway import caller
 from trial.shared_platform import fleet
 
@@ -261,3 +262,14 @@
         request_id, answer = await caller.send(vm, "/claim/x", "POST", b"body")
         assert answer.status == 503
         assert caller.runs(deployment, request_id) == []
+
+
+@caller.in_trio
+async def test_time_in_the_queues_of_a_busy_vm_counts_against_the_deadline():
+    async with one_vm("u1") as (deployment, vm):
+        vm.node.lag.note(0.11, clock.now())
+        request_id, answer = await caller.send(
+            vm, "/view/x", Rattanlug_Deadline_Ms="150"
+        )
+        assert answer.status == 503
+        assert caller.runs(deployment, request_id) == []
