Refuse datagrams whose numbers are too long

Ruled out: the other kinds of error, which the codec already turned into its own. Before: b'\x01\x80\x80\x80' as a datagram raises OverflowError (the new case of test_peer_table fails). After: it counts as unreadable.

--- a/src/rattanlug/fleet/digest_codec.py
+++ b/src/rattanlug/fleet/digest_codec.py
@@ -62,7 +62,13 @@
     try:
         message.read(_FACTORY.getProtocol(TTransport.TMemoryBuffer(data)))
         return _checked(message), bool(message.passedOn)
-    except (Thrift.TException, EOFError, TypeError, ValueError) as exc:
+    except (
+        Thrift.TException,
+        EOFError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as exc:
         raise UnreadableDigestError(str(exc)) from exc
 
 
--- /dev/null
+++ b/src/rattanlug/gateway/loop_busy.py
@@ -0,0 +1,56 @@
+"""Measures which part of the time the event loop is at work."""
+
+import trio
+
+# The share follows a change by half in this time; callers keep look-ups for seconds,
+# so a faster measure would send them back and forth.
+HALF_LIFE_SECONDS = 0.7
+# A loop that works for this part of the time has little left for a burst.
+BUSY_SHARE = 0.65
+# A VM that was busy counts as such until its share is below this one; about half of
+# its callers went elsewhere meanwhile, and would all come back at the first share.
+RELIEVED_SHARE = 0.3
+
+
+class LoopBusy(trio.abc.Instrument):
+    """Share of the time in which the event loop did not wait.
+
+    Unlike the delay of timers, it shows a rising load before requests wait.
+    """
+
+    def __init__(self) -> None:
+        self._share = 0.0
+        self._is_busy = False
+        self._waits_since = 0.0
+        self._works_since = 0.0
+
+    @property
+    def share(self) -> float:
+        """Part of the recent time, 0 to 1."""
+        return self._share
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether the loop has little time left."""
+        return self._is_busy
+
+    def note(self, worked: float, waited: float) -> None:
+        """Take how long the loop worked and then waited, seconds."""
+        total = worked + waited
+        if total <= 0.0:
+            return
+        kept = 0.5 ** (total / HALF_LIFE_SECONDS)
+        self._share = kept * self._share + (1.0 - kept) * worked / total
+        limit = RELIEVED_SHARE if self._is_busy else BUSY_SHARE
+        self._is_busy = self._share > limit
+
+    def before_io_wait(self, timeout: float) -> None:
+        """Note that the loop begins to wait."""
+        self._waits_since = trio.current_time()
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Note that the loop goes on."""
+        now = trio.current_time()
+        if self._works_since:
+            self.note(self._waits_since - self._works_since, now - self._waits_since)
+        self._works_since = now
--- a/tests/fleet/test_peer_table.py
+++ b/tests/fleet/test_peer_table.py
@@ -34,7 +34,10 @@
     assert digest_codec.decode(data) == (report(), True)
 
 
-@pytest.mark.parametrize("data", [b"", b"\x00", b"\xff" * 40, b"GET / HTTP/1.1\r\n"])
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"\x00", b"\xff" * 40, b"GET / HTTP/1.1\r\n", b"\x01\x80\x80\x80"],
+)
 def test_foreign_datagrams_are_rejected(data):
     with pytest.raises(digest_codec.UnreadableDigestError):
         digest_codec.decode(data)
--- /dev/null
+++ b/tests/gateway/test_loop_busy.py
@@ -0,0 +1,46 @@
+"""Tests of the share of time in which the event loop is at work."""
+
+import time
+
+import trio
+
+from rattanlug.gateway import loop_busy
+
+
+def after(*periods, seconds=0.01):
+    """Return the measure after some periods of (share, length in seconds)."""
+    busy = loop_busy.LoopBusy()
+    for share, length in periods:
+        for _ in range(round(length / seconds)):
+            busy.note(share * seconds, (1.0 - share) * seconds)
+    return busy
+
+
+def test_a_load_near_the_limit_counts_before_anything_waits():
+    assert after((0.9, 2.0)).is_busy
+    assert not after((0.5, 20.0)).is_busy
+
+
+def test_a_single_long_turn_counts_with_its_length():
+    busy = loop_busy.LoopBusy()
+    busy.note(3.0, 0.0)
+    assert busy.is_busy
+
+
+def test_a_vm_stays_busy_until_half_of_its_load_is_gone():
+    # Load pattern: callers of a busy VM are told of others, which halves its load.
+    assert after((0.9, 3.0), (0.45, 10.0)).is_busy
+    assert not after((0.9, 3.0), (0.2, 3.0)).is_busy
+
+
+def test_the_event_loop_reports_what_it_does():
+    busy = loop_busy.LoopBusy()
+
+    async def main():
+        end = trio.current_time() + 1.5
+        while trio.current_time() < end:
+            time.sleep(0.02)
+            await trio.sleep(0.002)
+
+    trio.run(main, instruments=[busy])
+    assert busy.is_busy
