Read the store with one VM of a region, and follow that VM elsewhere

Ruled out: a longer wait of the feed for every VM (keys must be known within 4.4 s), reports by UDP (a desired state of 85 organisations does not fit a datagram). Now the first live VM of a region follows the feeds of both tables, the others ask it over TCP for changes; the age of a copy counts from before each request along the chain. A VM whose sources are stale, silent or gone reads the store itself. A read older than one that was seen confirms nothing. Besides: a VM counts as overloaded by the share of time that its loop works, before it is late.

--- a/src/rattanlug/discovery/upstream_registry.py
+++ b/src/rattanlug/discovery/upstream_registry.py
@@ -37,7 +37,7 @@
 
     def note_store_away(self, now: float) -> None:
         """Note that a read of the store failed."""
-        self._trusted_from = now + RETURN_SECONDS
+        self._trusted_from = max(self._trusted_from, now + RETURN_SECONDS)
 
     def apply(
         self,
--- a/src/rattanlug/gateway/endpoints.py
+++ b/src/rattanlug/gateway/endpoints.py
@@ -84,6 +84,7 @@
             "desired_state_version": float(node.desired.version),
             "desired_state_age_seconds": min(node.desired.age(now), 1e9),
             "upstreams": float(node.registry.size),
+            "event_loop_busy_share": node.busy.share,
             "live_vms": float(len(node.live_vms(now))),
         }
         return reply.from_text(
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -4,12 +4,12 @@
 
 import random
 
-from rattanlug.canary import outcome_window, version_choice
+from rattanlug.canary import outcome_window, record_codec, version_choice
 from rattanlug.daemon import clock
 from rattanlug.desired import freshness, holder
 from rattanlug.discovery import upstream_registry
 from rattanlug.fleet import digest, peer_table
-from rattanlug.gateway import decision_log, loop_lag
+from rattanlug.gateway import decision_log, loop_busy, loop_lag
 from rattanlug.logs import state as log_state
 from rattanlug.metrics import counters, histograms
 from rattanlug.placement import placer
@@ -17,6 +17,7 @@
 from rattanlug.rate_limits import limiter_table
 from rattanlug.retries import service_budget
 from rattanlug.settings import vm_settings
+from rattanlug.tables import table_set
 from rattanlug.upstream import connection_pools
 
 _MILLISECONDS = 1000
@@ -53,6 +54,7 @@
         self._peers = peer_table.PeerTable(settings.vm)
         self._limiters = limiter_table.LimiterTable(settings.bounds)
         self._lag = loop_lag.LoopLag()
+        self._busy = loop_busy.LoopBusy()
         self._outcomes = outcome_window.OutcomeWindow()
         self._versions = version_choice.VersionChoice(self._rng)
         self._store = store_client.StoreClient(
@@ -77,6 +79,10 @@
         self._budgets: dict[str, service_budget.ServiceBudget] = {}
         # Hosts of VMs that registered in the store, by data centre.
         self._registered_vms: dict[str, set[str]] = {}
+        self._tables = table_set.TableSet(
+            (names.OPERATOR_TABLE, names.UPSTREAM_TABLE, record_codec.TABLE)
+        )
+        self._follows_moves = False
         self._upstreams_read = False
         self._store_outcome = "unknown"
         self._leaving = False
@@ -117,6 +123,11 @@
         """Delay of the event loop."""
         return self._lag
 
+    @property
+    def busy(self) -> loop_busy.LoopBusy:
+        """Share of the time in which the event loop is at work."""
+        return self._busy
+
     @property
     def desired(self) -> holder.StateHolder:
         """Desired state in force."""
@@ -157,6 +168,16 @@
         """Client of the platform's store."""
         return self._store
 
+    @property
+    def tables(self) -> table_set.TableSet:
+        """Copies of the store's tables."""
+        return self._tables
+
+    @property
+    def follows_moves(self) -> bool:
+        """Whether the records of moves are kept up to date."""
+        return self._follows_moves
+
     @property
     def pools(self) -> connection_pools.ConnectionPools:
         """Connections to upstreams."""
@@ -186,6 +207,26 @@
             and self._upstreams_read
         )
 
+    def follow_moves(self, wanted: bool) -> None:
+        """Set whether the records of moves are kept up to date."""
+        self._follows_moves = wanted
+
+    def region_before(self, now: float) -> dict[str, str]:
+        """Return hosts of the region's live VMs that come before this one, by name."""
+        settings = self._settings
+        limit = ALIVE_SHARE * settings.bounds.contact
+        return {
+            each.vm: each.host
+            for each in self._peers.heard_within(limit, now)
+            if each.vm < settings.vm
+            and not each.leaving
+            and settings.region_of.get(each.data_centre) == settings.region
+        }
+
+    def overloaded(self, now: float) -> bool:
+        """Tell whether callers should also be told of other VMs."""
+        return self._busy.is_busy or self._lag.overloaded(now)
+
     def reload(self, settings: vm_settings.VmSettings) -> list[str]:
         """Take changed settings; return the names of those that differ."""
         before = self._settings._asdict()
@@ -271,7 +312,7 @@
             demand=self._limiters.report(now),
             outcomes=self._outcomes.counts(now),
             reverted=tuple(sorted(self._versions.reverted)),
-            overloaded=self._lag.overloaded(now),
+            overloaded=self.overloaded(now),
         )
 
     def live_vms(self, now: float) -> list[digest.Digest]:
@@ -289,7 +330,7 @@
             {},
             (),
             (),
-            self._lag.overloaded(now),
+            self.overloaded(now),
         )
         return [own, *self._peers.heard_within(limit, now)]
 
--- a/src/rattanlug/gateway/rollouts.py
+++ b/src/rattanlug/gateway/rollouts.py
@@ -13,29 +13,27 @@
 from rattanlug.daemon import clock
 from rattanlug.errors import error
 from rattanlug.gateway import node as node_module
+from rattanlug.gateway import store_reader
 from rattanlug.logs import state as log_state
 from rattanlug.platform import names, rollout_row, store_error, store_write
 
 ROUND_SECONDS = 0.4
-# Reads of the records while a move runs, so that a step or a return is known soon.
+# Pause after a read of the records that failed.
 READ_SECONDS = 0.8
 # Each VM waits for its turn to write, so that most never have to.
 TURN_SECONDS = 0.3
 _RUNNING = rollout_state.RolloutState.RUNNING
 
 
-async def run(node: node_module.Node) -> None:
+async def run(node: node_module.Node, reader: store_reader.StoreReader) -> None:
     """Work on all orders until cancelled."""
-    await _read_records_once(node)
-    read_at = clock.now()
+    await _read_records_once(node, reader)
     first_seen: dict[int, float] = {}
     while True:
         now = clock.now()
         orders = node.versions.orders.values()
         open_orders = [each for each in orders if not _is_settled(node, each)]
-        if open_orders and now - read_at >= READ_SECONDS:
-            await _read_records(node)
-            read_at = now
+        node.follow_moves(bool(open_orders))
         for order in open_orders:
             seen = first_seen.setdefault(order.row_version, now)
             try:
@@ -51,25 +49,18 @@
     return record is not None and record.state is not _RUNNING
 
 
-async def _read_records_once(node: node_module.Node) -> None:
-    while not await _read_records(node):
-        await trio.sleep(READ_SECONDS)
-
-
-async def _read_records(node: node_module.Node) -> bool:
-    try:
-        read = await node.store.read_table(record_codec.TABLE)
-    except store_error.StoreError:
-        return False
-    records = []
-    for row in read.rows:
+async def _read_records_once(
+    node: node_module.Node, reader: store_reader.StoreReader
+) -> None:
+    """Read the records as they are at the start."""
+    while True:
         try:
-            records.append(record_codec.decode(row.value, row.version))
-        except record_codec.UnreadableRecordError:
-            node.counters.add("move_records_unreadable")
-    node.versions.set_store_clock(read.store_now, clock.now())
-    node.versions.set_records(records, read.sent_at)
-    return True
+            read = await node.store.read_table(record_codec.TABLE)
+        except store_error.StoreError:
+            await trio.sleep(READ_SECONDS)
+            continue
+        reader.take(record_codec.TABLE, read, whole=True)
+        return
 
 
 async def _advance(
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -16,6 +16,7 @@
     request_path,
     rollouts,
     store_reader,
+    table_server,
 )
 from rattanlug.gateway import (
     node as node_module,
@@ -125,12 +126,14 @@
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run everything until cancelled."""
         node = self._node
+        trio.lowlevel.add_instrument(node.busy)
         settings = node.settings
         own = endpoints.Endpoints(node)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(store_reader.follow_operators, node)
-            nursery.start_soon(store_reader.read_upstreams, node)
-            nursery.start_soon(rollouts.run, node)
+            reader = store_reader.StoreReader(node)
+            nursery.start_soon(reader.run)
+            nursery.start_soon(rollouts.run, node, reader)
+            await nursery.start(table_server.run, node)
             nursery.start_soon(node.lag.run)
             await nursery.start(self._peers.run)
             metrics = address.Address(settings.host, METRICS_PORT)
--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -1,69 +1,246 @@
-"""Reads the store: what operators want and which upstreams exist."""
+"""Keeps copies of the store's tables, and applies what was written there."""
+
+import math
+from collections.abc import Callable
 
 import trio
 
+from rattanlug.canary import record_codec
 from rattanlug.daemon import clock
 from rattanlug.desired import state
 from rattanlug.gateway import node as node_module
+from rattanlug.gateway import table_client
 from rattanlug.logs import state as log_state
-from rattanlug.platform import names, store_error, store_read, upstream_table
+from rattanlug.platform import names, store_error, upstream_table
+from rattanlug.tables import follow_messages, source_choice, store_read
 
-# Longest wait of a feed. The age of keys is at most two waits, which has to stay well
-# below the time in which a withdrawn key must stop working.
-FEED_WAIT_SECONDS = 1.3
-# An upstream that leaves has to get nothing after 2.5 s; a read takes up to 0.1 s.
-UPSTREAM_READ_SECONDS = 1.0
+# Longest wait of a feed for each table. A copy is confirmed from before a feed was
+# asked until the next one ends, so its age reaches two waits. That of the operators'
+# table and the way to a follower have to stay well below the time in which a withdrawn
+# key must stop working; that of the upstreams' bounds how long a dead connection hides
+# an upstream that leaves.
+FEED_WAIT_SECONDS = {
+    names.OPERATOR_TABLE: 0.9,
+    names.UPSTREAM_TABLE: 1.3,
+    record_codec.TABLE: 0.9,
+}
+# Round trips and late timers that are added to two waits.
+AGE_MARGIN_SECONDS = 0.4
+# Longest wait at a VM that is followed; a dead connection is found in this time.
+FOLLOW_WAIT_SECONDS = 0.5
 # Pause after a failed call; doubles up to the longest.
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 0.8
+# Time between looks for a VM to follow, while this one reads the store.
+LOOK_SECONDS = 0.3
+# Registrations are applied at least this often, since one that is missing after the
+# store was away counts as gone only some time later.
+APPLY_SECONDS = 1.0
+_FOLLOWED = (names.OPERATOR_TABLE, names.UPSTREAM_TABLE)
+
+
+class StoreReader:
+    """Reads the store, or follows a VM that does.
+
+    Parameters
+    ----------
+    node : node.Node
+    """
+
+    def __init__(self, node: node_module.Node) -> None:
+        self._node = node
+        self._choice = source_choice.SourceChoice()
+        self._client = table_client.TableClient(
+            node.settings.host, node.settings.peer_ports[0]
+        )
+        self._source: str | None = None
+        self._reads_store = trio.Event()
+        self._reads_store.set()
+        self._upstreams_applied_at = 0.0
+        self._apply: dict[str, Callable[[store_read.StoreRead, bool], None]] = {
+            names.OPERATOR_TABLE: self._apply_operators,
+            names.UPSTREAM_TABLE: self._apply_upstreams,
+            record_codec.TABLE: self._apply_moves,
+        }
 
+    async def run(self) -> None:
+        """Keep all copies up to date until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for table in _FOLLOWED:
+                nursery.start_soon(self._read_store, table)
+            nursery.start_soon(self._read_moves)
+            nursery.start_soon(self._follow)
+
+    def take(self, table: str, read: store_read.StoreRead, whole: bool) -> bool:
+        """Take a read and apply it; return False if it was outdated."""
+        node, now = self._node, clock.now()
+        changed = node.tables.take(table, read, whole, now)
+        if changed is None:
+            node.counters.add("store_reads_outdated", table=table)
+            return False
+        node.versions.set_store_clock(read.store_now, now)
+        self._apply[table](read, whole)
+        return True
+
+    async def _read_store(self, table: str) -> None:
+        node = self._node
+        read_whole, pause = True, FIRST_PAUSE_SECONDS
+        while True:
+            await self._reads_store.wait()
+            copy = node.tables.copy(table)
+            read_whole = read_whole or copy.version < 0
+            try:
+                if read_whole:
+                    read = await node.store.read_table(table)
+                else:
+                    read = await node.store.follow_table(
+                        table, copy.version, FEED_WAIT_SECONDS[table]
+                    )
+            except store_error.HistoryLostError:
+                read_whole = True
+                await trio.sleep(FIRST_PAUSE_SECONDS)
+                continue
+            except store_error.StoreError as exc:
+                self._note_failed(table, str(exc))
+                # The whole table is read again, since changes may have been missed.
+                read_whole = True
+                await trio.sleep(pause)
+                pause = min(2.0 * pause, LONGEST_PAUSE_SECONDS)
+                continue
+            pause = FIRST_PAUSE_SECONDS
+            node.note_store("reached", "")
+            if not self.take(table, read, read_whole):
+                await trio.sleep(FIRST_PAUSE_SECONDS)
+            read_whole = False
+
+    async def _read_moves(self) -> None:
+        """Follow the records of moves while one runs."""
+        node, table = self._node, record_codec.TABLE
+        while True:
+            await self._reads_store.wait()
+            copy = node.tables.copy(table)
+            if not node.follows_moves:
+                await trio.sleep(FIRST_PAUSE_SECONDS)
+                continue
+            whole = copy.age(clock.now()) > _oldest(table)
+            try:
+                if whole:
+                    read = await node.store.read_table(table)
+                else:
+                    read = await node.store.follow_table(
+                        table, copy.version, FEED_WAIT_SECONDS[table]
+                    )
+            except store_error.StoreError as exc:
+                self._note_failed(table, str(exc))
+                await trio.sleep(LONGEST_PAUSE_SECONDS)
+                continue
+            if not self.take(table, read, whole):
+                await trio.sleep(FIRST_PAUSE_SECONDS)
+
+    def _note_failed(self, table: str, reason: str) -> None:
+        now = clock.now()
+        self._node.tables.note_store_failed(now)
+        if table == names.UPSTREAM_TABLE:
+            self._node.registry.note_store_away(now)
+        self._node.note_store("lost", reason)
 
-async def follow_operators(node: node_module.Node) -> None:
-    """Keep the desired state, the orders and the evacuations up to date."""
-    version = None
-    pause = FIRST_PAUSE_SECONDS
-    while True:
-        try:
-            if version is None:
-                read = await node.store.read_table(names.OPERATOR_TABLE)
-                node.operators.apply_all(read)
+    async def _follow(self) -> None:
+        node = self._node
+        while True:
+            now = clock.now()
+            before = node.region_before(now)
+            source = self._choice.choose(sorted(before), now)
+            if source is None:
+                self._set_source(None)
+                await trio.sleep(LOOK_SECONDS)
+                continue
+            request = self._request()
+            try:
+                answer = await self._client.ask(before[source], request)
+            except table_client.UnreachableError as exc:
+                node.counters.add("table_sources_lost")
+                self._choice.note_failed(source, clock.now())
+                log_state.changed("table_source", source, None, reason=str(exc))
+                continue
+            if _is_fresh(answer):
+                self._choice.note_followed(source)
+                self._set_source(source)
             else:
-                read = await node.store.follow_table(
-                    names.OPERATOR_TABLE, version, FEED_WAIT_SECONDS
+                self._choice.note_failed(source, clock.now())
+            self._take_answer(answer, now)
+
+    def _request(self) -> follow_messages.FollowRequest:
+        node = self._node
+        tables = list(_FOLLOWED)
+        if node.follows_moves:
+            tables.append(record_codec.TABLE)
+        versions = {each: node.tables.copy(each).version for each in tables}
+        # While this VM reads the store itself, it only asks whether it still has to.
+        wait = FOLLOW_WAIT_SECONDS if self._source is not None else 0.0
+        return follow_messages.FollowRequest(versions, wait)
+
+    def _set_source(self, source: str | None) -> None:
+        log_state.changed("table_source", self._source or "store", source or "store")
+        self._source = source
+        if source is None:
+            self._reads_store.set()
+        elif self._reads_store.is_set():
+            self._reads_store = trio.Event()
+
+    def _take_answer(
+        self, answer: follow_messages.FollowAnswer, asked_at: float
+    ) -> None:
+        """Take what another VM knew, as old as if it had answered at once."""
+        node = self._node
+        if answer.store_failed is not None:
+            failed_at = clock.now() - answer.store_failed
+            node.tables.note_store_failed(failed_at)
+            node.registry.note_store_away(failed_at)
+        for each in answer.tables:
+            if each.table in self._apply:
+                read = store_read.StoreRead(
+                    list(each.rows),
+                    each.version,
+                    answer.store_clock,
+                    asked_at - each.age,
                 )
-                node.operators.apply_changes(read)
-        except store_error.HistoryLostError:
-            version = None
-            continue
-        except store_error.StoreError as exc:
-            node.note_store("lost", str(exc))
-            # The whole table is read again, since changes may have been missed.
-            version = None
-            await trio.sleep(pause)
-            pause = min(2.0 * pause, LONGEST_PAUSE_SECONDS)
-            continue
-        pause = FIRST_PAUSE_SECONDS
-        version = read.version
-        node.note_store("reached", "")
-        _put_in_force(node, read)
-
-
-async def read_upstreams(node: node_module.Node) -> None:
-    """Keep the set of upstreams up to date."""
-    pause = FIRST_PAUSE_SECONDS
-    while True:
+                self.take(each.table, read, each.whole)
+
+    def _apply_operators(self, read: store_read.StoreRead, whole: bool) -> None:
+        if whole:
+            self._node.operators.apply_all(read)
+        else:
+            self._node.operators.apply_changes(read)
+        _put_in_force(self._node, read)
+
+    def _apply_upstreams(self, read: store_read.StoreRead, whole: bool) -> None:
         now = clock.now()
-        try:
-            read = await node.store.read_table(names.UPSTREAM_TABLE)
-        except store_error.StoreError:
-            node.registry.note_store_away(clock.now())
-            await trio.sleep(pause)
-            pause = min(2.0 * pause, LONGEST_PAUSE_SECONDS)
-            continue
-        pause = FIRST_PAUSE_SECONDS
-        apply_upstreams(node, read, clock.now())
-        elapsed = clock.now() - now
-        await trio.sleep(max(0.0, UPSTREAM_READ_SECONDS - elapsed))
+        if not read.rows and now - self._upstreams_applied_at < APPLY_SECONDS:
+            return
+        self._upstreams_applied_at = now
+        rows = self._node.tables.copy(names.UPSTREAM_TABLE).rows
+        apply_upstreams(self._node, read._replace(rows=rows), now)
+
+    def _apply_moves(self, read: store_read.StoreRead, whole: bool) -> None:
+        node, records = self._node, []
+        copy = node.tables.copy(record_codec.TABLE)
+        for row in copy.rows:
+            try:
+                records.append(record_codec.decode(row.value, row.version))
+            except record_codec.UnreadableRecordError:
+                node.counters.add("move_records_unreadable")
+        node.versions.set_records(records, copy.confirmed_at)
+
+
+def _oldest(table: str) -> float:
+    """Return the greatest age of a table that is read without faults, seconds."""
+    return 2.0 * FEED_WAIT_SECONDS[table] + AGE_MARGIN_SECONDS
+
+
+def _is_fresh(answer: follow_messages.FollowAnswer) -> bool:
+    """Tell whether the answering VM reads, or follows, without faults."""
+    ages = {each.table: each.age for each in answer.tables}
+    return all(ages.get(each, math.inf) <= _oldest(each) for each in _FOLLOWED)
 
 
 def apply_upstreams(
@@ -77,7 +254,6 @@
             "upstreams changed", now, count=node.registry.size, read=read.version
         )
     node.note_upstreams_read()
-    node.versions.set_store_clock(read.store_now, now)
     versions: dict[str, set[str]] = {}
     for each in records:
         if not each.leaving:
--- /dev/null
+++ b/src/rattanlug/gateway/table_server.py
@@ -0,0 +1,55 @@
+"""Lets other VMs follow the tables that this one reads."""
+
+import trio
+
+from rattanlug.daemon import clock
+from rattanlug.gateway import node as node_module
+from rattanlug.peer import error, framing
+from rattanlug.tables import follow_codec
+
+# Bounds what a follower that does not read can hold.
+SEND_SECONDS = 2.0
+# A follower asks more than once a second.
+IDLE_SECONDS = 10.0
+
+
+async def run(node: node_module.Node, task_status=trio.TASK_STATUS_IGNORED) -> None:
+    """Serve followers until cancelled."""
+    listeners = await trio.open_tcp_listeners(
+        node.settings.peer_ports[0], host=node.settings.host
+    )
+
+    async def handle(stream: trio.SocketStream) -> None:
+        await _serve(node, stream)
+
+    await trio.serve_listeners(handle, listeners, task_status=task_status)
+
+
+async def _serve(node: node_module.Node, stream: trio.SocketStream) -> None:
+    reader = framing.FrameReader(stream)
+    try:
+        while True:
+            with trio.fail_after(IDLE_SECONDS):
+                data = await reader.receive()
+            if data is None:
+                break
+            request = follow_codec.decode_request(data)
+            await node.tables.wait(request)
+            answer = follow_codec.encode_answer(
+                node.tables.answer(request, clock.now())
+            )
+            node.counters.add("table_answers")
+            node.counters.add("table_answer_bytes", len(answer))
+            with trio.fail_after(SEND_SECONDS):
+                await stream.send_all(framing.frame(answer))
+    except (
+        error.MalformedMessageError,
+        follow_codec.UnreadableMessageError,
+        trio.BrokenResourceError,
+        trio.ClosedResourceError,
+        trio.TooSlowError,
+        ValueError,
+    ):
+        node.counters.add("table_followers_lost")
+    finally:
+        await trio.aclose_forcefully(stream)
--- a/src/rattanlug/platform/operator_table.py
+++ b/src/rattanlug/platform/operator_table.py
@@ -9,9 +9,8 @@
     desired_state,
     names,
     rollout_row,
-    store_read,
-    store_row,
 )
+from rattanlug.tables import store_read, store_row
 
 _LOG = logging.getLogger(__name__)
 
--- a/src/rattanlug/platform/rollout_row.py
+++ b/src/rattanlug/platform/rollout_row.py
@@ -3,7 +3,8 @@
 import json
 
 from rattanlug.canary import rollout_order, rollout_state
-from rattanlug.platform import decoding, names, store_row
+from rattanlug.platform import decoding, names
+from rattanlug.tables import store_row
 
 _WORDS = {
     rollout_state.RolloutState.RUNNING: "running",
--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -10,8 +10,9 @@
 import trio
 
 from rattanlug.metrics import counters, histograms
-from rattanlug.platform import store_error, store_read, store_row, store_write
+from rattanlug.platform import store_error, store_write
 from rattanlug.settings import address
+from rattanlug.tables import store_read, store_row
 
 # A round trip between regions takes about 0.11 s; two of them fit.
 CONNECT_SECONDS = 0.35
--- a/src/rattanlug/platform/upstream_table.py
+++ b/src/rattanlug/platform/upstream_table.py
@@ -4,7 +4,8 @@
 
 from rattanlug.discovery import upstream_record
 from rattanlug.metrics import counters
-from rattanlug.platform import decoding, store_row, upstream_row
+from rattanlug.platform import decoding, upstream_row
+from rattanlug.tables import store_row
 
 
 def decode_all(
--- /dev/null
+++ b/src/rattanlug/tables/follow_codec.py
@@ -0,0 +1,122 @@
+"""Encodes the messages between a VM that reads the store and its followers."""
+
+from typing import Any
+
+from thrift import Thrift
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from rattanlug.tables import follow_messages, store_row
+from rattanlug.tables.generated import ttypes
+
+PROTOCOL_VERSION = 1
+_MILLISECONDS = 1000.0
+_NEVER = -1.0
+_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
+    string_length_limit=1 << 20, container_length_limit=1 << 16
+)
+
+
+class UnreadableMessageError(ValueError):
+    """Bytes are no message of this protocol."""
+
+
+def encode_request(request: follow_messages.FollowRequest) -> bytes:
+    """Encode a request."""
+    return _write(
+        ttypes.FollowRequest(
+            protocolVersion=PROTOCOL_VERSION,
+            versions=request.versions,
+            waitMilliseconds=int(request.wait * _MILLISECONDS),
+        )
+    )
+
+
+def decode_request(data: bytes) -> follow_messages.FollowRequest:
+    """Decode a request.
+
+    Raises
+    ------
+    UnreadableMessageError
+    """
+    found = _read(ttypes.FollowRequest(), data)
+    return follow_messages.FollowRequest(
+        dict(found.versions or {}), (found.waitMilliseconds or 0) / _MILLISECONDS
+    )
+
+
+def encode_answer(answer: follow_messages.FollowAnswer) -> bytes:
+    """Encode an answer."""
+    failed = answer.store_failed
+    return _write(
+        ttypes.FollowAnswer(
+            protocolVersion=PROTOCOL_VERSION,
+            tables=[
+                ttypes.Changes(
+                    each.table,
+                    each.whole,
+                    [ttypes.Row(*row) for row in each.rows],
+                    each.version,
+                    each.age,
+                )
+                for each in answer.tables
+            ],
+            storeClock=answer.store_clock,
+            storeFailedSeconds=_NEVER if failed is None else failed,
+        )
+    )
+
+
+def decode_answer(data: bytes) -> follow_messages.FollowAnswer:
+    """Decode an answer.
+
+    Raises
+    ------
+    UnreadableMessageError
+    """
+    found = _read(ttypes.FollowAnswer(), data)
+    try:
+        tables = tuple(_changes(each) for each in found.tables or ())
+        failed = float(found.storeFailedSeconds)
+        clock = float(found.storeClock)
+    except (TypeError, ValueError) as exc:
+        raise UnreadableMessageError("a field is missing") from exc
+    return follow_messages.FollowAnswer(tables, clock, None if failed < 0.0 else failed)
+
+
+def _changes(found: ttypes.Changes) -> follow_messages.Changes:
+    rows = tuple(
+        store_row.StoreRow(
+            each.key, bytes(each.value or b""), int(each.version), bool(each.removed)
+        )
+        for each in found.rows or ()
+    )
+    return follow_messages.Changes(
+        found.table,
+        bool(found.whole),
+        rows,
+        int(found.version),
+        float(found.ageSeconds),
+    )
+
+
+def _write(message: Any) -> bytes:
+    buffer = TTransport.TMemoryBuffer()
+    message.write(_FACTORY.getProtocol(buffer))
+    return buffer.getvalue()
+
+
+def _read(message: Any, data: bytes) -> Any:
+    try:
+        message.read(_FACTORY.getProtocol(TTransport.TMemoryBuffer(data)))
+    except (
+        Thrift.TException,
+        EOFError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as exc:
+        raise UnreadableMessageError(str(exc)) from exc
+    if message.protocolVersion != PROTOCOL_VERSION:
+        raise UnreadableMessageError("the protocol version is unknown")
+    return message
--- a/src/rattanlug/tables/store_read.py
+++ b/src/rattanlug/tables/store_read.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from rattanlug.platform import store_row
+from rattanlug.tables import store_row
 
 
 class StoreRead(NamedTuple):
--- /dev/null
+++ b/src/rattanlug/tables/table_set.py
@@ -0,0 +1,73 @@
+"""The tables that a VM keeps copies of."""
+
+from collections.abc import Iterable
+
+import trio
+
+from rattanlug.tables import follow_messages, store_read, table_copy
+
+
+class TableSet:
+    """Copies of tables, and who waits for their changes.
+
+    Parameters
+    ----------
+    tables : iterable of str
+    """
+
+    def __init__(self, tables: Iterable[str]) -> None:
+        self._copies = {each: table_copy.TableCopy() for each in tables}
+        self._changed = trio.Event()
+        self._store_failed_at: float | None = None
+        self._store_offset = 0.0
+
+    def copy(self, table: str) -> table_copy.TableCopy:
+        """Return the copy of a table."""
+        return self._copies[table]
+
+    def note_store_failed(self, now: float) -> None:
+        """Note that a call to the store failed, here or at the VM that is followed."""
+        self._store_failed_at = max(now, self._store_failed_at or now)
+
+    def take(
+        self, table: str, read: store_read.StoreRead, whole: bool, now: float
+    ) -> bool | None:
+        """Take a read; see `table_copy.TableCopy.take`."""
+        changed = self._copies[table].take(read, whole)
+        if changed is not None:
+            self._store_offset = read.store_now - now
+        if changed:
+            self._changed.set()
+            self._changed = trio.Event()
+        return changed
+
+    async def wait(self, request: follow_messages.FollowRequest) -> None:
+        """Wait until a requested table has changes, at most as long as requested."""
+        with trio.move_on_after(request.wait):
+            while not any(
+                table in self._copies and self._copies[table].has_changes(after)
+                for table, after in request.versions.items()
+            ):
+                await self._changed.wait()
+
+    def answer(
+        self, request: follow_messages.FollowRequest, now: float
+    ) -> follow_messages.FollowAnswer:
+        """Return what a follower needs to be as far as this VM."""
+        tables = []
+        for table, after in request.versions.items():
+            copy = self._copies.get(table)
+            if copy is None or copy.version < 0:
+                continue
+            whole, rows = copy.changes(after)
+            tables.append(
+                follow_messages.Changes(
+                    table, whole, tuple(rows), copy.version, copy.age(now)
+                )
+            )
+        failed = self._store_failed_at
+        return follow_messages.FollowAnswer(
+            tuple(tables),
+            now + self._store_offset,
+            None if failed is None else now - failed,
+        )
--- /dev/null
+++ b/tests/gateway/test_store_reader.py
@@ -0,0 +1,122 @@
+"""Tests of VMs that follow one another instead of the store."""
+
+import contextlib
+
+import pytest
+import trio
+
+from rattanlug.daemon import clock
+from rattanlug.desired import freshness
+from rattanlug.gateway import store_reader, table_client
+from rattanlug.platform import names
+from tests.gateway import caller
+from trial.shared_platform import fleet
+
+# Reports and answers have gone round by then, seconds.
+SETTLE_SECONDS = 1.6
+
+
+@contextlib.asynccontextmanager
+async def three_vms(**settings):
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        vms = [await deployment.add_vm(**settings) for _ in range(3)]
+        await trio.sleep(SETTLE_SECONDS)
+        yield deployment, vms
+
+
+def host(vm):
+    return vm.node.settings.host
+
+
+def new_state(version, key):
+    tenant = {"name": "o", "api_keys": [key], "rate_per_s": 0, "burst": 0}
+    return fleet.desired_state(version, tenants=[tenant])
+
+
+@caller.in_trio
+async def test_one_vm_of_a_region_reads_the_store_for_all():
+    async with three_vms() as (deployment, vms):
+        deployment.store.callers.clear()
+        await trio.sleep(3.0)
+        assert set(deployment.store.callers) == {host(vms[0])}
+        # Two feeds, asked again when their waits of 0.9 s and 1.3 s are over.
+        assert len(deployment.store.callers) <= 8
+        assert all(each.node.keys_usable(clock.now()) for each in vms)
+
+
+@caller.in_trio
+async def test_changes_reach_the_followers_at_once():
+    async with three_vms() as (deployment, vms):
+        deployment.store.put("op", "config", new_state(5, "key-5"))
+        deployment.register("u1", state="draining", sequence=2)
+        await trio.sleep(0.2)
+        assert [each.node.desired.version for each in vms] == [5, 5, 5]
+        for each in vms:
+            assert each.node.registry.of_service(fleet.SERVICE) == ()
+
+
+@caller.in_trio
+async def test_a_reader_that_the_store_refuses_is_left_for_one_that_reaches_it():
+    async with three_vms() as (deployment, vms):
+        deployment.store.refused_hosts = {host(vms[0])}
+        await trio.sleep(3.5)
+        deployment.store.put("op", "config", new_state(5, "key-5"))
+        await trio.sleep(0.3)
+        assert [each.node.desired.version for each in vms[1:]] == [5, 5]
+        assert all(each.node.keys_usable(clock.now()) for each in vms[1:])
+
+
+@caller.in_trio
+async def test_no_vm_accepts_keys_longer_than_the_bound_without_the_store():
+    async with three_vms(bounds={"revoke_s": 3}) as (deployment, vms):
+        deployment.store.status = 503
+        # A follower must not take its source's memory for a confirmation.
+        await trio.sleep(3.0)
+        assert not any(each.node.keys_usable(clock.now()) for each in vms)
+
+
+@caller.in_trio
+async def test_a_reader_that_stops_is_left_before_its_copy_is_old():
+    async with three_vms() as (deployment, vms):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(vms[0].stop)
+            await trio.sleep(1.0)
+            deployment.store.put("op", "config", new_state(5, "key-5"))
+            await trio.sleep(0.3)
+            assert [each.node.desired.version for each in vms[1:]] == [5, 5]
+            nursery.cancel_scope.cancel()
+
+
+@caller.in_trio
+async def test_an_upstream_that_lapsed_while_the_store_was_away_is_gone_in_the_end():
+    async with three_vms() as (deployment, vms):
+        deployment.store.status = 503
+        await trio.sleep(2.0)
+        deployment.store.remove("servers", "u1")
+        deployment.store.status = None
+        await trio.sleep(1.2)
+        assert all(each.node.registry.size == 1 for each in vms)
+        await trio.sleep(4.0)
+        assert [each.node.registry.size for each in vms] == [0, 0, 0]
+
+
+@pytest.mark.parametrize("history", [False, True])
+@caller.in_trio
+async def test_followers_see_removals_of_a_whole_read(history):
+    async with three_vms() as (deployment, vms):
+        await deployment.add_upstream("u2")
+        await trio.sleep(0.3)
+        deployment.store.remove("servers", "u2")
+        if history:
+            deployment.store.drop_history()
+        await trio.sleep(0.6)
+        assert [each.node.registry.size for each in vms] == [1, 1, 1]
+
+
+def test_keys_stay_usable_while_a_follower_changes_its_source():
+    # The copy of a reader that is left, the wait at it, and a read of the store.
+    oldest = 2.0 * store_reader.FEED_WAIT_SECONDS[names.OPERATOR_TABLE]
+    oldest += store_reader.AGE_MARGIN_SECONDS + store_reader.FOLLOW_WAIT_SECONDS
+    oldest += store_reader.FOLLOW_WAIT_SECONDS + table_client.ANSWER_SECONDS
+    assert freshness.keys_usable(oldest + 0.3, 5.0)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -11,10 +11,9 @@
     operator_table,
     request_facts,
     rollout_row,
-    store_read,
-    store_row,
     upstream_row,
 )
+from rattanlug.tables import store_read, store_row
 from trial.shared_platform import fleet
 
 ROW = {
--- /dev/null
+++ b/tests/tables/test_source_choice.py
@@ -0,0 +1,30 @@
+"""Tests of the choice of a VM to follow."""
+
+from rattanlug.tables import source_choice
+
+
+def test_the_first_vm_of_a_region_reads_the_store_and_the_others_follow_it():
+    choice = source_choice.SourceChoice()
+    assert choice.choose([], 0.0) is None
+    assert choice.choose(["a", "b"], 0.0) == "a"
+
+
+def test_a_vm_that_fails_or_is_stale_is_left_for_a_while():
+    choice = source_choice.SourceChoice()
+    choice.note_failed("a", 1.0)
+    assert choice.choose(["a", "b"], 1.1) == "b"
+    choice.note_failed("b", 1.2)
+    assert choice.choose(["a", "b"], 1.3) is None
+    assert choice.choose(["a", "b"], 1.0 + source_choice.AVOID_SECONDS) == "a"
+    choice.note_followed("b")
+    assert choice.choose(["b"], 1.4) == "b"
+
+
+def test_only_the_first_vms_are_asked_before_the_store_is_read():
+    # While the store is away for a whole region, each of its VMs has to learn soon
+    # whether it is away for itself as well.
+    choice = source_choice.SourceChoice()
+    names = [f"vm-{index}" for index in range(20)]
+    for name in names[: source_choice.MAX_SOURCES]:
+        choice.note_failed(name, 0.0)
+    assert choice.choose(names, 0.1) is None
--- a/trial/shared_platform/store.py
+++ b/trial/shared_platform/store.py
@@ -22,7 +22,8 @@
     """Tables in memory with conditional writes and feeds of changes.
 
     Faults are set from outside: ``status`` replaces each answer, ``lose_answers``
-    applies calls without answering them, and ``drop_history`` makes feeds fail once.
+    applies calls without answering them, ``drop_history`` makes feeds fail once, and
+    VMs whose host is in ``refused_hosts`` get 503.
     """
 
     def __init__(self) -> None:
@@ -33,7 +34,9 @@
         self.status: int | None = None
         self.silent = False
         self.lose_answers = False
+        self.refused_hosts: set[str] = set()
         self.calls: list[str] = []
+        self.callers: list[str] = []
 
     @property
     def version(self) -> int:
@@ -63,6 +66,9 @@
     async def handle(self, request: http_server.Request) -> http_server.Response:
         """Answer one call."""
         self.calls.append(request.path[1:])
+        self.callers.append(request.source)
+        if request.source in self.refused_hosts:
+            return http_server.json_response({}, 503)
         if self.silent:
             await trio.sleep_forever()
         if self.status is not None:
