Report for a data centre to the others instead of from each VM to all

Ruled out: fewer reports to other regions (rates follow demand within a second), one report a region (passing it on crosses data centres again). Now VMs of a data centre report to each other; the first live one sums demand and outcomes and sends one report to one VM of each other data centre, which passes it on. Members carry their own age, so that a dead VM leaves the look-ups as soon as before. VMs of an earlier release, which do not announce that they understand it, still get every report.

--- a/src/rattanlug/fleet/digest.py
+++ b/src/rattanlug/fleet/digest.py
@@ -1,13 +1,16 @@
-"""What a VM tells the others about itself."""
+"""What a VM tells the others about itself, or about its data centre."""
 
 from typing import NamedTuple
 
-from rattanlug.fleet import outcome_count
+from rattanlug.fleet import member, outcome_count
 
 
 class Digest(NamedTuple):
     """A report of one VM.
 
+    With members it is the report of a data centre: demand, outcomes and reverted
+    orders are then those of all members together.
+
     Attributes
     ----------
     vm : str
@@ -29,6 +32,11 @@
         Orders that this VM has found to be for a bad version.
     overloaded : bool
         Whether the VM was behind with its work in the last seconds.
+    hears_centres : bool
+        Whether the VM understands reports of data centres; one of an earlier release
+        has to hear from each VM.
+    members : tuple of member.Member
+        VMs of the data centre that this report is about.
     """
 
     vm: str
@@ -43,3 +51,5 @@
     outcomes: tuple[outcome_count.OutcomeCount, ...]
     reverted: tuple[int, ...]
     overloaded: bool = False
+    hears_centres: bool = True
+    members: tuple[member.Member, ...] = ()
--- a/src/rattanlug/fleet/digest.thrift
+++ b/src/rattanlug/fleet/digest.thrift
@@ -1,4 +1,4 @@
-// Report of one entry VM to the others, one in a datagram.
+// Report of one entry VM, or of the VMs of a data centre, one in a datagram.
 
 struct OutcomeCount {
   1: string serviceName,
@@ -9,6 +9,17 @@
   6: i32 oldBad,
 }
 
+struct Member {
+  1: string vm,
+  2: i64 incarnation,
+  3: i64 sequence,
+  4: string host,
+  5: i32 port,
+  6: bool leaving,
+  7: bool overloaded,
+  8: i32 ageMilliseconds,
+}
+
 struct Digest {
   1: i16 protocolVersion,
   2: string vm,
@@ -25,4 +36,6 @@
   // Set on a copy that another VM passes on.
   13: bool passedOn,
   14: bool overloaded,
+  15: bool hearsCentres,
+  16: list<Member> members,
 }
--- a/src/rattanlug/fleet/digest_codec.py
+++ b/src/rattanlug/fleet/digest_codec.py
@@ -4,10 +4,11 @@
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
-from rattanlug.fleet import digest, outcome_count
+from rattanlug.fleet import digest, member, outcome_count
 from rattanlug.fleet.generated import ttypes
 
 PROTOCOL_VERSION = 1
+_MILLISECONDS = 1000.0
 
 # Largest payload of a UDP datagram that the sockets accept here.
 MAX_BYTES = 8192
@@ -45,6 +46,8 @@
         reverted=list(report.reverted),
         passedOn=passed_on,
         overloaded=report.overloaded,
+        hearsCentres=report.hears_centres,
+        members=[_encode_member(each) for each in report.members] or None,
     )
     buffer = TTransport.TMemoryBuffer()
     message.write(_FACTORY.getProtocol(buffer))
@@ -101,4 +104,24 @@
         ),
         reverted=tuple(message.reverted or ()),
         overloaded=bool(message.overloaded),
+        hears_centres=bool(message.hearsCentres),
+        members=tuple(_decode_member(each) for each in message.members or ()),
+    )
+
+
+def _encode_member(each: member.Member) -> ttypes.Member:
+    *same, age = each
+    return ttypes.Member(*same, int(age * _MILLISECONDS))
+
+
+def _decode_member(found: ttypes.Member) -> member.Member:
+    return member.Member(
+        found.vm,
+        int(found.incarnation),
+        int(found.sequence),
+        found.host,
+        int(found.port),
+        bool(found.leaving),
+        bool(found.overloaded),
+        found.ageMilliseconds / _MILLISECONDS,
     )
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -8,7 +8,7 @@
 from rattanlug.daemon import clock
 from rattanlug.desired import freshness, holder
 from rattanlug.discovery import upstream_registry
-from rattanlug.fleet import digest, peer_table
+from rattanlug.fleet import centre_report, digest, peer_table
 from rattanlug.gateway import decision_log, loop_busy, loop_lag
 from rattanlug.logs import state as log_state
 from rattanlug.metrics import counters, histograms
@@ -29,6 +29,9 @@
 # If most VMs fall silent at once, this VM is more likely cut off than alone; their
 # demand then counts for this time.
 CUT_OFF_SECONDS = 25.0
+# A VM that was not heard for this time does not report for its data centre any more;
+# one report may be lost.
+LEADER_SECONDS = 2.3
 # VMs that were heard within this time count as senders and as sharers of budgets.
 RECENT_SECONDS = 12.0
 
@@ -51,7 +54,7 @@
         self._desired = holder.StateHolder()
         self._operators = operator_table.OperatorTable()
         self._registry = upstream_registry.UpstreamRegistry()
-        self._peers = peer_table.PeerTable(settings.vm)
+        self._peers = peer_table.PeerTable(settings.vm, settings.data_centre)
         self._limiters = limiter_table.LimiterTable(settings.bounds)
         self._lag = loop_lag.LoopLag()
         self._busy = loop_busy.LoopBusy()
@@ -272,13 +275,15 @@
             self._budgets[service] = found
         return found
 
-    def demand_elsewhere(self, now: float) -> list[dict[str, float]]:
-        """Return the demands that the other VMs reported, by organisation."""
-        heard = self._peers.heard_within(DEMAND_SECONDS, now)
-        earlier = self._peers.heard_within(CUT_OFF_SECONDS, now)
-        if 2 * len(heard) < len(earlier):
-            heard = earlier
-        return [each.demand for each in heard]
+    def demand_elsewhere(self, now: float) -> tuple[list[dict[str, float]], int]:
+        """Return the demands by organisation at the other VMs, and their number."""
+        seconds = DEMAND_SECONDS
+        heard = len(self._peers.heard_within(seconds, now))
+        earlier = len(self._peers.heard_within(CUT_OFF_SECONDS, now))
+        if 2 * heard < earlier:
+            seconds, heard = CUT_OFF_SECONDS, earlier
+        reports = self._peers.shares_within(seconds, now)
+        return [each.demand for each in reports], heard
 
     def fleet_size(self, now: float) -> int:
         """Return the number of VMs that share the fleet's budgets."""
@@ -315,6 +320,22 @@
             overloaded=self.overloaded(now),
         )
 
+    def centre_digest(self, own: digest.Digest, now: float) -> digest.Digest | None:
+        """Return the report of the data centre if this VM makes it, else None."""
+        live = self._peers.own_members(LEADER_SECONDS, now)
+        if own.leaving or not centre_report.leads(own.vm, live):
+            return None
+        centre = self._settings.data_centre
+        others = [
+            each
+            for each in self._peers.heard_within(DEMAND_SECONDS, now)
+            if each.data_centre == centre
+        ]
+        members = self._peers.own_members(
+            ALIVE_SHARE * self._settings.bounds.contact, now
+        )
+        return centre_report.build(own, others, members)
+
     def live_vms(self, now: float) -> list[digest.Digest]:
         """Return the reports of VMs that are believed to be alive, own one first."""
         limit = ALIVE_SHARE * self._settings.bounds.contact
--- a/src/rattanlug/gateway/peers.py
+++ b/src/rattanlug/gateway/peers.py
@@ -5,7 +5,7 @@
 import trio
 
 from rattanlug.daemon import clock
-from rattanlug.fleet import digest_codec
+from rattanlug.fleet import digest, digest_codec
 from rattanlug.gateway import node as node_module
 from rattanlug.gateway import store_reader
 from rattanlug.logs import state as log_state
@@ -15,8 +15,12 @@
 REPORT_SECONDS = 1.0
 # While a version is on trial, the evidence of all VMs has to come together sooner.
 TRIAL_REPORT_SECONDS = 0.5
-# VMs that registered and were never heard get a report in each n-th round only.
+# VMs of the own data centre, and all of data centres that are silent, get a report in
+# each n-th round.
 SILENT_ROUNDS = 5
+# A starting VM has heard those of its own data centre by then, so that only one of
+# them reports for all, seconds.
+INTRODUCTION_SECONDS = 0.2
 # Rounds in which a starting VM also reports to its seeds.
 SEED_ROUNDS = 10
 # A VM that was not heard for this time is forgotten.
@@ -37,7 +41,8 @@
         self._node = node
         self._port = node.settings.peer_ports[0]
         self._socket: trio.socket.SocketType | None = None
-        self._addresses: dict[str, str] = {}
+        # Hosts by VM, by data centre.
+        self._addresses: dict[str, dict[str, str]] = {}
         self._round = 0
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -52,11 +57,23 @@
                 await self._report_regularly()
 
     async def report(self) -> None:
-        """Send a report to the other VMs now."""
-        now = clock.now()
-        data = digest_codec.encode(self._node.own_digest(now))
+        """Send a report to the VMs that need it now."""
+        node, now = self._node, clock.now()
+        own = node.own_digest(now)
+        data = digest_codec.encode(own)
         for host in self._targets(now):
             await self._send(data, host)
+        await self._report_centre(own, now)
+
+    async def _report_centre(
+        self, own: digest.Digest, now: float, to_silent: bool = False
+    ) -> None:
+        """Report for the data centre, if this VM is the one to do so."""
+        report = self._node.centre_digest(own, now)
+        if report is not None:
+            data = digest_codec.encode(report)
+            for host in self._centre_targets(now, to_silent):
+                await self._send(data, host)
 
     async def leave(self) -> None:
         """Tell the other VMs of a stop, and remove this VM's address from the store.
@@ -85,15 +102,35 @@
             await trio.sleep(TRIAL_REPORT_SECONDS if on_trial else REPORT_SECONDS)
 
     def _targets(self, now: float) -> set[str]:
+        """Return the VMs of the own data centre, and those that need single reports."""
         node = self._node
-        heard = node.peers.heard_within(FORGET_SECONDS, now)
-        targets = {each.host for each in heard}
+        centre = node.settings.data_centre
+        targets = {
+            each.host
+            for each in node.peers.heard_within(FORGET_SECONDS, now)
+            if each.data_centre == centre or not each.hears_centres
+        }
         if self._round % SILENT_ROUNDS == 0:
-            targets.update(self._addresses.values())
+            targets.update(self._addresses.get(centre, {}).values())
         if self._round < SEED_ROUNDS:
             targets.update(node.settings.seed_hosts)
         return targets - {node.settings.host}
 
+    def _centre_targets(self, now: float, to_silent: bool) -> set[str]:
+        """Return a live VM of each other data centre, and all of silent ones."""
+        node, targets = self._node, {}
+        heard = node.peers.heard_within(node_module.LEADER_SECONDS, now)
+        for each in heard:
+            if not each.leaving:
+                targets.setdefault(each.data_centre, {each.host})
+        if self._round % SILENT_ROUNDS == 0 or to_silent:
+            for each in node.peers.heard_within(FORGET_SECONDS, now):
+                self._addresses.setdefault(each.data_centre, {})[each.vm] = each.host
+            for centre, vms in self._addresses.items():
+                targets.setdefault(centre, set(vms.values()))
+        targets.pop(node.settings.data_centre, None)
+        return set().union(*targets.values())
+
     async def _receive(self) -> None:
         node = self._node
         while True:
@@ -108,7 +145,13 @@
             except digest_codec.UnreadableDigestError:
                 node.counters.add("peer_reports_unreadable")
                 continue
-            is_new = node.peers.hear(report, clock.now())
+            now = clock.now()
+            is_new = node.peers.hear(report, now)
+            if report.members:
+                # The sender counts a rise of its demand from now on.
+                store_reader.share_rates(node, now)
+                if not passed_on:
+                    await self._pass_on(report, now)
             for order in report.reverted:
                 if node.versions.revert(order):
                     log_state.changed("order", "running", "reverted", order=order)
@@ -116,7 +159,15 @@
                 log_state.changed("peer", None, report.vm, host=report.host)
                 await self._introduce(report, passed_on)
 
-    async def _introduce(self, report, passed_on: bool) -> None:
+    async def _pass_on(self, report: digest.Digest, now: float) -> None:
+        """Send the report of another data centre to the VMs of this one."""
+        centre = self._node.settings.data_centre
+        data = digest_codec.encode(report, passed_on=True)
+        for each in self._node.peers.heard_within(FORGET_SECONDS, now):
+            if each.data_centre == centre:
+                await self._send(data, each.host)
+
+    async def _introduce(self, report: digest.Digest, passed_on: bool) -> None:
         """Answer a VM that is new here, and tell the others of it once."""
         now = clock.now()
         own = digest_codec.encode(self._node.own_digest(now))
@@ -124,7 +175,14 @@
         if passed_on:
             return
         data = digest_codec.encode(report, passed_on=True)
-        for host in self._targets(now) - {report.host}:
+        targets = self._targets(now)
+        # The VMs of its data centre may not have heard of a VM that starts.
+        targets |= {
+            each.host
+            for each in self._node.peers.heard_within(FORGET_SECONDS, now)
+            if each.data_centre == report.data_centre
+        }
+        for host in targets - {report.host}:
             await self._send(data, host)
 
     async def _send(self, data: bytes, host: str) -> None:
@@ -153,8 +211,12 @@
         for row in read.rows:
             self._take_row(row.key, row.value)
         data = digest_codec.encode(node.own_digest(clock.now()))
-        for host in set(self._addresses.values()) - {settings.host}:
+        own_centre = self._addresses.get(settings.data_centre, {})
+        for host in set(own_centre.values()) - {settings.host}:
             await self._send(data, host)
+        await trio.sleep(INTRODUCTION_SECONDS)
+        now = clock.now()
+        await self._report_centre(node.own_digest(now), now, to_silent=True)
 
     def _take_row(self, vm: str, data: bytes) -> None:
         try:
@@ -163,5 +225,5 @@
         except (KeyError, TypeError, ValueError):
             self._node.counters.add("vm_rows_unreadable")
             return
-        self._addresses[vm] = host
+        self._addresses.setdefault(data_centre, {})[vm] = host
         self._node.note_registered_vm(data_centre, vm)
--- a/src/rattanlug/rate_limits/limiter_table.py
+++ b/src/rattanlug/rate_limits/limiter_table.py
@@ -46,8 +46,20 @@
         found = {name: each.report(now) for name, each in self._limiters.items()}
         return {name: rate for name, rate in found.items() if rate >= LEAST_DEMAND}
 
-    def divide(self, elsewhere: list[Mapping[str, float]], now: float) -> None:
-        """Set all shares from the reports of the other VMs."""
+    def divide(
+        self, elsewhere: list[Mapping[str, float]], vms: int, now: float
+    ) -> None:
+        """Set all shares.
+
+        Parameters
+        ----------
+        elsewhere : list of Mapping of str to float
+            Demands that the other VMs reported, or their data centres for them.
+        vms : int
+            Number of VMs, this one included.
+        now : float
+            Seconds.
+        """
         for name, each in self._limiters.items():
             demand = sum(report.get(name, 0.0) for report in elsewhere)
-            each.set_share(demand, len(elsewhere) + 1, now)
+            each.set_share(demand, vms, now)
--- a/tests/fleet/test_peer_table.py
+++ b/tests/fleet/test_peer_table.py
@@ -20,7 +20,7 @@
 
 
 def test_older_reports_are_dropped_and_a_new_start_is_told():
-    table = peer_table.PeerTable("a")
+    table = peer_table.PeerTable("a", "d1")
     assert table.hear(report(sequence=2), 1.0)
     assert not table.hear(report(sequence=1, leaving=True), 2.0)
     assert table.heard_within(0.5, 2.0) == []
@@ -58,7 +58,7 @@
 
 
 def test_a_vm_whose_clock_was_set_back_is_heard_again_after_its_restart():
-    table = peer_table.PeerTable("a")
+    table = peer_table.PeerTable("a", "d1")
     table.hear(report(incarnation=100, sequence=50), 1.0)
     assert not table.hear(report(incarnation=90), 1.5)
     assert table.hear(report(incarnation=90, sequence=3), 4.0)
