Survive a reload or a second stop that meets a start or an end

The daemon's handlers are set once trio runs and removed before the last connections are closed; SIGHUP then has its default action, which ends the process. Ruled out: the reload itself (it is queued behind the stop and not read any more). Before: test_signals_at_any_moment_of_a_start_end_in_an_orderly_stop fails with -1. After: all 15 cases and the three of a reload during a stop pass.

--- a/src/rattanlug/gateway/__main__.py
+++ b/src/rattanlug/gateway/__main__.py
@@ -4,6 +4,8 @@
 after a loss of power, and smaller.
 """
 
+import os
+import signal
 import sys
 
 from rattanlug.commands import single_process
@@ -11,6 +13,10 @@
 
 def main() -> int:
     """Run with the settings file that the platform names; return the exit code."""
+    # Hold while the daemon's own handlers are not there yet, or not any more: there is
+    # nothing to read again then, and nothing to finish.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, _end)
     single_process.prevent_library_searches()
     # Imported after that, because they import trio.
     from rattanlug.errors import error
@@ -28,5 +34,10 @@
     return run.run(settings, path)
 
 
+def _end(number: int, frame: object) -> None:
+    """End the process; no request was accepted yet, or all are answered."""
+    os._exit(0)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -83,8 +83,8 @@
                 reload(parts.node, settings_path)
             await parts.stop()
             nursery.cancel_scope.cancel()
-    await parts.node.pools.aclose()
-    await parts.node.store.aclose()
+        await parts.node.pools.aclose()
+        await parts.node.store.aclose()
     log_state.changed("process", "finished", "stopped")
 
 
