Add a soak of real daemons with faults from outside

Daemons in processes of their own; store, upstreams and callers as stand-ins; every way to the store and to an upstream leads through a loopback proxy that delays, silences, cuts one way or resets. The stand-in HTTP server now ends a connection that was reset before its request was read instead of failing.

--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,183 @@
+"""Callers that look up a VM and keep its connection until the process is gone."""
+
+import json
+import random
+
+import trio
+
+from soak import deployment as deployment_module
+from soak import history
+from trial import http_client
+from trial.shared_platform import fleet
+
+LOOK_UP_SECONDS = 2.0
+# The routes of the stand-in's desired state allow 1 s.
+PATIENCE_SECONDS = 3.0
+_HEAD_END = b"\r\n\r\n"
+
+
+class Caller:
+    """One caller; sends a request, waits for its answer, and pauses.
+
+    Parameters
+    ----------
+    index : int
+    deployed : deployment.Deployment
+    rng : random.Random
+    requests_per_second : float
+    """
+
+    def __init__(
+        self,
+        index: int,
+        deployed: deployment_module.Deployment,
+        rng: random.Random,
+        requests_per_second: float,
+    ) -> None:
+        self._index = index
+        self._deployed = deployed
+        self._rng = rng
+        self._rate = requests_per_second
+        self._centre, self._region = rng.choice(deployment_module.CENTRES)
+        self._hosts: list[str] = []
+        self._looked_up_at = float("-inf")
+        self._stream: trio.SocketStream | None = None
+        self._host = ""
+        self._sent = 0
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        while True:
+            await trio.sleep(self._rng.expovariate(self._rate))
+            await self._look_up()
+            if self._hosts:
+                await self._request()
+
+    async def _look_up(self) -> None:
+        if trio.current_time() - self._looked_up_at < LOOK_UP_SECONDS:
+            return
+        vms = self._rng.sample(self._deployed.vms, len(self._deployed.vms))
+        for vm in vms[:3]:
+            port = deployment_module.FIRST_PORT + 2
+            target = (
+                f"/resolve?name={fleet.HOST}&region={self._region}&zone={self._centre}"
+            )
+            try:
+                answer = await http_client.request(
+                    vm.host, port, "GET", target, timeout=1.0
+                )
+                addresses = json.loads(answer.body)["addresses"]
+            except (*http_client.FAILURES, KeyError, ValueError):
+                continue
+            self._hosts = [each.partition(":")[0] for each in addresses]
+            self._looked_up_at = trio.current_time()
+            return
+
+    async def _request(self) -> None:
+        organisations = list(self._deployed.organisations.values())
+        organisation = self._rng.choice(organisations)
+        key = self._rng.choice(
+            [*organisation["api_keys"], *organisation.get("withdrawn", [])]
+        )
+        routes = ["view", "view", "claim", *self._deployed.added_routes[-1:]]
+        path = f"/{self._rng.choice(routes)}/x"
+        self._sent += 1
+        request_id = f"c{self._index}-{self._sent}"
+        body = b"b" * 400 if path.startswith("/claim/") else b""
+        try:
+            await self._connect()
+        except (OSError, trio.TooSlowError):
+            self._hosts = [each for each in self._hosts if each != self._host]
+            await self._close()
+            return
+        sent_at = trio.current_time()
+        head, answer, gave_up = b"", b"", False
+        try:
+            with trio.fail_after(PATIENCE_SECONDS):
+                await self._stream.send_all(self._encode(request_id, path, key, body))
+                head, answer = await self._read()
+        except trio.TooSlowError:
+            gave_up = True
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        self._note(request_id, path, key, sent_at, head, answer, gave_up)
+        if not head or b"connection: close" in head.lower():
+            await self._close()
+
+    async def _connect(self) -> None:
+        if self._stream is not None and self._host in self._hosts:
+            return
+        await self._close()
+        self._host = self._rng.choice(self._hosts)
+        with trio.fail_after(1.0):
+            self._stream = await trio.open_tcp_stream(
+                self._host, deployment_module.FIRST_PORT
+            )
+
+    async def _close(self) -> None:
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            await trio.aclose_forcefully(stream)
+
+    def _encode(self, request_id: str, path: str, key: str, body: bytes) -> bytes:
+        lines = [
+            f"{'POST' if body else 'GET'} {path} HTTP/1.1",
+            f"Host: {fleet.HOST}",
+            f"Rattanlug-Request-Id: {request_id}",
+            "Rattanlug-Deadline-Ms: 2000",
+            f"Cookie: Rattanlug-Affinity-Key={self._rng.randrange(60)}",
+            f"Authorization: Token {key}",
+        ]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + _HEAD_END + body
+
+    async def _read(self) -> tuple[bytes, bytes]:
+        """Return head and body; empty ones if the connection ends before."""
+        data = b""
+        while _HEAD_END not in data:
+            chunk = await self._stream.receive_some(65536)
+            if not chunk:
+                return b"", b""
+            data += chunk
+        head, _, body = data.partition(_HEAD_END)
+        length = int(_header(head, b"content-length") or 0)
+        while len(body) < length:
+            chunk = await self._stream.receive_some(65536)
+            if not chunk:
+                return b"", b""
+            body += chunk
+        return head, body
+
+    def _note(
+        self,
+        request_id: str,
+        path: str,
+        key: str,
+        sent_at: float,
+        head: bytes,
+        body: bytes,
+        gave_up: bool,
+    ) -> None:
+        by_host = {each.host: each.name for each in self._deployed.vms}
+        exchange = history.Exchange(
+            request_id,
+            by_host[self._host],
+            path,
+            key,
+            sent_at,
+            trio.current_time(),
+            int(head[9:12]) if head else None,
+            not head and not gave_up,
+            _header(head, b"rattanlug-server-stamp").decode("latin-1"),
+            body,
+        )
+        self._deployed.seen.exchanges.append(exchange)
+
+
+def _header(head: bytes, name: bytes) -> bytes:
+    for line in head.split(b"\r\n")[1:]:
+        found, _, value = line.partition(b":")
+        if found.strip().lower() == name:
+            return value.strip()
+    return b""
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,110 @@
+"""A TCP proxy on loopback whose connections can be disturbed."""
+
+import contextlib
+import enum
+import socket
+import struct
+
+import trio
+
+_CHUNK_BYTES = 65536
+_RESET = struct.pack("ii", 1, 0)
+
+
+class Mode(enum.Enum):
+    """What happens to bytes and connections."""
+
+    OPEN = "open"
+    # Bytes arrive later.
+    DELAYED = "delayed"
+    # Nothing passes, and nobody is told.
+    SILENT = "silent"
+    # Requests arrive, answers do not.
+    NO_ANSWERS = "no answers"
+    # Connections are reset.
+    RESET = "reset"
+
+
+class Proxy:
+    """Forwards connections to one address.
+
+    Parameters
+    ----------
+    port : int
+        Target on 127.0.0.1.
+    """
+
+    def __init__(self, port: int) -> None:
+        self._target = port
+        self._mode = Mode.OPEN
+        self._delay = 0.0
+        self._changed = trio.Event()
+        self._open: set[trio.SocketStream] = set()
+        self.port = 0
+
+    @property
+    def mode(self) -> Mode:
+        """What happens to bytes and connections now."""
+        return self._mode
+
+    def set_mode(self, mode: Mode, delay: float = 0.0) -> None:
+        """Change what happens; ``delay`` counts for `Mode.DELAYED`, in seconds."""
+        self._mode, self._delay = mode, delay
+        self._changed.set()
+        self._changed = trio.Event()
+        if mode is Mode.RESET:
+            self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for stream in list(self._open):
+            with contextlib.suppress(OSError):
+                stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            stream.socket.close()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.port = listeners[0].socket.getsockname()[1]
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, client: trio.SocketStream) -> None:
+        self._open.add(client)
+        try:
+            if self._mode is Mode.RESET:
+                self.reset_connections()
+                return
+            target = await trio.open_tcp_stream("127.0.0.1", self._target)
+            self._open.add(target)
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._pump, client, target, False)
+                    nursery.start_soon(self._pump, target, client, True)
+            finally:
+                self._open.discard(target)
+                await trio.aclose_forcefully(target)
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._open.discard(client)
+            await trio.aclose_forcefully(client)
+
+    async def _pump(
+        self, source: trio.SocketStream, sink: trio.SocketStream, is_answer: bool
+    ) -> None:
+        while True:
+            data = await source.receive_some(_CHUNK_BYTES)
+            await self._pass(is_answer)
+            if not data:
+                # Both directions end; none of the programs half-closes.
+                raise trio.BrokenResourceError("the other side ended")
+            await sink.send_all(data)
+
+    async def _pass(self, is_answer: bool) -> None:
+        if self._mode is Mode.DELAYED:
+            await trio.sleep(self._delay)
+        while self._mode is Mode.SILENT or (
+            self._mode is Mode.NO_ANSWERS and is_answer
+        ):
+            await self._changed.wait()
--- a/trial/http_server.py
+++ b/trial/http_server.py
@@ -122,7 +122,8 @@
         try:
             if accepted:
                 await _serve_requests(handler, stream)
-        except (trio.BrokenResourceError, h11.ProtocolError):
+        except (OSError, trio.BrokenResourceError, h11.ProtocolError):
+            # The client reset the connection, or sends no HTTP.
             pass
         finally:
             with trio.move_on_after(1) as scope:
--- a/trial/processes.py
+++ b/trial/processes.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import trio
 
@@ -39,7 +39,12 @@
         """Names of all processes started so far."""
         return list(self._running)
 
-    def start(self, name: str, arguments: Sequence[str]) -> int:
+    def start(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        environment: Mapping[str, str] | None = None,
+    ) -> int:
         """Start ``python`` with arguments and return the process id."""
         root = pathlib.Path(__file__).parent.parent
         path = os.pathsep.join([str(root / "src"), str(root)])
@@ -49,7 +54,12 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PYTHONPATH": path, "PYTHONDONTWRITEBYTECODE": "1"},
+                env={
+                    **os.environ,
+                    "PYTHONPATH": path,
+                    "PYTHONDONTWRITEBYTECODE": "1",
+                    **(environment or {}),
+                },
                 # The terminal's interrupt is for the launcher alone.
                 start_new_session=True,
                 preexec_fn=_end_with_parent,
--- a/trial/shared_platform/upstream.py
+++ b/trial/shared_platform/upstream.py
@@ -19,6 +19,9 @@
     organisation: str | None
     body: bytes
     headers: dict[str, str]
+    # When it began, seconds, and where.
+    at: float
+    upstream: str
 
 
 class Upstream:
@@ -74,6 +77,8 @@
             organisation,
             request.body,
             headers,
+            trio.current_time(),
+            self.name,
         )
         self.executions.append(run)
         async with self._limiter:
