Assume the others' requests at a start, so that a starved region's load leaves it evenly

In the queueing model of the same load, all VMs fill the four upstreams of their region in the first half second, since no answer has told yet of the others' requests; then nothing fits there for a second, and a third of the load comes back when the queues have drained. Until an upstream has reported, each VM of the region is now taken to have as many requests there, on average, as this one has.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -290,16 +290,17 @@
         heard = len(self._peers.heard_within(RECENT_SECONDS, now)) + 1
         return max(heard, sum(len(each) for each in self._registered_vms.values()))
 
-    def senders(self, data_centre: str) -> int:
-        """Return the number of VMs in a data centre; all VMs for an empty name."""
+    def senders(self, place: str) -> int:
+        """Return the number of VMs in a data centre or region; "" stands for all."""
         now = clock.now()
-        if not data_centre:
+        if not place:
             return self.fleet_size(now)
+        region_of = self._settings.region_of
         heard = sum(
-            each.data_centre == data_centre
+            place in (each.data_centre, region_of.get(each.data_centre))
             for each in self._peers.heard_within(RECENT_SECONDS, now)
         )
-        return heard + (data_centre == self._settings.data_centre)
+        return heard + (place in (self._settings.data_centre, self._settings.region))
 
     def own_digest(self, now: float) -> digest.Digest:
         """Return this VM's report about itself, with the next number."""
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -40,6 +40,9 @@
 # A silence longer than this multiple of the expected time says that the upstream is
 # stuck.
 SILENCE_RATIO = 2.0
+# Most upstreams have answered a VM by then, and so told of the others' requests,
+# seconds.
+FIRST_SECONDS = 2.0
 # Requests at an upstream relative to its slots, beyond which it gets no more.
 FULL_RATIO = 3.0
 # A value of an upstream in the own data centre above which no other is looked at.
@@ -68,7 +71,8 @@
     registry : upstream_registry.UpstreamRegistry
     all_bounds : bounds.Bounds
     senders : callable
-        Number of VMs in a data centre that may send to its upstreams.
+        Number of VMs in a data centre that may send to its upstreams; also takes a
+        region, or an empty name for all VMs.
     rng : random.Random
     """
 
@@ -97,6 +101,9 @@
         self._services: Mapping[str, service.Service] = {}
         self._shift = region_shift.RegionShift(all_bounds.region_shift)
         self._distances = distances.Distances(data_centre, region_of)
+        self._first_at: float | None = None
+        # Requests of the other VMs at an upstream that reported none yet, by region.
+        self._unreported: dict[str, float] = {}
 
     @property
     def distances(self) -> distances.Distances:
@@ -156,6 +163,7 @@
             Seconds.
         """
         groups = self._groups.find(wanted)
+        self._estimate_others(groups, now)
         far = None
         if wanted.object_id is not None:
             self._warm.note_request(wanted.service, wanted.object_id)
@@ -268,7 +276,8 @@
     ) -> placement.Placement | None:
         known = self._entry(record, now)
         load = known.load
-        busy = load.busy(now)
+        region = self._region_of.get(record.data_centre, "")
+        busy = load.busy(now, self._unreported.get(region, 0.0))
         if busy >= FULL_RATIO * record.slots or load.is_paused(now):
             return None
         if not self._cold_allows(record, known, now):
@@ -304,6 +313,29 @@
             value += NEWCOMER_BONUS
         return placement.Placement(record, value, seconds, busy, warm, ground)
 
+    def _estimate_others(self, groups: candidate_groups.Groups, now: float) -> None:
+        """Assume, in the first seconds, that the other VMs send as much as this one.
+
+        Answers a start under load: no answer tells of the others' requests before
+        all queues near the callers are full. The requests beyond them then leave the
+        region all at once, and return when the queues have drained.
+        """
+        if self._first_at is None:
+            self._first_at = now
+        self._unreported = {}
+        if now - self._first_at >= FIRST_SECONDS:
+            return
+        sent: dict[str, list[int]] = {}
+        for data_centre, group in groups.items():
+            region = self._region_of.get(data_centre, "")
+            for record in group:
+                in_flight = self._entry(record, now).load.in_flight
+                sent.setdefault(region, []).append(in_flight)
+        others = max(0, self._senders(self._region) - 1)
+        self._unreported = {
+            region: others * sum(each) / len(each) for region, each in sent.items()
+        }
+
     def _ground(
         self,
         wanted: demand.Demand,
--- a/src/rattanlug/placement/upstream_load.py
+++ b/src/rattanlug/placement/upstream_load.py
@@ -35,6 +35,7 @@
         self._next_token = 0
         self._others = 0.0
         self._others_at = now
+        self._reported = False
         self._slowdown = 1.0
         self._slowdown_at = now
         self._failures = 0.0
@@ -65,8 +66,18 @@
         """Objects that are likely to be warm."""
         return self._objects
 
-    def busy(self, now: float) -> float:
-        """Return the estimated requests that run or wait, of all VMs."""
+    def busy(self, now: float, unreported: float = 0.0) -> float:
+        """Return the estimated requests that run or wait, of all VMs.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        unreported : float
+            Requests of the other VMs that are assumed until the first report.
+        """
+        if not self._reported:
+            return self.in_flight + unreported
         elapsed = now - self._others_at
         return self.in_flight + self._others * 0.5 ** (
             elapsed / REPORT_HALF_LIFE_SECONDS
@@ -114,6 +125,7 @@
         now : float
             Seconds; the request that was answered has ended here.
         """
+        self._reported = True
         self._others = max(0.0, float(busy - self.in_flight))
         self._others_at = now
 
--- a/tests/placement/queue_model.py
+++ b/tests/placement/queue_model.py
@@ -103,6 +103,8 @@
         self._order = itertools.count()
         self.outcomes = {each.name: [0, 0, 0] for each in sites}
         self.regions = collections.Counter()
+        # When a request of a region was sent, and to which region.
+        self.runs = collections.defaultdict(list)
 
     def _vm(self, site, number):
         return placer.Placer(
@@ -111,10 +113,17 @@
             self._regions,
             self._registry,
             bounds.Bounds(),
-            lambda data_centre: self._sites[data_centre].vms if data_centre else 1,
+            self._senders,
             random.Random(f"{site.name} {number}"),
         )
 
+    def _senders(self, place):
+        return sum(
+            each.vms
+            for each in self._sites.values()
+            if place in (each.name, each.region)
+        )
+
     def play(self, seconds, warm_up=5.0, burst=(0.0, 0.0, 1.0)):
         """Play for some seconds; return outcomes by data centre after the warm-up.
 
@@ -131,6 +140,26 @@
             action(now, *arguments)
         return {name: Outcome(*counts) for name, counts in self.outcomes.items()}
 
+    def greatest_shift(self, region, window=2.0):
+        """Return which part of a region's requests changes region between windows."""
+        runs, greatest = self.runs[region], (0.0, 0.0)
+        step, at = 0.1, runs[0][0] + window
+        while at + window <= runs[-1][0]:
+            shares = []
+            for begin in (at - window, at):
+                found = collections.Counter(
+                    ran for sent, ran in runs if begin <= sent < begin + window
+                )
+                total = sum(found.values())
+                shares.append({ran: n / total for ran, n in found.items()})
+            before, after = shares
+            moved = sum(
+                max(0.0, share - before.get(ran, 0.0)) for ran, share in after.items()
+            )
+            greatest = max(greatest, (moved, at))
+            at += step
+        return greatest
+
     def _push(self, at, action, *arguments):
         heapq.heappush(self._events, (at, next(self._order), action, arguments))
 
@@ -153,6 +182,7 @@
             return
         record, chosen = found
         self.regions[site.region, self._regions[record.data_centre]] += counted
+        self.runs[site.region].append((now, self._regions[record.data_centre]))
         token = vm.begin(record, object_id, now)
         way = self._way(site.name, record.data_centre) / 2
         job = (vm, record, chosen, token, object_id, now, way, site, counted, times)
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from rattanlug.desired import bounds
 from tests.placement import queue_model
 
 # One region has a sixth of the upstreams of the others and as many requests.
@@ -48,3 +49,33 @@
     model.play(20.0)
     crossed = sum(n for (own, ran), n in model.regions.items() if own != ran)
     assert crossed <= 0.05 * sum(model.regions.values())
+
+
+# One region has an eighth of the upstreams of another one, and as many requests.
+STARVED = [
+    queue_model.Site("a1", "a", 3, 2, 140.0),
+    queue_model.Site("a2", "a", 2, 2, 140.0),
+    queue_model.Site("b1", "b", 2, 7, 100.0),
+    queue_model.Site("b2", "b", 1, 7, 100.0),
+    queue_model.Site("c1", "c", 3, 8, 140.0),
+    queue_model.Site("c2", "c", 1, 8, 140.0),
+]
+SHIFT_BOUND = bounds.Bounds().region_shift
+
+
+@pytest.mark.parametrize(
+    ("sites", "region", "sizes"),
+    [
+        (STARVED, "a", {"kept": 68, "objects": 136, "slots": 9}),
+        (UNEVEN, "b", {}),
+    ],
+)
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_requests_leave_a_starved_region_steadily_from_the_start(
+    sites, region, sizes, seed
+):
+    # Load pattern: all VMs start together, and one region has too few upstreams.
+    model = queue_model.Model(sites, queue_model.value, seed, **sizes)
+    model.play(10.0, warm_up=0.0)
+    moved, at = model.greatest_shift(region)
+    assert moved <= SHIFT_BOUND, at
