Let changes of the store in quick succession come together

Calls of one feed are now at least 0.2 s apart, a small part of the bounds on changes (2.5 s). Test: 100 changes within a second cost at most 12 calls and arrive whole.

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -26,6 +26,9 @@
 }
 # Round trips and late timers that are added to two waits.
 AGE_MARGIN_SECONDS = 0.4
+# Least time from one call of a feed to the next, so that changes in quick succession
+# come together; it delays a change by a small part of the bounds.
+FEED_INTERVAL_SECONDS = 0.2
 # Longest wait at a VM that is followed; a dead connection is found in this time.
 FOLLOW_WAIT_SECONDS = 0.5
 # Pause after a failed call; doubles up to the longest.
@@ -89,6 +92,7 @@
             await self._reads_store.wait()
             copy = node.tables.copy(table)
             read_whole = read_whole or copy.version < 0
+            began = clock.now()
             try:
                 if read_whole:
                     read = await node.store.read_table(table)
@@ -112,6 +116,7 @@
             if not self.take(table, read, read_whole):
                 await trio.sleep(FIRST_PAUSE_SECONDS)
             read_whole = False
+            await trio.sleep(max(0.0, began + FEED_INTERVAL_SECONDS - clock.now()))
 
     async def _read_moves(self) -> None:
         """Follow the records of moves while one runs."""
--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -120,3 +120,18 @@
     oldest += store_reader.AGE_MARGIN_SECONDS + store_reader.FOLLOW_WAIT_SECONDS
     oldest += store_reader.FOLLOW_WAIT_SECONDS + table_client.ANSWER_SECONDS
     assert freshness.keys_usable(oldest + 0.3, 5.0)
+
+
+@caller.in_trio
+async def test_changes_in_quick_succession_come_together():
+    # Load pattern: hundreds of upstreams register or change within a second.
+    async with three_vms() as (deployment, vms):
+        deployment.store.calls.clear()
+        for sequence in range(2, 102):
+            deployment.register("u1", sequence=sequence, version=f"v{sequence}")
+            await trio.sleep(0.01)
+        assert len(deployment.store.calls) <= 12
+        await trio.sleep(0.5)
+        for each in vms:
+            (record,) = each.node.registry.of_service(fleet.SERVICE)
+            assert record.version == "v101"
