Keep an object that is asked for rarely warm once in a region

Ruled out: the limit of objects that upstreams keep (room for 756 of 413 in the smallest region). An object is now brought to each data centre only if the bytes that it spares there in the time that it stays are worth an answer of a cold upstream; how often one object is asked for is estimated from the requests that repeat one. Home choice and the estimate at a start are modules of their own now.

--- a/src/rattanlug/placement/object_homes.py
+++ b/src/rattanlug/placement/object_homes.py
@@ -22,11 +22,15 @@
         """Drop cached homes, since the upstreams changed."""
         self._homes.clear()
 
+    def known(self, object_id: str, service: str, place: str) -> str | None:
+        """Return the home that was assigned before, if there is one."""
+        return self._homes.get((object_id, service, place))
+
     def home(
         self,
         object_id: str,
         service: str,
-        data_centre: str,
+        place: str,
         group: Sequence[upstream_record.UpstreamRecord],
     ) -> str:
         """Return the id of the upstream of a group that is home of an object.
@@ -34,12 +38,12 @@
         Parameters
         ----------
         object_id : str
-        service, data_centre : str
-            Name the group in the cache.
+        service, place : str
+            Name the group in the cache; the place is a data centre or a region.
         group : sequence of upstream_record.UpstreamRecord
             Not empty.
         """
-        identity = (object_id, service, data_centre)
+        identity = (object_id, service, place)
         found = self._homes.get(identity)
         if found is None:
             found = max(group, key=lambda each: _weight(object_id, each.id)).id
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from rattanlug.desired import bounds, service
@@ -16,10 +16,11 @@
     cold_budget,
     demand,
     distances,
-    object_homes,
+    home_choice,
     placement,
     region_shift,
     service_times,
+    start_estimate,
     upstream_load,
     valuation,
     warm_objects,
@@ -40,9 +41,8 @@
 # A silence longer than this multiple of the expected time says that the upstream is
 # stuck.
 SILENCE_RATIO = 2.0
-# Most upstreams have answered a VM by then, and so told of the others' requests,
-# seconds.
-FIRST_SECONDS = 2.0
+# VMs come and go in seconds.
+COUNT_SECONDS = 0.5
 # Requests at an upstream relative to its slots, beyond which it gets no more.
 FULL_RATIO = 3.0
 # A value of an upstream in the own data centre above which no other is looked at.
@@ -96,14 +96,16 @@
         self._known: dict[str, tuple[int, _Known]] = {}
         self._times: dict[str, service_times.ServiceTimes] = {}
         self._groups = candidate_groups.CandidateGroups(registry, region_of)
-        self._homes = object_homes.ObjectHomes()
+        self._homes = home_choice.HomeChoice(
+            region, region_of, lambda now: self._count_senders(data_centre, now)
+        )
+        self._start = start_estimate.StartEstimate()
         self._warm = warm_objects.WarmObjects(region, region_of)
         self._services: Mapping[str, service.Service] = {}
         self._shift = region_shift.RegionShift(all_bounds.region_shift)
         self._distances = distances.Distances(data_centre, region_of)
-        self._first_at: float | None = None
-        # Requests of the other VMs at an upstream that reported none yet, by region.
-        self._unreported: dict[str, float] = {}
+        # VMs by place, and when they were counted.
+        self._sender_counts: dict[str, tuple[int, float]] = {}
 
     @property
     def distances(self) -> distances.Distances:
@@ -163,18 +165,24 @@
             Seconds.
         """
         groups = self._groups.find(wanted)
-        self._estimate_others(groups, now)
+        self._start.update(
+            self._with_regions(groups),
+            lambda record: self._entry(record, now).load.in_flight,
+            lambda: max(0, self._count_senders(self._region, now) - 1),
+            now,
+        )
         far = None
         if wanted.object_id is not None:
             self._warm.note_request(wanted.service, wanted.object_id)
             far = self._warm.far_data_centre(wanted.object_id, list(groups))
+        home_of = self._homes.homes(wanted, times, groups, now)
         allowed = self._shift.allowed_regions(now)
         best: placement.Placement | None = None
         # The own data centre first: a good answer there spares a look at the others.
         for data_centre in sorted(groups, key=self._is_elsewhere):
             if best is not None and best.value >= GOOD_VALUE:
                 break
-            found = self._best_of(wanted, times, data_centre, groups, far, now)
+            found = self._best_of(wanted, times, data_centre, groups, far, home_of, now)
             if found is None:
                 continue
             if not allowed(self._region_of.get(data_centre, "")):
@@ -183,6 +191,14 @@
                 best = found
         return best
 
+    def _with_regions(
+        self, groups: candidate_groups.Groups
+    ) -> Iterator[tuple[str, upstream_record.UpstreamRecord]]:
+        for data_centre, group in groups.items():
+            region = self._region_of.get(data_centre, "")
+            for record in group:
+                yield region, record
+
     def _is_elsewhere(self, data_centre: str) -> bool:
         return data_centre != self._data_centre
 
@@ -193,10 +209,11 @@
         data_centre: str,
         groups: candidate_groups.Groups,
         far: str | None,
+        home_of: home_choice.HomeOf,
         now: float,
     ) -> placement.Placement | None:
         group = groups[data_centre]
-        home = self._home(wanted, data_centre, group)
+        home = home_of(data_centre)
         best: placement.Placement | None = None
         for record in self._considered(wanted, data_centre, group, home, now):
             found = self._value(wanted, times, record, home, len(group), far, now)
@@ -253,17 +270,6 @@
         ]
         return warm + [each for each in sample if each not in warm]
 
-    def _home(
-        self,
-        wanted: demand.Demand,
-        data_centre: str,
-        group: Sequence[upstream_record.UpstreamRecord],
-    ) -> str | None:
-        if wanted.object_id is None:
-            return None
-        name = f"{wanted.service} {wanted.versions} {wanted.excluded}"
-        return self._homes.home(wanted.object_id, name, data_centre, group)
-
     def _value(
         self,
         wanted: demand.Demand,
@@ -277,7 +283,7 @@
         known = self._entry(record, now)
         load = known.load
         region = self._region_of.get(record.data_centre, "")
-        busy = load.busy(now, self._unreported.get(region, 0.0))
+        busy = load.busy(now, self._start.unreported(region))
         if busy >= FULL_RATIO * record.slots or load.is_paused(now):
             return None
         if not self._cold_allows(record, known, now):
@@ -313,28 +319,13 @@
             value += NEWCOMER_BONUS
         return placement.Placement(record, value, seconds, busy, warm, ground)
 
-    def _estimate_others(self, groups: candidate_groups.Groups, now: float) -> None:
-        """Assume, in the first seconds, that the other VMs send as much as this one.
-
-        Answers a start under load: no answer tells of the others' requests before
-        all queues near the callers are full. The requests beyond them then leave the
-        region all at once, and return when the queues have drained.
-        """
-        if self._first_at is None:
-            self._first_at = now
-        self._unreported = {}
-        if now - self._first_at >= FIRST_SECONDS:
-            return
-        sent: dict[str, list[int]] = {}
-        for data_centre, group in groups.items():
-            region = self._region_of.get(data_centre, "")
-            for record in group:
-                in_flight = self._entry(record, now).load.in_flight
-                sent.setdefault(region, []).append(in_flight)
-        others = max(0, self._senders(self._region) - 1)
-        self._unreported = {
-            region: others * sum(each) / len(each) for region, each in sent.items()
-        }
+    def _count_senders(self, place: str, now: float) -> int:
+        """Return the VMs of a data centre or region, counted once in a while."""
+        found = self._sender_counts.get(place)
+        if found is None or now - found[1] >= COUNT_SECONDS:
+            found = (self._senders(place), now)
+            self._sender_counts[place] = found
+        return found[0]
 
     def _ground(
         self,
--- /dev/null
+++ b/tests/placement/test_object_demand.py
@@ -0,0 +1,41 @@
+"""Tests of how often the same object is asked for."""
+
+import random
+
+import pytest
+
+from rattanlug.placement import object_demand
+
+
+@pytest.mark.parametrize(
+    ("objects", "rate"), [(413, 20.0), (174, 100.0), (78, 24.0), (30, 300.0)]
+)
+@pytest.mark.parametrize("seconds", [5.0, 30.0])
+def test_the_estimate_is_near_the_true_rate(objects, rate, seconds):
+    rng = random.Random(1)
+    demand, at = object_demand.ObjectDemand(), 0.0
+    while at < seconds:
+        at += rng.expovariate(rate)
+        demand.note(str(rng.randrange(objects)), at)
+    assert demand.rate == pytest.approx(rate / objects, rel=0.6)
+
+
+def test_nothing_is_said_before_some_requests():
+    demand = object_demand.ObjectDemand()
+    for index in range(object_demand.LEAST_REQUESTS - 1):
+        demand.note(str(index), 2.0 * index)
+    assert demand.rate is None
+    demand.note("new", 20.0)
+    assert demand.rate == 0.0
+
+
+def test_the_estimate_follows_the_load():
+    demand, at = object_demand.ObjectDemand(), 0.0
+    for index in range(30_000):
+        at += 0.002
+        demand.note(str(index % 50), at)
+    busy = demand.rate
+    for index in range(500):
+        at += object_demand.PERIOD_SECONDS / 250
+        demand.note(str(index % 50), at)
+    assert demand.rate < 0.1 * busy
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -3,6 +3,7 @@
 import pytest
 
 from rattanlug.desired import bounds
+from rattanlug.placement import home_choice
 from tests.placement import queue_model
 
 # One region has a sixth of the upstreams of the others and as many requests.
@@ -79,3 +80,29 @@
     model.play(10.0, warm_up=0.0)
     moved, at = model.greatest_shift(region)
     assert moved <= SHIFT_BOUND, at
+
+
+# Each data centre is asked for more objects than it could warm in the time of a
+# burst; together, those of a region can.
+RARE_OBJECTS = [
+    queue_model.Site(f"{region}{number}", region, 4, upstreams, 25.0)
+    for number in range(3)
+    for region, upstreams in (("a", 6), ("b", 25))
+]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_objects_that_are_asked_for_rarely_are_warm_once_in_a_region(seed, monkeypatch):
+    # Load pattern: many objects, each asked for a few times a minute, after a start.
+    sizes = {"kept": 18, "objects": 200, "slots": 9, "cold": 1.9, "warm": 0.57}
+
+    def worst():
+        model = queue_model.Model(
+            RARE_OBJECTS, queue_model.value, seed, target=1.25, timeout=10.0, **sizes
+        )
+        return min(each.worth for each in model.play(16.0, warm_up=8.0).values())
+
+    own = worst()
+    # The baseline: a home in each data centre.
+    monkeypatch.setattr(home_choice.HomeChoice, "_pays_locally", lambda *some: True)
+    assert own > worst() + 0.1
