Log each VM that is believed alive or silent, also of other data centres

Cause: since data centres report for their VMs, those elsewhere were believed alive, and dropped, without a line; a VM that fell silent was never logged.

--- a/src/rattanlug/gateway/peers.py
+++ b/src/rattanlug/gateway/peers.py
@@ -44,6 +44,7 @@
         # Hosts by VM, by data centre.
         self._addresses: dict[str, dict[str, str]] = {}
         self._round = 0
+        self._live: set[str] = set()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Receive and send until cancelled."""
@@ -87,11 +88,23 @@
         except store_error.StoreError as exc:
             log_state.changed("address", "registered", "kept", reason=str(exc))
 
+    def note_membership(self, now: float) -> None:
+        """Write a line for each VM that is believed alive now and was not, or was."""
+        live = {each.vm: each for each in self._node.live_vms(now)[1:]}
+        for vm in sorted(live.keys() | self._live):
+            before = "alive" if vm in self._live else None
+            after = "alive" if vm in live else "silent"
+            if before != after and (before or after == "alive"):
+                centre = live[vm].data_centre if vm in live else None
+                log_state.changed("peer", before, after, peer=vm, data_centre=centre)
+        self._live = set(live)
+
     async def _report_regularly(self) -> None:
         node = self._node
         while True:
             now = clock.now()
             node.peers.forget(now - FORGET_SECONDS)
+            self.note_membership(now)
             await self.report()
             store_reader.share_rates(node, now)
             self._round += 1
@@ -156,7 +169,6 @@
                 if node.versions.revert(order):
                     log_state.changed("order", "running", "reverted", order=order)
             if is_new:
-                log_state.changed("peer", None, report.vm, host=report.host)
                 await self._introduce(report, passed_on)
 
     async def _pass_on(self, report: digest.Digest, now: float) -> None:
