Have the only VM of a data centre report that it stops

Cause: found when reading the reports of data centres again. A VM that leaves does not report for its data centre, which is right beside others; alone, nobody else tells the other data centres, and their look-ups named it until it had been silent for 3.4 s. test_the_only_vm_of_a_data_centre_tells_the_others_that_it_stops fails before (the look-up names it 0.3 s after the stop began) and passes after.

--- a/src/rattanlug/fleet/centre_report.py
+++ b/src/rattanlug/fleet/centre_report.py
@@ -5,13 +5,15 @@
 from rattanlug.fleet import digest, member, outcome_count
 
 
-def leads(own_vm: str, live: Iterable[member.Member]) -> bool:
+def leads(own_vm: str, leaving: bool, live: Iterable[member.Member]) -> bool:
     """Tell whether a VM reports for its data centre.
 
-    The first live one does. While two disagree about who lives, both report, which
-    costs bytes and changes nothing.
+    The first live one does; one that leaves only if no other stays, since nobody else
+    would tell of it. While two disagree about who lives, both report, which costs
+    bytes and changes nothing.
     """
-    return not any(each.vm < own_vm and not each.leaving for each in live)
+    staying = [each.vm for each in live if not each.leaving]
+    return not staying if leaving else all(vm > own_vm for vm in staying)
 
 
 def build(
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -328,7 +328,7 @@
     def centre_digest(self, own: digest.Digest, now: float) -> digest.Digest | None:
         """Return the report of the data centre if this VM makes it, else None."""
         live = self._peers.own_members(LEADER_SECONDS, now)
-        if own.leaving or not centre_report.leads(own.vm, live):
+        if not centre_report.leads(own.vm, own.leaving, live):
             return None
         centre = self._settings.data_centre
         others = [
--- a/src/rattanlug/gateway/peers.py
+++ b/src/rattanlug/gateway/peers.py
@@ -91,12 +91,11 @@
     def note_membership(self, now: float) -> None:
         """Write a line for each VM that is believed alive now and was not, or was."""
         live = {each.vm: each for each in self._node.live_vms(now)[1:]}
-        for vm in sorted(live.keys() | self._live):
-            before = "alive" if vm in self._live else None
-            after = "alive" if vm in live else "silent"
-            if before != after and (before or after == "alive"):
-                centre = live[vm].data_centre if vm in live else None
-                log_state.changed("peer", before, after, peer=vm, data_centre=centre)
+        for vm in sorted(live.keys() - self._live):
+            centre = live[vm].data_centre
+            log_state.changed("peer", None, "alive", peer=vm, data_centre=centre)
+        for vm in sorted(self._live - live.keys()):
+            log_state.changed("peer", "alive", "silent", peer=vm)
         self._live = set(live)
 
     async def _report_regularly(self) -> None:
--- a/tests/fleet/test_centre_report.py
+++ b/tests/fleet/test_centre_report.py
@@ -31,6 +31,12 @@
     return peer_table.PeerTable(vm, data_centre)
 
 
+def listening_to(vm):
+    table = listening("a1", "d1")
+    table.hear(report(vm, "d1", {}), 0.0)
+    return table.own_members(2.3, 0.1)
+
+
 def test_sums_of_a_data_centre_count_once():
     table = listening("a1", "d1")
     bad = outcome_count.OutcomeCount("s", "r", 1, 2, 3, 4)
@@ -62,11 +68,15 @@
 def test_the_first_live_vm_reports_and_the_next_one_takes_over():
     table = listening("a2", "d1")
     table.hear(report("a1", "d1", {}), 0.0)
-    assert not centre_report.leads("a2", table.own_members(2.3, 1.0))
-    assert centre_report.leads("a2", table.own_members(2.3, 2.4))
+    assert not centre_report.leads("a2", False, table.own_members(2.3, 1.0))
+    assert centre_report.leads("a2", False, table.own_members(2.3, 2.4))
     leaving = report("a1", "d1", {}, sequence=2)._replace(leaving=True)
     table.hear(leaving, 3.0)
-    assert centre_report.leads("a2", table.own_members(2.3, 3.1))
+    live = table.own_members(2.3, 3.1)
+    assert centre_report.leads("a2", False, live)
+    # One that leaves reports for itself if it is alone.
+    assert centre_report.leads("a2", True, live)
+    assert not centre_report.leads("a1", True, listening_to("a2"))
 
 
 def test_an_older_report_of_the_same_vm_does_not_replace_a_newer_one():
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -105,3 +105,19 @@
         ran = sum(len(each.executions) for each in deployment.upstreams.values())
         assert answers.count(200) == ran
         assert set(answers) == {200, None}
+
+
+@caller.in_trio
+async def test_the_only_vm_of_a_data_centre_tells_the_others_that_it_stops():
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        staying = await deployment.add_vm()
+        stopping = await deployment.add_vm(data_centre="north-b")
+        await trio.sleep(1.5)
+        host = stopping.node.settings.host
+        assert named(await look_up(staying, "north-b")) == {host}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stopping.stop)
+            await trio.sleep(0.3)
+            found = named(await look_up(staying, "north-b"))
+            assert found == {staying.node.settings.host}
