Derive the waits of feeds from the bounds of the deployment

Cause: found when reading; the waits were constants that fit a withdrawal bound of 5 s. Waits at the bounds of today's deployments: 0.9 s as before, 1.25 instead of 1.3 s.

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -7,30 +7,29 @@
 
 from rattanlug.canary import record_codec
 from rattanlug.daemon import clock
-from rattanlug.desired import state
+from rattanlug.desired import bounds, state
 from rattanlug.gateway import node as node_module
 from rattanlug.gateway import table_client
 from rattanlug.logs import state as log_state
 from rattanlug.platform import names, store_error, upstream_table
 from rattanlug.tables import follow_messages, source_choice, store_read
 
-# Longest wait of a feed for each table. A copy is confirmed from before a feed was
-# asked until the next one ends, so its age reaches two waits. That of the operators'
-# table and the way to a follower have to stay well below the time in which a withdrawn
-# key must stop working; that of the upstreams' bounds how long a dead connection hides
-# an upstream that leaves.
-FEED_WAIT_SECONDS = {
-    names.OPERATOR_TABLE: 0.9,
-    names.UPSTREAM_TABLE: 1.3,
-    record_codec.TABLE: 0.9,
-}
+# Longest wait of a feed, as a part of the time in which a withdrawn key must stop
+# working. A copy is confirmed from before a feed was asked until the next one ends, so
+# its age reaches two waits; a follower and a change of its source add to that.
+KEY_WAIT_SHARE = 0.18
+# The same for the upstreams, as a part of the time in which one that leaves must get no
+# more: a dead connection hides it for one wait.
+DRAIN_WAIT_SHARE = 0.5
+LONGEST_WAIT_SECONDS = 1.5
 # Round trips and late timers that are added to two waits.
 AGE_MARGIN_SECONDS = 0.4
 # Least time from one call of a feed to the next, so that changes in quick succession
 # come together; it delays a change by a small part of the bounds.
 FEED_INTERVAL_SECONDS = 0.2
-# Longest wait at a VM that is followed; a dead connection is found in this time.
-FOLLOW_WAIT_SECONDS = 0.5
+# Wait at a VM that is followed, as a part of a feed's wait; a dead connection is found
+# in this time.
+FOLLOW_WAIT_SHARE = 0.55
 # Pause after a failed call; doubles up to the longest.
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 0.8
@@ -60,6 +59,7 @@
         self._reads_store = trio.Event()
         self._reads_store.set()
         self._upstreams_applied_at = 0.0
+        self._waits = feed_waits(node.settings.bounds)
         self._apply: dict[str, Callable[[store_read.StoreRead, bool], None]] = {
             names.OPERATOR_TABLE: self._apply_operators,
             names.UPSTREAM_TABLE: self._apply_upstreams,
@@ -98,7 +98,7 @@
                     read = await node.store.read_table(table)
                 else:
                     read = await node.store.follow_table(
-                        table, copy.version, FEED_WAIT_SECONDS[table]
+                        table, copy.version, self._waits[table]
                     )
             except store_error.HistoryLostError:
                 read_whole = True
@@ -126,13 +126,13 @@
             if not node.follows_moves:
                 await trio.sleep(FIRST_PAUSE_SECONDS)
                 continue
-            whole = copy.age(clock.now()) > _oldest(table)
+            whole = copy.age(clock.now()) > oldest(self._waits[table])
             try:
                 if whole:
                     read = await node.store.read_table(table)
                 else:
                     read = await node.store.follow_table(
-                        table, copy.version, FEED_WAIT_SECONDS[table]
+                        table, copy.version, self._waits[table]
                     )
             except store_error.StoreError as exc:
                 self._note_failed(table, str(exc))
@@ -166,7 +166,7 @@
                 self._choice.note_failed(source, clock.now())
                 log_state.changed("table_source", source, None, reason=str(exc))
                 continue
-            if _is_fresh(answer):
+            if self._is_fresh(answer):
                 self._choice.note_followed(source)
                 self._set_source(source)
             else:
@@ -180,7 +180,9 @@
             tables.append(record_codec.TABLE)
         versions = {each: node.tables.copy(each).version for each in tables}
         # While this VM reads the store itself, it only asks whether it still has to.
-        wait = FOLLOW_WAIT_SECONDS if self._source is not None else 0.0
+        wait = FOLLOW_WAIT_SHARE * self._waits[names.OPERATOR_TABLE]
+        if self._source is None:
+            wait = 0.0
         return follow_messages.FollowRequest(versions, wait)
 
     def _set_source(self, source: str | None) -> None:
@@ -210,6 +212,13 @@
                 )
                 self.take(each.table, read, each.whole)
 
+    def _is_fresh(self, answer: follow_messages.FollowAnswer) -> bool:
+        """Tell whether the answering VM reads, or follows, without faults."""
+        ages = {each.table: each.age for each in answer.tables}
+        return all(
+            ages.get(each, math.inf) <= oldest(self._waits[each]) for each in _FOLLOWED
+        )
+
     def _apply_operators(self, read: store_read.StoreRead, whole: bool) -> None:
         if whole:
             self._node.operators.apply_all(read)
@@ -236,15 +245,20 @@
         node.versions.set_records(records, copy.confirmed_at)
 
 
-def _oldest(table: str) -> float:
-    """Return the greatest age of a table that is read without faults, seconds."""
-    return 2.0 * FEED_WAIT_SECONDS[table] + AGE_MARGIN_SECONDS
+def feed_waits(limits: bounds.Bounds) -> dict[str, float]:
+    """Return the longest wait of a feed for each table, seconds."""
+    keys = min(LONGEST_WAIT_SECONDS, KEY_WAIT_SHARE * limits.key_withdrawal)
+    drain = min(LONGEST_WAIT_SECONDS, DRAIN_WAIT_SHARE * limits.drain)
+    return {
+        names.OPERATOR_TABLE: keys,
+        names.UPSTREAM_TABLE: drain,
+        record_codec.TABLE: keys,
+    }
 
 
-def _is_fresh(answer: follow_messages.FollowAnswer) -> bool:
-    """Tell whether the answering VM reads, or follows, without faults."""
-    ages = {each.table: each.age for each in answer.tables}
-    return all(ages.get(each, math.inf) <= _oldest(each) for each in _FOLLOWED)
+def oldest(wait: float) -> float:
+    """Return the greatest age of a table that is read without faults, seconds."""
+    return 2.0 * wait + AGE_MARGIN_SECONDS
 
 
 def apply_upstreams(
