Take a failure of the store from another VM only beside an own one

The store refused the first VM of a region; its followers took its failures, which it told them, for an outage of the store, and kept registrations that were removed as if they had lapsed, until 2.3 s after the last failure: the log of edge-colombo-a-2 has the fresh read 0.15 s after the removal, and 52 upstreams become 38 only 2.7 s later. Ruled out: a slow change of the source (1.6 s), a stale read (version 191 holds the removal). A failure elsewhere now counts only if an own call failed in the last 4 s.

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -38,6 +38,9 @@
 # Registrations are applied at least this often, since one that is missing after the
 # store was away counts as gone only some time later.
 APPLY_SECONDS = 1.0
+# An own call to the store that failed this lately shows that a failure elsewhere is one
+# of the store, and not of the way from one VM to it; registrations lapse after longer.
+AWAY_SECONDS = 4.0
 _FOLLOWED = (names.OPERATOR_TABLE, names.UPSTREAM_TABLE)
 
 
@@ -58,6 +61,8 @@
         self._source: str | None = None
         self._reads_store = trio.Event()
         self._reads_store.set()
+        # When an own call to the store last failed.
+        self._failed_at = -math.inf
         self._upstreams_applied_at = 0.0
         self._waits = feed_waits(node.settings.bounds)
         self._apply: dict[str, Callable[[store_read.StoreRead, bool], None]] = {
@@ -143,6 +148,7 @@
 
     def _note_failed(self, table: str, reason: str) -> None:
         now = clock.now()
+        self._failed_at = now
         self._node.tables.note_store_failed(now)
         if table == names.UPSTREAM_TABLE:
             self._node.registry.note_store_away(now)
@@ -198,8 +204,10 @@
     ) -> None:
         """Take what another VM knew, as old as if it had answered at once."""
         node = self._node
-        if answer.store_failed is not None:
-            failed_at = clock.now() - answer.store_failed
+        now = clock.now()
+        if answer.store_failed is not None and now - self._failed_at < AWAY_SECONDS:
+            # The store was away for both; the other VM saw its return.
+            failed_at = now - answer.store_failed
             node.tables.note_store_failed(failed_at)
             node.registry.note_store_away(failed_at)
         for each in answer.tables:
