--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -222,6 +222,7 @@
             f"the body did not arrive within {_BODY_TIMEOUT_SECONDS:g} s",
         )
     client = scope.get("client") or ("", 0)
+    stream = scope.get(caller_stream.SCOPE_KEY)
     return request.Request(
         scope["method"],
         scope["path"],
@@ -230,6 +231,8 @@
         headers,
         bytes(body),
         client[0],
+        None if stream is None else stream.arrived_at,
+        lambda: stream is not None and stream.has_left,
     )
 
 
--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -1,10 +1,12 @@
 """The stream of one caller's connection."""
 
+import socket
 from collections.abc import Callable
 
 import trio
 
-from rattanlug.caller import request_head
+from rattanlug.caller import listener, request_head
+from rattanlug.daemon import clock
 from rattanlug.metrics import counters
 
 # A caller that does not read its answer holds the memory of it.
@@ -31,19 +33,29 @@
 
     Parameters
     ----------
-    stream : trio.SocketStream
+    accepted : listener.Accepted
     all_counters : counters.Counters
     answer_early : callable or None
         Returns the whole answer to a request that needs no upstream, or None.
+    ready_since : callable
+        Earliest time at which what is ready now can have become ready, seconds.
     """
 
     def __init__(
         self,
-        stream: trio.SocketStream,
+        accepted: listener.Accepted,
         all_counters: counters.Counters,
         answer_early: AnswerEarly | None,
+        ready_since: Callable[[], float],
     ) -> None:
-        self._stream = stream
+        self._stream = stream = accepted.stream
+        self._raw = accepted.raw
+        self._ready_since = ready_since
+        # Nothing of the next bytes can have arrived before.
+        self._silent_until = accepted.waits_since
+        # The same for the bytes that were received last, and for the present request.
+        self._received_since = accepted.waits_since
+        self._arrived_at = accepted.waits_since
         self._counters = all_counters
         self._find_early_answer = answer_early
         self._head = b""
@@ -71,6 +83,24 @@
         """Socket of the connection."""
         return self._stream.socket
 
+    @property
+    def arrived_at(self) -> float:
+        """Earliest time at which the present request can have arrived, seconds."""
+        return self._arrived_at
+
+    @property
+    def has_left(self) -> bool:
+        """Whether the caller closed the connection, also if nobody read so far."""
+        if self._has_left or self._pending:
+            return self._has_left
+        try:
+            return not self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # Reset by the caller, or closed by a stop.
+            return True
+
     def on_leave(self, action: Callable[[], None] | None) -> None:
         """Set what is called when the caller leaves; at once if it has left."""
         self._on_leave = action
@@ -85,8 +115,7 @@
         """Receive the first bytes of a request; empty when the caller has left."""
         data, self._pending = self._pending, b""
         data = data or await self._receive(_READ_BYTES)
-        # A stop closes connections between requests; this one has its answer first.
-        self._between_requests = False
+        self._begin_request()
         return data
 
     def early_answer(self, head: request_head.RequestHead) -> bytes | None:
@@ -129,14 +158,19 @@
             early = None if head is None else self.early_answer(head)
             if early is None:
                 break
-            # A stop closes connections between requests; this one has its answer first.
-            self._between_requests = False
+            self._begin_request()
             await self._send_bounded(early)
             self._between_requests = True
             data = await self._receive(max_bytes)
-        self._between_requests = False
+        if self._between_requests:
+            self._begin_request()
         return data
 
+    def _begin_request(self) -> None:
+        # A stop closes connections between requests; this one has its answer first.
+        self._between_requests = False
+        self._arrived_at = self._received_since
+
     async def send_all(self, data: bytes) -> None:
         """Send, or break the connection when the caller does not read."""
         refused = not self._head and data.startswith(_REFUSALS)
@@ -156,7 +190,7 @@
 
     async def _receive(self, max_bytes: int) -> bytes:
         try:
-            data = await self._stream.receive_some(max_bytes)
+            data = await self._receive_raw(max_bytes)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._leave()
             raise
@@ -165,6 +199,19 @@
             self._leave()
         return data
 
+    async def _receive_raw(self, max_bytes: int) -> bytes:
+        self._received_since = self._silent_until
+        while True:
+            try:
+                data = self._raw.recv(max_bytes)
+                await trio.lowlevel.cancel_shielded_checkpoint()
+                return data
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self._raw)
+                self._received_since = self._ready_since()
+            except OSError as exc:
+                raise trio.BrokenResourceError("the connection broke") from exc
+
     def _leave(self) -> None:
         self._has_left = True
         if self._on_leave is not None:
@@ -172,6 +219,8 @@
 
     async def _send_bounded(self, data: bytes) -> None:
         self._last_used = trio.current_time()
+        # Callers send the next request after the answer.
+        self._silent_until = clock.now()
         with trio.move_on_after(SEND_SECONDS):
             await self._stream.send_all(data)
             return
--- /dev/null
+++ b/src/rattanlug/caller/listener.py
@@ -0,0 +1,110 @@
+"""Accepts connections of callers and tells since when each may have waited."""
+
+import errno
+import socket
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from rattanlug.metrics import counters
+from rattanlug.settings import address
+
+# Connections that the kernel keeps until they are accepted.
+BACKLOG = 1024
+# Pause when the process has no descriptor or memory for another connection, seconds.
+PAUSE_SECONDS = 0.1
+_NO_ROOM = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
+# The caller left, or its network failed, before its connection was accepted.
+_CALLER_GONE = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EPROTO,
+        errno.EPERM,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+    }
+)
+
+
+class Accepted(NamedTuple):
+    """A connection that was accepted.
+
+    Attributes
+    ----------
+    stream : trio.SocketStream
+    raw : socket.socket
+        The stream's socket, for calls that must not wait.
+    waits_since : float
+        Earliest time at which the connection can have been opened, seconds.
+    """
+
+    stream: trio.SocketStream
+    raw: socket.socket
+    waits_since: float
+
+
+class Listener:
+    """Listening socket of callers.
+
+    Parameters
+    ----------
+    local : address.Address
+        Where to listen; port 0 picks a free one.
+    ready_since : callable
+        Earliest time at which what is ready now can have become ready, seconds.
+    all_counters : counters.Counters
+    """
+
+    def __init__(
+        self,
+        local: address.Address,
+        ready_since: Callable[[], float],
+        all_counters: counters.Counters,
+    ) -> None:
+        family = socket.AF_INET6 if ":" in local.host else socket.AF_INET
+        self._socket = socket.create_server(
+            (local.host, local.port), family=family, backlog=BACKLOG
+        )
+        self._socket.setblocking(False)
+        self._ready_since = ready_since
+        self._counters = all_counters
+        # Since when a connection may wait; the queue was empty before.
+        self._waits_since = ready_since()
+
+    @property
+    def socket(self) -> socket.socket:
+        """Listening socket."""
+        return self._socket
+
+    async def accept(self) -> Accepted:
+        """Wait for the next connection."""
+        while True:
+            try:
+                raw, _ = self._socket.accept()
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self._socket)
+                self._waits_since = self._ready_since()
+                continue
+            except OSError as exc:
+                await self._pause(exc)
+                continue
+            await trio.lowlevel.checkpoint()
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
+            return Accepted(stream, raw, self._waits_since)
+
+    def close(self) -> None:
+        """Stop listening."""
+        trio.lowlevel.notify_closing(self._socket)
+        self._socket.close()
+
+    async def _pause(self, exc: OSError) -> None:
+        if exc.errno in _CALLER_GONE:
+            self._counters.add("connections_broken")
+        elif exc.errno in _NO_ROOM:
+            self._counters.add("connections_refused")
+            await trio.sleep(PAUSE_SECONDS)
+        else:
+            raise exc
--- a/src/rattanlug/caller/plain_requests.py
+++ b/src/rattanlug/caller/plain_requests.py
@@ -63,7 +63,7 @@
             if early is not None:
                 await self._stream.send_answer(early)
                 continue
-            answer = await self._answer(_whole(head, data, self._stream.identity[0]))
+            answer = await self._answer(_whole(head, data, self._stream))
             if answer is None:
                 return False
             await self._stream.send_answer(reply.to_bytes(answer))
@@ -85,7 +85,9 @@
     return hosts == 1 and head.method not in _LIBRARY_METHODS
 
 
-def _whole(head: request_head.RequestHead, data: bytes, client: str) -> request.Request:
+def _whole(
+    head: request_head.RequestHead, data: bytes, stream: caller_stream.CallerStream
+) -> request.Request:
     raw_path, _, query = head.target.partition(b"?")
     return request.Request(
         head.method.decode(),
@@ -94,5 +96,7 @@
         query,
         head.headers,
         data.partition(request_head.END)[2],
-        client,
+        stream.identity[0],
+        stream.arrived_at,
+        lambda: stream.has_left,
     )
--- a/src/rattanlug/caller/request.py
+++ b/src/rattanlug/caller/request.py
@@ -1,11 +1,16 @@
 """A whole request."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 from urllib import parse
 
 Headers = list[tuple[bytes, bytes]]
 
 
+def _stays() -> bool:
+    return False
+
+
 class Request(NamedTuple):
     """One request from a caller.
 
@@ -23,6 +28,10 @@
     body : bytes
     client : str
         Address of the peer.
+    arrived_at : float or None
+        Earliest time at which the request can have arrived, seconds; None if unknown.
+    has_left : callable
+        Tells whether the caller closed its connection.
     """
 
     method: str
@@ -32,6 +41,8 @@
     headers: Headers
     body: bytes
     client: str
+    arrived_at: float | None = None
+    has_left: Callable[[], bool] = _stays
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header, or None."""
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -1,6 +1,5 @@
 """Accepts connections of callers and bounds what each of them may hold."""
 
-import functools
 import logging
 from collections.abc import Callable
 
@@ -10,7 +9,8 @@
 from hypercorn import utils
 from hypercorn.trio import tcp_server, worker_context
 
-from rattanlug.caller import application, caller_stream, plain_requests
+from rattanlug.caller import application, caller_stream, listener, plain_requests
+from rattanlug.daemon import clock
 from rattanlug.metrics import counters
 from rattanlug.settings import address
 
@@ -20,7 +20,6 @@
 SWEEP_SECONDS = 2.0
 MAX_CONNECTIONS = 2048
 _MAX_HEADER_BYTES = 32 * 1024
-_BACKLOG = 1024
 _LOG = logging.getLogger(__name__)
 
 
@@ -41,6 +40,8 @@
         requests cost a fraction of the processor time of one that takes the way
         through the HTTP library, which matters when a caller sends many times its
         rate.
+    ready_since : callable, optional
+        Earliest time at which what is ready now can have become ready, seconds.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         all_counters: counters.Counters,
         max_connections: int | None = None,
         answer_early: caller_stream.AnswerEarly | None = None,
+        ready_since: Callable[[], float] = clock.now,
     ) -> None:
         self._inner_app = app
         self._app = utils.wrap_app(self._serve_scope, 0, "asgi")
@@ -56,6 +58,7 @@
         self._counters = all_counters
         self._max_connections = max_connections or MAX_CONNECTIONS
         self._answer_early = answer_early
+        self._ready_since = ready_since
         self._config = _config()
         self._context = worker_context.WorkerContext(None)
         self._streams: set[caller_stream.CallerStream] = set()
@@ -83,25 +86,19 @@
         finish_seconds : float
             Time for the requests that are being served when ``stop`` is set.
         task_status : optional
-            Reports the list of listeners.
+            Reports the list of the one listener.
         """
-        listeners = await trio.open_tcp_listeners(
-            local.port, host=local.host, backlog=_BACKLOG
-        )
+        listening = listener.Listener(local, self._ready_since, self._counters)
         async with trio.open_nursery() as serving:
-            async with trio.open_nursery() as accepting:
-                accepting.start_soon(
-                    functools.partial(
-                        trio.serve_listeners,
-                        self._serve_connection,
-                        listeners,
-                        handler_nursery=serving,
-                    )
-                )
-                accepting.start_soon(self._close_idle)
-                task_status.started(listeners)
-                await stop.wait()
-                accepting.cancel_scope.cancel()
+            try:
+                async with trio.open_nursery() as accepting:
+                    accepting.start_soon(self._accept, listening, serving)
+                    accepting.start_soon(self._close_idle)
+                    task_status.started([listening])
+                    await stop.wait()
+                    accepting.cancel_scope.cancel()
+            finally:
+                listening.close()
             # Idle connections close at once, the others after their answer.
             self._stopping = True
             await self._context.terminated.set()
@@ -115,6 +112,12 @@
                 stream.abort()
             serving.cancel_scope.cancel()
 
+    async def _accept(
+        self, listening: listener.Listener, serving: trio.Nursery
+    ) -> None:
+        while True:
+            serving.start_soon(self._serve_connection, await listening.accept())
+
     async def _run_library(self, caller: caller_stream.CallerStream) -> None:
         connection = tcp_server.TCPServer(
             self._app,
@@ -140,12 +143,20 @@
                 if stream.idle_seconds(now) > KEEP_ALIVE_SECONDS:
                     stream.abort()
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+    async def _serve_connection(self, accepted: listener.Accepted) -> None:
         if len(self._streams) >= self._max_connections:
             self._counters.add("connections_refused")
-            await trio.aclose_forcefully(stream)
+            await trio.aclose_forcefully(accepted.stream)
+            return
+        try:
+            caller = caller_stream.CallerStream(
+                accepted, self._counters, self._answer_early, self._ready_since
+            )
+        except OSError:
+            # The caller reset the connection before it was looked at.
+            self._counters.add("connections_broken")
+            await trio.aclose_forcefully(accepted.stream)
             return
-        caller = caller_stream.CallerStream(stream, self._counters, self._answer_early)
         self._streams.add(caller)
         self._by_caller[caller.identity] = caller
         try:
@@ -163,7 +174,7 @@
         finally:
             self._streams.discard(caller)
             self._by_caller.pop(caller.identity, None)
-            await trio.aclose_forcefully(stream)
+            await trio.aclose_forcefully(accepted.stream)
 
 
 class _NoIdleTask:
--- a/src/rattanlug/gateway/admission.py
+++ b/src/rattanlug/gateway/admission.py
@@ -101,8 +101,10 @@
             wait = min(wait, facts.time_left - ANSWER_MARGIN_SECONDS)
         # The request has waited in the queues of a busy process before it came here.
         received_at = now - QUEUED_ROUNDS * node.behind(now)
+        if incoming.arrived_at is not None:
+            node.histograms.record("request_unread", now - incoming.arrived_at)
         return job_module.Job(
-            incoming, facts, found, owner, service, received_at, received_at + wait
+            incoming, facts, found, owner, service, received_at, received_at + wait, now
         )
 
     def _sheds(
--- a/src/rattanlug/gateway/job.py
+++ b/src/rattanlug/gateway/job.py
@@ -22,6 +22,8 @@
         Seconds.
     deadline : float
         When the caller has to have an answer, seconds.
+    admitted_at : float
+        Seconds.
     """
 
     incoming: request.Request
@@ -31,6 +33,7 @@
     service: str
     received_at: float
     deadline: float
+    admitted_at: float
 
     @property
     def object_id(self) -> str | None:
--- a/src/rattanlug/gateway/loop_busy.py
+++ b/src/rattanlug/gateway/loop_busy.py
@@ -1,4 +1,6 @@
-"""Measures which part of the time the event loop is at work."""
+"""Measures how long the event loop works between two looks at its sockets."""
+
+from collections.abc import Callable
 
 import trio
 
@@ -12,20 +14,34 @@
 # A VM that was busy counts as such until its share is below this one; about half of
 # its callers went elsewhere meanwhile, and would all come back at the first share.
 RELIEVED_SHARE = 0.3
+# A look at the sockets that takes longer found nothing ready at first; one that finds
+# something takes some tens of microseconds.
+LOOK_SECONDS = 0.0005
+# Shorter turns are not worth the time that recording them takes.
+RECORDED_SECONDS = 0.005
 
 
 class LoopBusy(trio.abc.Instrument):
     """Share of the time in which the event loop did not wait.
 
     Unlike the delay of timers, it shows a rising load before requests wait.
+
+    Parameters
+    ----------
+    record_turn : callable, optional
+        Takes the length of each long turn of the loop, seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, record_turn: Callable[[float], None] = lambda seconds: None
+    ) -> None:
+        self._record_turn = record_turn
         self._share = 0.0
         self._is_busy = False
         self._waits_since = 0.0
         # Since when the present turn of the loop runs, 0 before the first.
         self._works_since = 0.0
+        self._ready_since = clock.now()
 
     @property
     def share(self) -> float:
@@ -37,6 +53,14 @@
         """Whether the loop has little time left."""
         return self._is_busy
 
+    @property
+    def ready_since(self) -> float:
+        """Earliest time at which what is ready now can have become ready, seconds.
+
+        What is found by a look at the sockets was not there at the look before.
+        """
+        return self._ready_since
+
     def turn_seconds(self, now: float) -> float:
         """Return for how long the present turn of the loop has run, seconds.
 
@@ -62,6 +86,16 @@
     def after_io_wait(self, timeout: float) -> None:
         """Note that the loop goes on."""
         now = clock.now()
+        waited = now - self._waits_since
+        if timeout > 0.0 and waited > LOOK_SECONDS:
+            # Something became ready just now, or a timer was due; a wait beyond the
+            # timer means that the process was not scheduled.
+            self._ready_since = now - max(0.0, waited - timeout)
+        elif self._works_since:
+            self._ready_since = self._works_since
         if self._works_since:
-            self.note(self._waits_since - self._works_since, now - self._waits_since)
+            worked = self._waits_since - self._works_since
+            self.note(worked, waited)
+            if worked > RECORDED_SECONDS:
+                self._record_turn(worked)
         self._works_since = now
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -60,7 +60,9 @@
         self._peers = peer_table.PeerTable(settings.vm, settings.data_centre)
         self._limiters = limiter_table.LimiterTable(settings.bounds)
         self._lag = loop_lag.LoopLag()
-        self._busy = loop_busy.LoopBusy()
+        self._busy = loop_busy.LoopBusy(
+            lambda seconds: self._histograms.record("loop_turn", seconds)
+        )
         self._outcomes = outcome_window.OutcomeWindow()
         self._versions = version_choice.VersionChoice(self._rng)
         self._store = store_client.StoreClient(
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -110,7 +110,10 @@
         self._peers = peers.Peers(node)
         self._stop_callers = trio.Event()
         self._callers = caller_server.Server(
-            self._app, node.counters, answer_early=self._path.refuse_early
+            self._app,
+            node.counters,
+            answer_early=self._path.refuse_early,
+            ready_since=lambda: node.busy.ready_since,
         )
 
     @property
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -110,6 +110,7 @@
             nonlocal sent
             request = self._outgoing(job, record)
             sent = True
+            self._note_send(job, clock.now())
             return request
 
         with trio.move_on_after(max(0.0, time_left)):
@@ -130,6 +131,22 @@
             kind.ErrorKind.DEADLINE_EXCEEDED, "the upstream did not answer in time"
         )
 
+    def _note_send(self, job: job_module.Job, now: float) -> None:
+        node = self._node
+        node.histograms.record("request_unsent", now - job.admitted_at)
+        if job.incoming.has_left():
+            kind_name = "idempotent" if job.route.idempotent else "once_only"
+            node.counters.add("sends_after_leave", route=kind_name)
+            node.log.write(
+                "sent for a caller that left",
+                now,
+                id=job.facts.request_id,
+                route=job.route.name,
+                unread=_since(job.incoming.arrived_at, job.admitted_at),
+                unsent=round(now - job.admitted_at, 3),
+                behind=round(node.behind(now), 3),
+            )
+
     def _outgoing(
         self, job: job_module.Job, record: upstream_record.UpstreamRecord
     ) -> httpcore.Request:
@@ -270,6 +287,7 @@
             data_centre=chosen.record.data_centre,
             status=answer.status,
             seconds=round(seconds, 3),
+            unread=_since(job.incoming.arrived_at, job.admitted_at),
             expected=round(chosen.seconds, 3),
             busy=round(chosen.busy, 1),
             warm=round(chosen.warm, 2),
@@ -284,3 +302,7 @@
         answer = self._answer_kilobytes.get(job.route.name, FIRST_ANSWER_KILOBYTES)
         body = len(job.incoming.body) / _BYTES_PER_KILOBYTE
         return HEAD_KILOBYTES + body + answer
+
+
+def _since(earlier: float | None, later: float) -> float | None:
+    return None if earlier is None else round(later - earlier, 3)
