Add failing tests for requests that wait unread past their callers' time

Callers saw no answer past their route's timeout, and upstreams ran requests of callers that had left. The tests do the same in one process: callers that send and close while the loop stalls, and 150 new connections whose requests take 3 s of processor time.

--- a/tests/gateway/caller.py
+++ b/tests/gateway/caller.py
@@ -60,13 +60,13 @@
     ]
 
 
-def encode(path, request_id):
+def encode(path, request_id, method="GET", milliseconds=2000):
     """Return the bytes of a request with a key."""
     lines = [
-        f"GET {path} HTTP/1.1",
+        f"{method} {path} HTTP/1.1",
         f"Host: {fleet.HOST}",
         f"Rattanlug-Request-Id: {request_id}",
-        "Rattanlug-Deadline-Ms: 2000",
+        f"Rattanlug-Deadline-Ms: {milliseconds}",
         f"Authorization: Token {fleet.KEY}",
     ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
--- /dev/null
+++ b/tests/gateway/test_overload.py
@@ -0,0 +1,117 @@
+"""Tests of requests that wait before an entry daemon reads or sends them."""
+
+import socket
+import time
+
+import pytest
+import trio
+
+from tests.gateway import caller
+from trial.shared_platform import fleet
+
+_CALLERS = 10
+# A route's timeout in the stand-in's desired state, and the time within which an
+# answer has to follow it, seconds.
+_ROUTE_SECONDS = 1.0
+_ANSWER_SECONDS = 0.5
+
+
+def connect(vm):
+    """Open a connection without a turn of the event loop."""
+    local = vm.node.settings.callers
+    return socket.create_connection((local.host, local.port))
+
+
+def slow_down(vm, seconds):
+    """Let each request that may be admitted cost processor time."""
+    admission = vm._path._admission
+    admit = admission.admit
+
+    def slow_admit(*arguments):
+        time.sleep(seconds)
+        return admit(*arguments)
+
+    admission.admit = slow_admit
+
+
+# Guards against requests that reach an upstream although their callers closed the
+# connection while the request waited unread (incident CONFIG, GONE).
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("stall", [0.1, 0.7])
+@pytest.mark.parametrize("kept", [False, True])
+@caller.in_trio
+async def test_a_request_whose_caller_left_before_it_was_read_never_runs(
+    method, stall, kept
+):
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        vm = await deployment.add_vm()
+        await deployment.settle()
+        # Connections to the upstream are open, so that nothing delays a send.
+        async with trio.open_nursery() as nursery:
+            for _ in range(_CALLERS):
+                nursery.start_soon(caller.send, vm, "/view/x")
+        path = "/view/x" if method == "GET" else "/claim/x"
+        connections = [connect(vm) for _ in range(_CALLERS)]
+        if kept:
+            await trio.sleep(0.05)
+        names = [f"left-{method}-{index}" for index in range(_CALLERS)]
+        for connection, name in zip(connections, names, strict=True):
+            connection.sendall(caller.encode(path, name, method))
+            connection.close()
+        time.sleep(stall)
+        await trio.sleep(0.5)
+        assert [name for name in names if caller.runs(deployment, name)] == []
+
+
+# Guards against callers whose requests wait in the accept queue of a busy VM past
+# their route's timeout (incident CONFIG, GONE).
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@caller.in_trio
+async def test_new_connections_beyond_the_processor_are_answered_in_time(method):
+    async with fleet.open_fleet() as deployment:
+        for name in ("u1", "u2", "u3"):
+            await deployment.add_upstream(name)
+        vm = await deployment.add_vm()
+        await deployment.settle()
+        slow_down(vm, 0.02)
+        path = "/view/x" if method == "GET" else "/claim/x"
+        began = time.monotonic()
+        answered = {}
+
+        async def ask(name):
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(connect(vm)))
+            async with stream:
+                await stream.send_all(caller.encode(path, name, method))
+                await stream.receive_some(4096)
+            answered[name] = time.monotonic() - began
+
+        async with trio.open_nursery() as nursery:
+            for index in range(150):
+                nursery.start_soon(ask, f"queued-{method}-{index}")
+        limit = _ROUTE_SECONDS + _ANSWER_SECONDS
+        assert [name for name, after in answered.items() if after > limit] == []
+
+
+# Guards against a time of arrival that starts only when a request is read (incident
+# CONFIG, GONE): its caller's time passes in a socket's buffer as well.
+@caller.in_trio
+async def test_the_time_in_a_socket_s_buffer_counts_against_the_deadline():
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        vm = await deployment.add_vm()
+        await deployment.settle()
+        streams = []
+        for index in range(_CALLERS):
+            connection = connect(vm)
+            connection.sendall(
+                caller.encode("/claim/x", f"late-{index}", "POST", milliseconds=300)
+            )
+            streams.append(connection)
+        time.sleep(0.4)
+        await trio.sleep(0.5)
+        for connection in streams:
+            assert connection.recv(4096).startswith(b"HTTP/1.1 503")
+            connection.close()
+        ran = [f"late-{index}" for index in range(_CALLERS)]
+        assert [name for name in ran if caller.runs(deployment, name)] == []
