Look for the caller right before the first byte goes to an upstream

Upstreams ran requests whose callers had closed their connection. A once-only request was not watched at all, an idempotent one only by a task that runs a turn of the event loop after the request was sent; a close that waits in the socket behind the request was seen by neither.

Each send now asks the socket itself, without waiting, once before a connection is spent on it and once when the first byte is due, which is a turn later; the deadline is checked there too. That holds for both kinds of routes and for a repeat on another upstream. A request that is refused there says 'not run', gives its token back, leaves the upstream's connection open, and no longer counts as a failure of the upstream (the case 'no time is left' paused a sound upstream for 0.5 s before).

Half-closing callers are told so with 503; most HTTP servers take a half-close for the end as well.

--- a/src/rattanlug/errors/answer.py
+++ b/src/rattanlug/errors/answer.py
@@ -34,6 +34,8 @@
     kind.ErrorKind.ORGANISATION_MISMATCH: Answer(403, _NO),
     kind.ErrorKind.RATE_LIMITED: Answer(429, _NO, 1),
     kind.ErrorKind.NO_CAPACITY: Answer(503, _NO, 1),
+    # Read only by a caller that closed its sending half alone.
+    kind.ErrorKind.CALLER_LEFT: Answer(503, _NO, 1),
     kind.ErrorKind.DEADLINE_EXCEEDED: Answer(504, _UNKNOWN),
     kind.ErrorKind.IDENTITY_MISSING: Answer(400, _NO),
     kind.ErrorKind.IDENTITY_REUSED: Answer(422, _NO),
--- a/src/rattanlug/errors/kind.py
+++ b/src/rattanlug/errors/kind.py
@@ -12,6 +12,7 @@
     ORGANISATION_MISMATCH = "organisation_mismatch"
     RATE_LIMITED = "rate_limited"
     NO_CAPACITY = "no_capacity"
+    CALLER_LEFT = "caller_left"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     IDENTITY_MISSING = "identity_missing"
     IDENTITY_REUSED = "identity_reused"
--- a/src/rattanlug/gateway/request_path.py
+++ b/src/rattanlug/gateway/request_path.py
@@ -74,6 +74,9 @@
                 break
             try:
                 return await self._sender.send(job, chosen)
+            except error.RefusedError as exc:
+                failure = _worse(failure, exc)
+                break
             except error.UpstreamError as exc:
                 excluded.add(chosen.record.id)
                 reached = exc.kind is not kind.ErrorKind.UPSTREAM_FAILED
@@ -98,6 +101,8 @@
             return failure
         if job.owner is not None:
             self._node.limiters.limiter(job.owner.name).give_back(clock.now())
+        if isinstance(failure, error.RefusedError):
+            return failure
         return refusals.refusal(
             kind.ErrorKind.NO_CAPACITY,
             "no upstream can answer in time",
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -10,6 +10,7 @@
 from rattanlug.errors import error, kind, ran
 from rattanlug.gateway import job as job_module
 from rattanlug.gateway import node as node_module
+from rattanlug.gateway import refusals
 from rattanlug.placement import placement, service_times
 from rattanlug.platform import answer_facts, request_facts
 from rattanlug.upstream import connection_pools, response
@@ -55,6 +56,9 @@
         Raises
         ------
         error.UpstreamError
+            The upstream failed.
+        error.RefusedError
+            Nothing was sent, for a reason that is not the upstream's.
         """
         node, record = self._node, chosen.record
         load = node.placer.load(record, clock.now())
@@ -107,11 +111,15 @@
         sent = False
 
         def build() -> httpcore.Request:
+            self._check_send(job, clock.now())
+            return self._outgoing(job, record)
+
+        def check_send() -> None:
             nonlocal sent
-            request = self._outgoing(job, record)
+            now = clock.now()
+            self._check_send(job, now)
             sent = True
-            self._note_send(job, clock.now())
-            return request
+            node.histograms.record("request_unsent", now - job.admitted_at)
 
         with trio.move_on_after(max(0.0, time_left)):
             return await node.pools.send(
@@ -120,6 +128,7 @@
                 build,
                 job.facts.request_id.encode("latin-1"),
                 connect_seconds,
+                check_send,
             )
         if not sent:
             raise error.UpstreamError(
@@ -131,38 +140,31 @@
             kind.ErrorKind.DEADLINE_EXCEEDED, "the upstream did not answer in time"
         )
 
-    def _note_send(self, job: job_module.Job, now: float) -> None:
-        node = self._node
-        node.histograms.record("request_unsent", now - job.admitted_at)
+    def _check_send(self, job: job_module.Job, now: float) -> None:
+        """Refuse a request whose answer nobody would read.
+
+        Raises
+        ------
+        error.RefusedError
+        """
         if job.incoming.has_left():
-            kind_name = "idempotent" if job.route.idempotent else "once_only"
-            node.counters.add("sends_after_leave", route=kind_name)
-            node.log.write(
-                "sent for a caller that left",
-                now,
-                id=job.facts.request_id,
-                route=job.route.name,
-                unread=round(job.admitted_at - job.arrived_at, 3),
-                unsent=round(now - job.admitted_at, 3),
-                behind=round(node.behind(now, now), 3),
+            raise error.RefusedError(
+                kind.ErrorKind.CALLER_LEFT,
+                "the caller closed its connection before the request was sent",
+            )
+        if now >= job.deadline:
+            raise error.RefusedError(
+                kind.ErrorKind.NO_CAPACITY,
+                "the time of the request passed before it was sent",
+                retry_after=refusals.retry_seconds(self._node.rng),
             )
 
     def _outgoing(
         self, job: job_module.Job, record: upstream_record.UpstreamRecord
     ) -> httpcore.Request:
-        """Build the request as it is sent now.
-
-        Raises
-        ------
-        error.UpstreamError
-            The time of the request is over.
-        """
+        """Build the request as it is sent now."""
         incoming = job.incoming
         time_left = job.deadline - clock.now()
-        if time_left <= 0.0:
-            raise error.UpstreamError(
-                kind.ErrorKind.UPSTREAM_FAILED, "no time is left", ran.Ran.NO
-            )
         has_body = bool(incoming.body) or any(
             name in (b"content-length", b"transfer-encoding")
             for name, _ in incoming.headers
--- a/src/rattanlug/upstream/answer_stream.py
+++ b/src/rattanlug/upstream/answer_stream.py
@@ -1,5 +1,7 @@
 """A network stream that shows only the answer to the present request."""
 
+from collections.abc import Callable
+
 import httpcore
 
 _HEAD_END = b"\r\n\r\n"
@@ -37,6 +39,7 @@
         self._body = bytearray()
         self._dropped = 0
         self._received = 0
+        self._check_send: Callable[[], None] | None = None
 
     @property
     def body_bytes(self) -> int:
@@ -58,9 +61,17 @@
         """Answers to earlier requests that were dropped."""
         return self._dropped
 
-    def expect(self, identifier: bytes) -> None:
-        """Begin a request; only its answer is shown from now on."""
+    def expect(self, identifier: bytes, check_send: Callable[[], None]) -> None:
+        """Begin a request; only its answer is shown from now on.
+
+        Parameters
+        ----------
+        identifier : bytes
+        check_send : callable
+            Called right before the first byte leaves; it may raise to send nothing.
+        """
         self._expected = identifier
+        self._check_send = check_send
         self._head.clear()
         self._in_head = True
         self._to_drop = 0
@@ -83,6 +94,9 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write bytes of a request."""
+        check_send, self._check_send = self._check_send, None
+        if check_send is not None:
+            check_send()
         await self._inner.write(buffer, timeout)
 
     async def aclose(self) -> None:
--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -84,6 +84,7 @@
         build_request: Callable[[], httpcore.Request],
         identifier: bytes,
         connect_seconds: float,
+        check_send: Callable[[], None],
     ) -> Exchange:
         """Send one request and return its whole answer.
 
@@ -100,11 +101,15 @@
             Value of the identifier header.
         connect_seconds : float
             Longest time for opening a connection.
+        check_send : callable
+            Called right before the first byte leaves; it may raise to send nothing.
 
         Raises
         ------
         error.UpstreamError
             With ``ran`` NO when no byte can have left, else UNKNOWN.
+        error.RefusedError
+            Of `build_request` or `check_send`.
         """
         connection = await self._reuse(host, port)
         opened = None
@@ -112,9 +117,14 @@
             began = self._clock()
             connection = await self._open(host, port, connect_seconds)
             opened = self._clock() - began
+        try:
+            request = build_request()
+        except error.RefusedError:
+            self._keep(host, port, connection)
+            raise
         try:
             answer, end_reason = await connection.exchange(
-                build_request(), identifier, self._identifier_header
+                request, identifier, self._identifier_header, check_send
             )
         except (
             httpcore.NetworkError,
@@ -131,8 +141,7 @@
             await self._close(connection)
             raise
         if not end_reason:
-            connection.note_idle(self._clock())
-            self._idle.setdefault((host, port), []).append(connection)
+            self._keep(host, port, connection)
         else:
             self._counters.add("upstream_connections_ended", reason=end_reason)
             await self._close(connection)
@@ -143,6 +152,12 @@
         for host, port in list(self._idle):
             await self.forget(host, port)
 
+    def _keep(
+        self, host: str, port: int, connection: pooled_connection.PooledConnection
+    ) -> None:
+        connection.note_idle(self._clock())
+        self._idle.setdefault((host, port), []).append(connection)
+
     async def _reuse(
         self, host: str, port: int
     ) -> pooled_connection.PooledConnection | None:
--- a/src/rattanlug/upstream/pooled_connection.py
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -1,5 +1,7 @@
 """One connection to an upstream."""
 
+from collections.abc import Callable
+
 import httpcore
 
 from rattanlug.errors import error, kind, ran
@@ -43,10 +45,24 @@
         self._idle_since = now
 
     async def exchange(
-        self, request: httpcore.Request, identifier: bytes, identifier_header: bytes
+        self,
+        request: httpcore.Request,
+        identifier: bytes,
+        identifier_header: bytes,
+        check_send: Callable[[], None],
     ) -> tuple[response.Response, str]:
         """Send a request and read its whole answer.
 
+        Parameters
+        ----------
+        request : httpcore.Request
+        identifier : bytes
+            Value of the identifier header.
+        identifier_header : bytes
+            Header that each answer repeats, in lower case.
+        check_send : callable
+            Called right before the first byte leaves; it may raise to send nothing.
+
         Returns
         -------
         tuple of response.Response and str
@@ -58,7 +74,7 @@
             The answer was broken or belongs to another request.
         httpcore.NetworkError, httpcore.ProtocolError
         """
-        self._stream.expect(identifier)
+        self._stream.expect(identifier, check_send)
         answer = await self._http.handle_async_request(request)
         headers = [(name.lower(), value) for name, value in answer.headers]
         head = response.Response(answer.status, headers, b"")
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -115,3 +115,39 @@
             connection.close()
         ran = [f"late-{index}" for index in range(_CALLERS)]
         assert [name for name in ran if caller.runs(deployment, name)] == []
+
+
+# Guards against a second send for a caller that left during the first (incident
+# CONFIG, GONE): nobody watches the connection of a once-only request.
+@caller.in_trio
+async def test_a_once_only_request_is_not_sent_again_after_its_caller_left():
+    async with fleet.open_fleet() as deployment:
+        for name in ("u1", "u2"):
+            upstream = await deployment.add_upstream(name)
+            upstream.shed_seconds = 0.3
+        vm = await deployment.add_vm()
+        await deployment.settle()
+        for each in deployment.upstreams.values():
+            each.shed = True
+        with connect(vm) as connection:
+            connection.sendall(caller.encode("/claim/x", "left-during", "POST"))
+            await trio.sleep(0.15)
+        await trio.sleep(0.6)
+        sends = [each.refused for each in deployment.upstreams.values()]
+        assert sorted(map(len, sends)) == [0, 1]
+        assert caller.runs(deployment, "left-during") == []
+
+
+# A caller that only closes its sending half still reads, and what it reads is true.
+@caller.in_trio
+async def test_a_caller_that_half_closes_is_told_that_its_request_did_not_run():
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        vm = await deployment.add_vm()
+        await deployment.settle()
+        with connect(vm) as connection:
+            connection.sendall(caller.encode("/claim/x", "half", "POST"))
+            connection.shutdown(socket.SHUT_WR)
+            await trio.sleep(0.3)
+            assert connection.recv(4096).startswith(b"HTTP/1.1 503")
+        assert caller.runs(deployment, "half") == []
--- a/trial/shared_platform/upstream.py
+++ b/trial/shared_platform/upstream.py
@@ -49,6 +49,7 @@
         self.refused: list[str] = []
         self.status = 200
         self.shed = False
+        self.shed_seconds = 0.0
         self.silent = False
         self.fault = ""
         self.cold_seconds = cold_seconds
@@ -64,6 +65,7 @@
             self.refused.append(request_id)
             return http_server.Response(421, (("Rattanlug-Backend-Id", self.name),))
         if self.shed:
+            await trio.sleep(self.shed_seconds)
             self.refused.append(request_id)
             return http_server.Response(
                 503,
