--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -9,6 +9,7 @@
 
 from rattanlug.daemon import clock
 from rattanlug.fleet import digest, digest_codec
+from rattanlug.gateway import node as node_module
 from tests.gateway import caller
 from trial.shared_platform import fleet
 
@@ -23,7 +24,9 @@
 
 
 @caller.in_trio
-async def test_look_ups_name_the_live_vms_of_the_caller_s_data_centre():
+async def test_look_ups_name_the_live_vms_of_the_caller_s_data_centre(monkeypatch):
+    # The load of the machine that runs the test must not decide what is named.
+    monkeypatch.setattr(node_module.Node, "overloaded", lambda self, now: False)
     async with fleet.open_fleet() as deployment:
         await deployment.add_upstream("u1")
         first = await deployment.add_vm()
@@ -36,6 +39,22 @@
         assert named(await look_up(first, "south-a", "south")) == set(hosts)
 
 
+@caller.in_trio
+async def test_look_ups_for_an_overloaded_data_centre_name_its_region_too(monkeypatch):
+    monkeypatch.setattr(
+        node_module.Node, "overloaded", lambda self, now: self.settings.vm == "vm-3"
+    )
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        first = await deployment.add_vm()
+        second = await deployment.add_vm()
+        other = await deployment.add_vm(data_centre="north-b")
+        await deployment.settle()
+        hosts = [each.node.settings.host for each in (first, second, other)]
+        assert named(await look_up(first)) == set(hosts[:2])
+        assert named(await look_up(first, "north-b")) == set(hosts)
+
+
 @caller.in_trio
 async def test_a_vm_that_stops_leaves_the_look_ups_and_still_serves():
     async with fleet.open_fleet() as deployment:
--- a/tests/gateway/test_loop_busy.py
+++ b/tests/gateway/test_loop_busy.py
@@ -61,3 +61,23 @@
 
     trio.run(main, instruments=[busy])
     assert [round(each, 1) for each in seen] == [0.1, 0.2, 0.3, 0.0]
+
+
+def test_what_is_ready_can_only_have_come_since_the_look_before():
+    """Guards against a time of arrival that starts when a request is read."""
+    busy = loop_busy.LoopBusy()
+    seen = []
+
+    async def main():
+        await trio.sleep(0.05)
+        began = clock.now()
+        time.sleep(0.2)
+        await trio.lowlevel.checkpoint()
+        # The turn of 0.2 s lies between the two looks.
+        seen.append(busy.ready_since - began)
+        await trio.sleep(0.1)
+        seen.append(clock.now() - busy.ready_since)
+
+    trio.run(main, instruments=[busy])
+    assert -0.05 < seen[0] < 0.05
+    assert seen[1] < 0.05
