Tell a desired state of the wrong shape from one that can be in force

A row of the operators without a service's name, with a text where a list stands, or with an infinite priority left the decoder as KeyError, TypeError, AttributeError or OverflowError and ended the process (test_a_desired_state_that_cannot_be_read_ends_no_process failed with KeyError); every VM reads the same row, so all would end. A timeout of 0 or NaN, weights that are all 0, a negative rate and 'public' as a text were taken as valid; the last opened a route to all.

An unknown kind of route stays allowed and runs once at most; a route to a service that isn't listed stays allowed and finds no upstream.

--- a/src/rattanlug/platform/desired_state.py
+++ b/src/rattanlug/platform/desired_state.py
@@ -26,15 +26,19 @@
         version=version_number(decoding.field(found, "version", str, int)),
         routes=tuple(
             _route(decoding.field(host, "hostname", str), each)
-            for host in decoding.field(found, "virtual_hosts", list)
-            for each in decoding.field(host, "paths", list)
+            for host in decoding.objects(found, "virtual_hosts", required=True)
+            for each in decoding.objects(host, "paths", required=True)
         ),
         services={
-            each["name"]: _service(each)
-            for each in decoding.field(found, "services", list)
+            each.name: each
+            for each in map(
+                _service, decoding.objects(found, "services", required=True)
+            )
         },
-        organisations=tuple(_organisation(each) for each in found.get("tenants") or ()),
-        limits=_limits(found.get("limits") or {}),
+        organisations=tuple(
+            _organisation(each) for each in decoding.objects(found, "tenants")
+        ),
+        limits=_limits(found),
     )
 
 
@@ -46,21 +50,15 @@
     decoding.UnreadableError
     """
     digits = str(text).lstrip("r")
-    if not digits.isdigit():
+    if not (digits.isascii() and digits.isdigit()):
         raise decoding.UnreadableError(f"{text!r} is no version")
     return int(digits)
 
 
 def _route(host: str, found: dict[str, Any]) -> route.Route:
-    split = found.get("traffic_split")
-    if split:
-        parts = tuple(
-            part.Part(each["service"], decoding.number(each, "weight"))
-            for each in split
-        )
-    else:
-        parts = (part.Part(decoding.field(found, "service", str), 1.0),)
     timeout = decoding.number(found, "timeout_s")
+    if timeout <= 0.0:
+        raise decoding.UnreadableError("timeout_s leaves no time")
     return route.Route(
         name=decoding.field(found, "name", str),
         host=host,
@@ -70,12 +68,28 @@
         timeout=timeout,
         target_latency=decoding.number(found, "target_latency_s", timeout),
         priority=int(decoding.number(found, "priority", 0)),
-        parts=parts,
+        parts=_parts(found),
         max_attempts=max(1, int(decoding.number(found, "max_attempts", 1))),
-        public=bool(found.get("public")),
-        affinity=bool(found.get("session_affinity")),
-        home_regions=frozenset(found.get("home_regions") or ()),
+        public=decoding.flag(found, "public"),
+        affinity=decoding.flag(found, "session_affinity"),
+        home_regions=frozenset(decoding.texts(found, "home_regions")),
+    )
+
+
+def _parts(found: dict[str, Any]) -> tuple[part.Part, ...]:
+    split = decoding.objects(found, "traffic_split")
+    if not split:
+        return (part.Part(decoding.field(found, "service", str), 1.0),)
+    parts = tuple(
+        part.Part(
+            decoding.field(each, "service", str),
+            decoding.at_least(decoding.number(each, "weight"), 0.0, "weight"),
+        )
+        for each in split
     )
+    if not any(each.weight for each in parts):
+        raise decoding.UnreadableError("no part of the split has a weight")
+    return parts
 
 
 def _service(found: dict[str, Any]) -> service.Service:
@@ -88,21 +102,28 @@
 
 
 def _organisation(found: dict[str, Any]) -> organisation.Organisation:
-    rank = found.get("priority")
+    has_rank = found.get("priority") is not None
     return organisation.Organisation(
         name=decoding.field(found, "name", str),
         key_hashes=frozenset(
-            key_index.key_hash(each) for each in found.get("api_keys") or ()
+            key_index.key_hash(each) for each in decoding.texts(found, "api_keys")
         ),
-        priority=None if rank is None else int(rank),
-        rate=decoding.number(found, "rate_per_s", 0.0),
-        burst=decoding.number(found, "burst", 0.0),
-        home_regions=frozenset(found.get("home_regions") or ()),
+        priority=int(decoding.number(found, "priority")) if has_rank else None,
+        rate=_not_negative(found, "rate_per_s"),
+        burst=_not_negative(found, "burst"),
+        home_regions=frozenset(decoding.texts(found, "home_regions")),
     )
 
 
-def _limits(found: dict[str, Any]) -> limits.Limits:
+def _not_negative(found: dict[str, Any], name: str) -> float:
+    return decoding.at_least(decoding.number(found, name, 0.0), 0.0, name)
+
+
+def _limits(state_found: dict[str, Any]) -> limits.Limits:
     default = limits.Limits()
+    if state_found.get("limits") is None:
+        return default
+    found = decoding.field(state_found, "limits", dict)
     return limits.Limits(
         body_bytes=int(decoding.number(found, "max_body_bytes", default.body_bytes)),
         idle_seconds=decoding.number(found, "idle_timeout_s", default.idle_seconds),
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -188,6 +188,19 @@
         assert (await caller.send(vm, "/view/x"))[1].status == 200
 
 
+@caller.in_trio
+async def test_a_desired_state_that_cannot_be_read_ends_no_process():
+    async with one_vm("u1") as (deployment, vm):
+        bad = fleet.desired_state(7)
+        del bad["services"][0]["name"]
+        deployment.store.put("op", "config", bad)
+        await trio.sleep(0.3)
+        assert (await caller.send(vm, "/view/x"))[1].status == 200
+        deployment.store.put("op", "config", fleet.desired_state(9))
+        await trio.sleep(0.3)
+        assert vm.node.desired.version == 9
+
+
 @caller.in_trio
 async def test_a_dropped_history_is_made_up_by_reading_everything():
     async with one_vm("u1") as (deployment, vm):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -206,3 +206,81 @@
     assert (found.busy, found.idle_seconds, found.leaving) == (5, 10.0, True)
     broken = answer_facts.decode(200, [(b"rattanlug-backend-load", b"many")])
     assert broken.busy is None
+
+
+def spoiled(path, value):
+    """Return a desired state with one value replaced; REMOVED takes it out."""
+    found = json.loads(json.dumps(fleet.desired_state(12)))
+    *parents, last = path
+    target = found
+    for each in parents:
+        target = target[each]
+    if value is REMOVED:
+        del target[last]
+    else:
+        target[last] = value
+    return json.dumps(found).encode()
+
+
+REMOVED = object()
+_PATH = ("virtual_hosts", 0, "paths", 0)
+_TENANT = ("tenants", 0)
+
+
+# Guards against a process that ends, or a state that is half in force, for a row of
+# the operators that is not what it should be.
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("version",), "r²"),
+        (("version",), "12x"),
+        (("services",), "text"),
+        (("services",), REMOVED),
+        (("virtual_hosts",), REMOVED),
+        (("virtual_hosts", 0, "paths"), REMOVED),
+        (("services", 0), "text"),
+        (("services", 0, "name"), REMOVED),
+        (("services", 0, "max_conns"), "many"),
+        (("virtual_hosts",), {"a": 1}),
+        (("virtual_hosts", 0), 3),
+        (("virtual_hosts", 0, "paths"), [None]),
+        ((*_PATH, "timeout_s"), 0),
+        ((*_PATH, "timeout_s"), -1),
+        ((*_PATH, "timeout_s"), float("nan")),
+        ((*_PATH, "timeout_s"), float("inf")),
+        ((*_PATH, "timeout_s"), 10**400),
+        ((*_PATH, "priority"), float("inf")),
+        ((*_PATH, "public"), "false"),
+        ((*_PATH, "session_affinity"), 1),
+        ((*_PATH, "home_regions"), "north"),
+        ((*_PATH, "home_regions"), [3]),
+        ((*_PATH, "traffic_split"), [{"weight": 1}]),
+        ((*_PATH, "traffic_split"), ["text"]),
+        ((*_PATH, "traffic_split"), [{"service": "s", "weight": 0}]),
+        ((*_PATH, "traffic_split"), [{"service": "s", "weight": -1}]),
+        (("tenants",), "text"),
+        (("tenants",), ["text"]),
+        ((*_TENANT, "api_keys"), [5]),
+        ((*_TENANT, "api_keys"), "key"),
+        ((*_TENANT, "rate_per_s"), -1),
+        ((*_TENANT, "priority"), "high"),
+        ((*_TENANT, "priority"), float("inf")),
+        (("limits",), [1]),
+    ],
+)
+def test_a_desired_state_of_the_wrong_shape_is_unreadable(path, value):
+    with pytest.raises(decoding.UnreadableError):
+        desired_state.decode(spoiled(path, value))
+
+
+def test_an_unreadable_desired_state_keeps_the_one_before():
+    table = operator_table.OperatorTable()
+    good = json.dumps(fleet.desired_state(12)).encode()
+    table.apply_changes(
+        store_read.StoreRead([store_row.StoreRow("config", good, 1)], 1, 0.0, 0.0)
+    )
+    bad = spoiled(("services", 0), "text")
+    table.apply_changes(
+        store_read.StoreRead([store_row.StoreRow("config", bad, 2)], 2, 0.0, 0.0)
+    )
+    assert table.desired.version == 12
