Let callers come to a VM in bursts and leave, in every run of the soak

The soak's callers waited for each answer, so it could not see requests that run for callers that left. 300 callers now come at once, every 3 s on average, beside the other faults, and a promise holds what runs for them. Draws of their own leave the faults of each seed as they were.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,5 +1,6 @@
 """Faults that are injected from outside, and changes that operators make."""
 
+import contextlib
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -8,11 +9,15 @@
 
 from soak import deployment as deployment_module
 from soak import proxy
+from trial.shared_platform import fleet
 
 Fault = Callable[[deployment_module.Deployment, random.Random], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
 # Longer than a VM may take no notice of a signal, shorter than a run.
 _LONGEST_SECONDS = 4.0
+# Callers that come to one VM together: more than it serves in a second.
+_BURST_CALLERS = 300
+_LONGEST_STAY_SECONDS = 0.2
 
 
 def fault(function: Fault) -> Fault:
@@ -263,3 +268,49 @@
     found["rate_per_s"], found["burst"] = rate, rate
     deployed.write_state()
     deployed.seen.note(trio.current_time(), "rate set", f"{name} {rate} {rate} inf")
+
+
+async def callers_come_and_leave(
+    deployed: deployment_module.Deployment, rng: random.Random
+) -> None:
+    """Let many callers come to one VM at once and close without waiting.
+
+    It is no entry of the registry: it comes beside the faults of every run, and an
+    entry more would change the faults of each seed.
+    """
+    vm = rng.choice(deployed.vms)
+    organisation = rng.choice(list(deployed.organisations.values()))
+    key = organisation["api_keys"][0]
+    first = len(deployed.seen.left)
+    async with trio.open_nursery() as nursery:
+        for number in range(first, first + _BURST_CALLERS):
+            path = rng.choice(["/view/x", "/claim/x"])
+            nursery.start_soon(
+                _ask_and_leave, deployed, vm, f"left-{number}", path, key, rng.random()
+            )
+
+
+async def _ask_and_leave(
+    deployed: deployment_module.Deployment,
+    vm: deployment_module.Vm,
+    request_id: str,
+    path: str,
+    key: str,
+    seconds: float,
+) -> None:
+    lines = [
+        f"{'GET' if path.startswith('/view') else 'POST'} {path} HTTP/1.1",
+        f"Host: {fleet.HOST}",
+        f"Rattanlug-Request-Id: {request_id}",
+        "Rattanlug-Deadline-Ms: 2000",
+        f"Authorization: Token {key}",
+    ]
+    data = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    # The VM may be gone, or end meanwhile.
+    with contextlib.suppress(OSError, trio.BrokenResourceError, trio.TooSlowError):
+        with trio.fail_after(1.0):
+            stream = await trio.open_tcp_stream(vm.host, deployment_module.FIRST_PORT)
+        async with stream:
+            await stream.send_all(data)
+            await trio.sleep(seconds * _LONGEST_STAY_SECONDS)
+        deployed.seen.left[request_id] = (trio.current_time(), vm.name)
--- a/soak/history.py
+++ b/soak/history.py
@@ -58,6 +58,9 @@
     def __init__(self) -> None:
         self.exchanges: list[Exchange] = []
         self.events: list[Event] = []
+        # When callers closed their connections without waiting for an answer, and the
+        # VM that they had asked, by request.
+        self.left: dict[str, tuple[float, str]] = {}
         # Spans in which a VM, or "store", was disturbed; open ones end at infinity.
         self.disturbed: dict[str, list[list[float]]] = collections.defaultdict(list)
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -15,6 +15,9 @@
 ON_THE_WAY_SECONDS = 0.3
 # Share of the requests that are answered well when all faults are over.
 RECOVERED_SHARE = 0.9
+# A few requests may be on their way to an upstream when their callers leave.
+LEFT_SECONDS = 0.5
+LEFT_ALLOWED = 3
 _PROMISES: dict[str, Promise] = {}
 
 
@@ -177,6 +180,23 @@
                 yield f"{each.request_id} got 404 at {each.vm} after {late:.2f} s"
 
 
+@promise
+def nothing_runs_for_callers_that_left(
+    seen: history.History, runs: Runs
+) -> Iterable[str]:
+    """Check that VMs in touch send on hardly anything for callers that closed."""
+    late = []
+    for request_id, (left_at, vm) in seen.left.items():
+        since = left_at - deployment.CONTACT_SECONDS
+        late += [
+            f"{request_id} ran {each.at - left_at:.2f} s after its caller left {vm}"
+            for each in runs.get(request_id, ())
+            if each.at > left_at + LEFT_SECONDS and seen.in_touch(vm, since, each.at)
+        ]
+    if len(late) > LEFT_ALLOWED:
+        yield from late
+
+
 @promise
 def service_recovers(seen: history.History, runs: Runs) -> Iterable[str]:
     """Check that nearly all is served when the faults are over."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,8 @@
 RECOVERY_SECONDS = 4.0
 # Time from one fault to the next; most last longer, so that they overlap.
 GAP_SECONDS = 0.9
+# Time from one burst of callers that leave to the next.
+BURST_SECONDS = 3.0
 _CALLERS = 24
 _REQUESTS_PER_SECOND = 5.0
 
@@ -74,7 +76,12 @@
                 )
                 nursery.start_soon(caller.run)
             await trio.sleep(2.0)
-            await _inject(deployed, rng, options.seconds, injected)
+            async with trio.open_nursery() as pressing:
+                # Draws of its own, so that the faults of a seed stay what they were.
+                own = random.Random(f"{options.seed} bursts")
+                pressing.start_soon(_press, deployed, own)
+                await _inject(deployed, rng, options.seconds, injected)
+                pressing.cancel_scope.cancel()
             await trio.sleep(RECOVERY_SECONDS)
             seen.note(trio.current_time(), "calm")
             await trio.sleep(CALM_SECONDS - RECOVERY_SECONDS)
@@ -92,6 +99,12 @@
     return Outcome(len(seen.exchanges), served, tuple(injected), broken, directory)
 
 
+async def _press(deployed: deployment.Deployment, rng: random.Random) -> None:
+    while True:
+        await trio.sleep(rng.expovariate(1.0 / BURST_SECONDS))
+        await faults.callers_come_and_leave(deployed, rng)
+
+
 async def _inject(
     deployed: deployment.Deployment,
     rng: random.Random,
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -108,3 +108,18 @@
     assert judge(*late) == {"leaving_upstreams_get_nothing"}
     assert judge(*late, [(subject, 96.0, 97.0)]) == set()
     assert judge(*late, [("vm-2", 96.0, 97.0)]) == {"leaving_upstreams_get_nothing"}
+
+
+@pytest.mark.parametrize(("late", "broken"), [(3, False), (4, True)])
+def test_many_runs_for_callers_that_left_are_found(late, broken):
+    seen = history.History()
+    runs = {}
+    for index in range(late + 1):
+        name = f"left-{index}"
+        seen.left[name] = (100.0, "vm-1")
+        at = 100.4 if index == late else 100.6
+        runs[name] = [execution(name, at=at)]
+    found = promises.broken(seen, runs)
+    assert ("nothing_runs_for_callers_that_left" in found) is broken
+    seen.disturbed["vm-1"].append([97.0, 98.0])
+    assert "nothing_runs_for_callers_that_left" not in promises.broken(seen, runs)
