--- a/src/rattanlug/caller/request.py
+++ b/src/rattanlug/caller/request.py
@@ -7,7 +7,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-def _stays() -> bool:
+def _has_not_left() -> bool:
     return False
 
 
@@ -42,7 +42,7 @@
     body: bytes
     client: str
     arrived_at: float | None = None
-    has_left: Callable[[], bool] = _stays
+    has_left: Callable[[], bool] = _has_not_left
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header, or None."""
--- a/src/rattanlug/gateway/admission.py
+++ b/src/rattanlug/gateway/admission.py
@@ -89,7 +89,7 @@
             return
         owner = None if found.public else self._node.desired.keys.owner(facts.key)
         if self._sheds(found, owner, incoming.arrived_at, now):
-            raise self._behind(incoming.arrived_at, now)
+            raise self._refusal_of_busy_vm(incoming.arrived_at, now)
 
     def admit(
         self, incoming: request.Request, facts: request_facts.RequestFacts, now: float
@@ -153,9 +153,9 @@
             return
         if owner is not None:
             self._node.limiters.limiter(owner.name).give_back(now)
-        raise self._behind(arrived_at, now)
+        raise self._refusal_of_busy_vm(arrived_at, now)
 
-    def _behind(self, arrived_at: float, now: float) -> error.RefusedError:
+    def _refusal_of_busy_vm(self, arrived_at: float, now: float) -> error.RefusedError:
         behind = self._node.behind(arrived_at, now)
         return refusals.refusal(
             kind.ErrorKind.NO_CAPACITY,
--- a/src/rattanlug/gateway/loop_busy.py
+++ b/src/rattanlug/gateway/loop_busy.py
@@ -22,9 +22,10 @@
 
 
 class LoopBusy(trio.abc.Instrument):
-    """Share of the time in which the event loop did not wait.
+    """Share of the time in which the event loop did not wait, and its turns.
 
-    Unlike the delay of timers, it shows a rising load before requests wait.
+    Unlike the delay of timers, the share shows a rising load before requests wait. A
+    turn is the time from one look at the sockets to the next.
 
     Parameters
     ----------
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -156,16 +156,11 @@
         assert caller.runs(deployment, "half") == []
 
 
-class Loop:
-    """Lets each turn of the event loop take long, until the context ends."""
-
-    def __init__(self, nursery, seconds):
-        nursery.start_soon(self._stall, seconds)
-
-    async def _stall(self, seconds):
-        while True:
-            time.sleep(seconds)
-            await trio.lowlevel.checkpoint()
+async def stall_turns(seconds):
+    """Let each turn of the event loop take some time, until cancelled."""
+    while True:
+        time.sleep(seconds)
+        await trio.lowlevel.checkpoint()
 
 
 def answer_in_thread(server, delay):
@@ -211,7 +206,7 @@
             record = vm.node.registry.record("u1")
             connection = connect(vm)
             connection.sendall(caller.encode("/view/x", "slow-loop", milliseconds=9000))
-            Loop(nursery, 0.35)
+            nursery.start_soon(stall_turns, 0.35)
             await trio.sleep(2.5)
             nursery.cancel_scope.cancel()
             assert vm.node.counters.value("sends_failed", kind="upstream_failed") == 0
