Let a test of a stopping server hold its request instead of racing two sleeps

The request took 0.1 s from its read and the test set the stop 0.05 s after its send, so a process that stands still for 0.05 s in between answers before the stop begins, and the answer rightly lacks the header.

The test now waits until the handler has the request, begins the stop, and only then lets the handler answer. Two neighbours that raced in the same way hold their request as well.

--- a/tests/caller/test_plain_requests.py
+++ b/tests/caller/test_plain_requests.py
@@ -23,7 +23,9 @@
         self.by_library = 0
         self.cancelled = 0
         self.closing = False
-        self.delay = 0.0
+        self.entered = trio.Event()
+        self.release = trio.Event()
+        self.release.set()
         self.counters = counters.Counters()
         self.stop = trio.Event()
         self.port = 0
@@ -43,10 +45,15 @@
 
         self.server._run_library = counted
 
+    def hold_requests(self):
+        """Let requests that enter the handler wait there until ``release`` is set."""
+        self.release = trio.Event()
+
     async def _handle(self, incoming):
         self.requests.append(incoming)
+        self.entered.set()
         try:
-            await trio.sleep(self.delay)
+            await self.release.wait()
         except trio.Cancelled:
             self.cancelled += 1
             raise
@@ -143,11 +150,14 @@
 @caller.in_trio
 async def test_a_request_sent_before_the_answer_waits_its_turn(once_only):
     async with serving(once_only=once_only) as served:
-        served.delay = 0.05
+        served.hold_requests()
         stream = await connect(served)
         await stream.send_all(_PLAIN)
-        await trio.sleep(0.02)
+        await served.entered.wait()
         await stream.send_all(_WITH_BODY)
+        await trio.sleep(0.02)
+        assert len(served.requests) == 1
+        served.release.set()
         assert (await answer(stream))[1] == b"GET /a b=1 "
         assert (await answer(stream))[1] == b"POST /a  abc"
 
@@ -156,10 +166,10 @@
 @caller.in_trio
 async def test_only_what_may_repeat_stops_when_its_caller_leaves(once_only, cancelled):
     async with serving(once_only=once_only) as served:
-        served.delay = 0.2
+        served.hold_requests()
         stream = await connect(served)
         await stream.send_all(_PLAIN)
-        await trio.sleep(0.05)
+        await served.entered.wait()
         await stream.aclose()
         await trio.sleep(0.1)
         assert served.cancelled == cancelled
@@ -199,12 +209,13 @@
 @caller.in_trio
 async def test_a_stopping_server_answers_what_runs_and_closes_the_connection():
     async with serving() as served:
-        served.delay = 0.1
+        served.hold_requests()
         busy, idle = await connect(served), await connect(served)
         await busy.send_all(_PLAIN)
-        await trio.sleep(0.05)
+        await served.entered.wait()
         served.closing = True
         served.stop.set()
+        served.release.set()
         head, body = await answer(busy)
         assert body == b"GET /a b=1 "
         assert b"connection: close" in head
