Accept all followers of a VM's tables in the turn that finds them

After a restart of the VM that reads the store, every VM of its region comes back at once; on a busy VM the last of them would not be answered in time, look for another source, and read the store itself.

Seen in the test only: 60 followers and turns of 0.02 s. The caller's listener does it, which already accepts all that wait.

Not changed: the earlier daemon's peers (peer/server.py) accept one a turn; it goes with it.

--- a/src/rattanlug/gateway/table_server.py
+++ b/src/rattanlug/gateway/table_server.py
@@ -2,9 +2,11 @@
 
 import trio
 
+from rattanlug.caller import listener
 from rattanlug.daemon import clock
 from rattanlug.gateway import node as node_module
 from rattanlug.peer import error, framing
+from rattanlug.settings import address
 from rattanlug.tables import follow_codec
 
 # Bounds what a follower that does not read can hold.
@@ -14,15 +16,21 @@
 
 
 async def run(node: node_module.Node, task_status=trio.TASK_STATUS_IGNORED) -> None:
-    """Serve followers until cancelled."""
-    listeners = await trio.open_tcp_listeners(
-        node.settings.peer_ports[0], host=node.settings.host
-    )
+    """Serve followers until cancelled.
 
-    async def handle(stream: trio.SocketStream) -> None:
-        await _serve(node, stream)
-
-    await trio.serve_listeners(handle, listeners, task_status=task_status)
+    All that wait are accepted together: after a restart of this VM, every VM of its
+    region comes back at once, and each gives up after a fraction of a second.
+    """
+    local = address.Address(node.settings.host, node.settings.peer_ports[0])
+    listening = listener.Listener(local, clock.now, node.counters)
+    try:
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            while True:
+                accepted = await listening.accept()
+                nursery.start_soon(_serve, node, accepted.stream)
+    finally:
+        listening.close()
 
 
 async def _serve(node: node_module.Node, stream: trio.SocketStream) -> None:
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -9,10 +9,15 @@
 import trio
 
 from rattanlug.daemon import clock
+from rattanlug.gateway import table_client
+from rattanlug.peer import framing
+from rattanlug.platform import names
+from rattanlug.tables import follow_codec, follow_messages
 from tests.gateway import caller
 from trial.shared_platform import fleet
 
 _CALLERS = 10
+_FOLLOWERS = 60
 # A route's timeout in the stand-in's desired state, and the time within which an
 # answer has to follow it, seconds.
 _ROUTE_SECONDS = 1.0
@@ -257,3 +262,34 @@
         # Work of twelve turns, such as a read of the store, is over in about a second.
         assert sum(turns) < 1.2
         assert max(turns) < 0.2
+
+
+# Guards against followers that wait in the accept queue of a busy VM until they give it
+# up (same cause as incident CONFIG, GONE).
+@caller.in_trio
+async def test_followers_that_come_together_are_answered_before_they_give_up():
+    async with fleet.open_fleet() as deployment, trio.open_nursery() as nursery:
+        vm = await deployment.add_vm()
+        await deployment.settle()
+        settings = vm.node.settings
+        asked = follow_messages.FollowRequest({names.OPERATOR_TABLE: -1}, 0.0)
+        data = framing.frame(follow_codec.encode_request(asked))
+        answered_after = []
+
+        async def follow(connection, began):
+            with connection:
+                await trio.lowlevel.wait_readable(connection)
+                assert connection.recv(1)
+                answered_after.append(time.monotonic() - began)
+
+        began = time.monotonic()
+        async with trio.open_nursery() as followers:
+            for _ in range(_FOLLOWERS):
+                connection = socket.create_connection(
+                    (settings.host, settings.peer_ports[0])
+                )
+                connection.sendall(data)
+                followers.start_soon(follow, connection, began)
+            nursery.start_soon(stall_turns, 0.02)
+        assert max(answered_after) < table_client.ANSWER_SECONDS
+        nursery.cancel_scope.cancel()
