--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,11 +17,19 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="time with faults")
     parser.add_argument("--vms", type=int, default=6, help="entry daemons")
     parser.add_argument("--upstreams", type=int, default=9)
+    parser.add_argument(
+        "--small",
+        type=float,
+        default=0.0,
+        help="part of a processor for the first VM, to which bursts of callers come",
+    )
     parser.add_argument("--list", action="store_true", help="print all faults")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.runs):
-        asked = run.Options(seed, options.seconds, options.vms, options.upstreams)
+        asked = run.Options(
+            seed, options.seconds, options.vms, options.upstreams, options.small
+        )
         outcome = trio.run(run.play, asked)
         failed += bool(outcome.broken)
         found = {"seed": seed, **outcome._asdict()}
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -43,6 +43,7 @@
         self.data_centre, self.region = CENTRES[index % len(CENTRES)]
         self.to_store: proxy.Proxy | None = None
         self.is_up = False
+        self.is_paused = False
         self.incarnation = 0
 
     @property
@@ -92,6 +93,8 @@
         self.seen = seen
         self.store = store.Store()
         self.vms = [Vm(index) for index in range(vms)]
+        # VMs to which callers come in bursts.
+        self.pressed = self.vms
         self.backends: dict[str, Backend] = {}
         self.retired: list[upstream.Upstream] = []
         self.organisations = {
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -99,11 +99,11 @@
     """Stop a VM's processor for a while; its clock goes on."""
     for vm in rng.sample(_up(deployed), min(1, len(_up(deployed)))):
         span = deployed.seen.begin_disturbance(vm.name, trio.current_time())
-        vm.is_up = False
+        vm.is_up, vm.is_paused = False, True
         deployed.signal(vm, signal.SIGSTOP)
         await trio.sleep(rng.uniform(0.2, _LONGEST_SECONDS))
         deployed.signal(vm, signal.SIGCONT)
-        vm.is_up = True
+        vm.is_up, vm.is_paused = True, False
         span[1] = trio.current_time()
 
 
@@ -278,7 +278,7 @@
     It is no entry of the registry: it comes beside the faults of every run, and an
     entry more would change the faults of each seed.
     """
-    vm = rng.choice(deployed.vms)
+    vm = rng.choice(deployed.pressed)
     organisation = rng.choice(list(deployed.organisations.values()))
     key = organisation["api_keys"][0]
     first = len(deployed.seen.left)
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from soak import callers, deployment, faults, history, promises
+from soak import callers, deployment, faults, history, promises, small_vm
 
 CALM_SECONDS = 8.0
 # Within the calm time, service has to be back after this.
@@ -29,12 +29,16 @@
     seconds : float
         Time with faults.
     vms, upstreams : int
+    small : float
+        Part of a processor that the first VM gets; bursts of callers come to it. 0
+        gives every VM a whole one.
     """
 
     seed: int
     seconds: float
     vms: int = 6
     upstreams: int = 9
+    small: float = 0.0
 
 
 class Outcome(NamedTuple):
@@ -70,6 +74,12 @@
         )
         try:
             await deployed.start(options.upstreams)
+            if options.small:
+                first = deployed.vms[0]
+                deployed.pressed = [first]
+                nursery.start_soon(
+                    small_vm.limit_processor, deployed, first, options.small
+                )
             for index in range(_CALLERS):
                 caller = callers.Caller(
                     index, deployed, random.Random(rng.random()), _REQUESTS_PER_SECOND
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -12,7 +12,10 @@
     "options",
     [
         SHORT,
-        *(run.Options(each.seed, each.seconds) for each in regressions.REGRESSIONS),
+        *(
+            run.Options(each.seed, each.seconds, small=each.small)
+            for each in regressions.REGRESSIONS
+        ),
     ],
     ids=lambda options: f"seed-{options.seed}",
 )
