--- a/src/rattanlug/gateway/admission.py
+++ b/src/rattanlug/gateway/admission.py
@@ -196,10 +196,12 @@
         **fields: str,
     ) -> None:
         """Write a line for a request that is refused or given up."""
+        owner = self._node.desired.keys.owner(facts.key)
         self._node.log.write(
             f"refused: {exc.kind.value}",
             now,
             id=facts.request_id,
+            organisation=owner.name if owner else None,
             detail=exc.detail,
             ran=exc.answer.ran.value,
             state=self._node.desired.version,
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -271,6 +271,7 @@
             "answered" if answer.status < _FIRST_FAILURE_STATUS else "upstream error",
             now,
             id=job.facts.request_id,
+            organisation=job.owner.name if job.owner else None,
             route=job.route.name,
             state=node.desired.version,
             upstream=chosen.record.id,
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -1,6 +1,7 @@
 """Tests of the way of a request through the entry daemon."""
 
 import contextlib
+import logging
 import socket
 import time
 
@@ -349,3 +350,27 @@
         vm._callers._answer_early = stalled
         _, answer = await caller.send(vm, "/view/x")
         assert answer.status == 200, answer.body
+
+
+@pytest.mark.usefixtures("idle_vm")
+@pytest.mark.parametrize(
+    ("path", "key", "organisation"),
+    [
+        ("/view/x", fleet.KEY, fleet.ORGANISATION),
+        ("/view/x", "unknown", None),
+        ("/open/x", None, None),
+    ],
+)
+@caller.in_trio
+async def test_the_line_of_a_request_names_its_organisation(
+    path, key, organisation, caplog
+):
+    caplog.set_level(logging.INFO, "rattanlug.decision")
+    async with one_vm("u1") as (_, vm):
+        request_id, _ = await caller.send(vm, path, key=key)
+    (line,) = [
+        each.decision
+        for each in caplog.records
+        if getattr(each, "decision", {}).get("id") == request_id
+    ]
+    assert line["organisation"] == organisation
