Say only what is shown at the limit of a turn; compare floats with a tolerance

The comment took a read of the store for ten turns, which nothing shows. A test compared sums of floats after rounding, which differs once in a while by the last digit.

--- a/src/rattanlug/gateway/turn_gate.py
+++ b/src/rattanlug/gateway/turn_gate.py
@@ -7,9 +7,8 @@
 
 from rattanlug.gateway import loop_busy
 
-# No further request begins in a turn that has run for this long, seconds. Ten turns,
-# about as many as a read of the store takes, stay well within the bounds in which
-# changes have to be in force.
+# No further request begins in a turn that has run for this long, seconds. Work that
+# takes ten such turns stays well within the seconds in which changes have to be in force.
 TURN_SECONDS = 0.04
 
 
--- a/tests/gateway/test_loop_busy.py
+++ b/tests/gateway/test_loop_busy.py
@@ -66,8 +66,8 @@
 
     trio.run(main, instruments=[busy])
     # Compared with the time that passed, since the process may be held up.
-    began = {round(now - turn, 9) for now, turn in seen[:4]}
-    assert len(began) == 1
+    began = [now - turn for now, turn in seen[:4]]
+    assert max(began) - min(began) < 1e-6
     assert seen[3][1] >= 0.3
     next_began = seen[4][0] - seen[4][1]
     assert next_began >= seen[3][0] + 0.01
