--- a/src/rattanlug/gateway/turn_gate.py
+++ b/src/rattanlug/gateway/turn_gate.py
@@ -7,8 +7,8 @@
 
 from rattanlug.gateway import loop_busy
 
-# No further request begins in a turn that has run for this long, seconds. Work that
-# takes ten such turns stays well within the seconds in which changes have to be in force.
+# No further request begins in a turn that has run for this long, seconds. Changes have
+# to be in force within seconds, so work may take many such turns.
 TURN_SECONDS = 0.04
 
 
