Notice a caller that leaves behind requests that it sent ahead

A caller that had sent a second request before its answer, and then left, was not noticed: its idempotent request went on at an upstream until it was done.

Now the stream reads on, up to 64 KiB, until the end. The time of arrival of what was sent ahead is that of its first bytes; without keeping it, the longer reading would have made such requests as old as the answer before.

--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -60,7 +60,9 @@
         self._counters = all_counters
         self._find_early_answer = answer_early
         self._head = b""
+        # Bytes that were received ahead, and the same time for the first of them.
         self._pending = b""
+        self._pending_since = accepted.waits_since
         # Whether the next byte received begins a request.
         self._between_requests = True
         self._last_used = trio.current_time()
@@ -114,8 +116,7 @@
 
     async def receive_request(self) -> bytes:
         """Receive the first bytes of a request; empty when the caller has left."""
-        data, self._pending = self._pending, b""
-        data = data or await self._receive(_READ_BYTES)
+        data = self._take_pending() or await self._receive(_READ_BYTES)
         self._begin_request()
         return data
 
@@ -126,9 +127,18 @@
         return self._find_early_answer(head, self._received_since)
 
     async def read_ahead(self) -> None:
-        """Receive what follows a request, and notice when the caller leaves."""
+        """Receive what follows a request, and notice when the caller leaves.
+
+        The end of the connection waits behind requests that were sent ahead.
+        """
         try:
-            self._pending = await self._receive(_READ_BYTES)
+            while len(self._pending) < _READ_BYTES:
+                data = await self._receive(_READ_BYTES)
+                if not data:
+                    break
+                if not self._pending:
+                    self._pending_since = self._received_since
+                self._pending += data
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # Noted by _receive; the connection's task meets it with its next call.
             self._counters.add("connections_broken")
@@ -136,6 +146,13 @@
     def push_back(self, data: bytes) -> None:
         """Let bytes that were received be received once more."""
         self._pending = data + self._pending
+        self._pending_since = self._received_since
+
+    def _take_pending(self) -> bytes:
+        data, self._pending = self._pending, b""
+        if data:
+            self._received_since = self._pending_since
+        return data
 
     async def send_answer(self, data: bytes) -> None:
         """Send a whole answer; the next byte received begins a request."""
@@ -146,7 +163,7 @@
         """Receive; an HTTP/2 preface counts as the end of the stream."""
         # A caller that sends without end must not keep the loop to itself.
         await trio.lowlevel.checkpoint()
-        data, self._pending = self._pending, b""
+        data = self._take_pending()
         if not data:
             data = await self._receive_request(max_bytes)
         if data.startswith(_HTTP_2_PREFACE):
--- a/tests/caller/test_plain_requests.py
+++ b/tests/caller/test_plain_requests.py
@@ -7,6 +7,7 @@
 import trio
 
 from rattanlug.caller import application, reply, server
+from rattanlug.daemon import clock
 from rattanlug.metrics import counters
 from rattanlug.settings import address
 from tests.gateway import caller
@@ -47,7 +48,7 @@
 
     def hold_requests(self):
         """Let requests that enter the handler wait there until ``release`` is set."""
-        self.release = trio.Event()
+        self.entered, self.release = trio.Event(), trio.Event()
 
     async def _handle(self, incoming):
         self.requests.append(incoming)
@@ -176,6 +177,43 @@
         assert served.counters.value("requests_abandoned") == cancelled
 
 
+@caller.in_trio
+async def test_a_request_sent_ahead_is_as_old_as_its_own_bytes():
+    async with serving() as served:
+        stream = await connect(served)
+        await stream.send_all(_PLAIN)
+        await answer(stream)
+        served.hold_requests()
+        await stream.send_all(_PLAIN)
+        await served.entered.wait()
+        sent_at = clock.now()
+        await stream.send_all(_WITH_BODY)
+        await trio.sleep(0.1)
+        served.release.set()
+        await answer(stream)
+        await answer(stream)
+        arrived = [each.arrived_at for each in served.requests]
+        assert arrived[1] <= sent_at <= arrived[2]
+
+
+# Guards against work that goes on for a caller that left (same class as incident
+# CONFIG, GONE): its close waits behind a request that it had sent ahead.
+@caller.in_trio
+async def test_a_caller_that_sent_ahead_and_left_is_noticed():
+    async with serving() as served:
+        served.hold_requests()
+        stream = await connect(served)
+        await stream.send_all(_PLAIN)
+        await served.entered.wait()
+        for data in (_WITH_BODY, _PLAIN):
+            await stream.send_all(data)
+            await trio.sleep(0.02)
+        await stream.aclose()
+        await trio.sleep(0.1)
+        assert served.cancelled == 1
+        assert len(served.requests) == 1
+
+
 @caller.in_trio
 async def test_a_body_over_the_limit_is_refused_and_the_connection_goes_on():
     async with serving() as served:
