Believe an own return of the store before another VM's failures

Cause, from the logs of all VMs: edge-bizkaia-a-2 was cut off until 10.2 s and reached the store at 11.19 s. The store went on refusing edge-bizkaia-a-1, the first VM of the region. At 13.69 s a-2 asked it for its copy, and heard of a failed call just then; since a-2's own last failure was less than 4 s ago, it took this for an outage of the store, in which registrations lapse, and kept what was missing for 2.3 s more: until 15.99 s, to the hundredth when it dropped the upstream whose registration had been removed at 12.20 s. Its follower edge-bizkaia-b-2 had dropped it at 12.21 s. Ruled out: a late read (a-2 passed the removal on at once), the turns of the loop.

Failures that others tell of count only while this VM's own last call failed. Once it has reached the store, it has seen the return itself.

The new test fails before (3 of 3 runs: two upstreams instead of one) and passes now (3 of 3); the other tests of the reader pass.

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -62,8 +62,9 @@
         self._source: str | None = None
         self._reads_store = trio.Event()
         self._reads_store.set()
-        # When an own call to the store last failed.
+        # When an own call to the store last failed, and when one last succeeded.
         self._failed_at = -math.inf
+        self._reached_at = -math.inf
         self._upstreams = upstream_table.UpstreamTable(node.counters)
         self._upstreams_applied_at = 0.0
         self._waits = feed_waits(node.settings.bounds)
@@ -118,6 +119,7 @@
                 pause = min(2.0 * pause, LONGEST_PAUSE_SECONDS)
                 continue
             pause = FIRST_PAUSE_SECONDS
+            self._reached_at = clock.now()
             node.note_store("reached", "")
             if not self.take(table, read, read_whole):
                 await trio.sleep(FIRST_PAUSE_SECONDS)
@@ -207,7 +209,7 @@
         """Take what another VM knew, as old as if it had answered at once."""
         node = self._node
         now = clock.now()
-        if answer.store_failed is not None and now - self._failed_at < AWAY_SECONDS:
+        if answer.store_failed is not None and self._misses_store(now):
             # The store was away for both; the other VM saw its return.
             failed_at = now - answer.store_failed
             node.tables.note_store_failed(failed_at)
@@ -222,6 +224,15 @@
                 )
                 self.take(each.table, read, each.whole)
 
+    def _misses_store(self, now: float) -> bool:
+        """Tell whether the store was away lately and this VM did not see its return.
+
+        A VM that reached it again knows better than one that the store still refuses.
+        """
+        return self._reached_at < self._failed_at and (
+            now - self._failed_at < AWAY_SECONDS
+        )
+
     def _is_fresh(self, answer: follow_messages.FollowAnswer) -> bool:
         """Tell whether the answering VM reads, or follows, without faults."""
         ages = {each.table: each.age for each in answer.tables}
--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -162,3 +162,19 @@
         drain = vms[0].node.settings.bounds.drain
         await trio.sleep(drain - 0.4)
         assert [each.node.registry.size for each in vms[1:]] == [1, 1]
+
+
+# Found by a hunt: a VM that had been cut off from the store kept a removed upstream for
+# longer than it may, since an earlier VM of its region told of failures of its own.
+@caller.in_trio
+async def test_a_store_that_is_back_for_a_vm_is_not_away_since_it_refuses_another():
+    async with three_vms() as (deployment, vms):
+        await deployment.add_upstream("u2")
+        await trio.sleep(0.5)
+        deployment.store.refused_hosts = {host(each) for each in vms}
+        await trio.sleep(3.2)
+        deployment.store.refused_hosts = {host(vms[0])}
+        await trio.sleep(2.0)
+        deployment.store.remove("servers", "u2")
+        await trio.sleep(2.1)
+        assert [each.node.registry.size for each in vms[1:]] == [1, 1]
