--- a/review/2/case.py
+++ b/review/2/case.py
@@ -63,6 +63,12 @@
             self.up.add(host)
 
 
+async def _wait_as_told(answer: client.Answer) -> None:
+    """Wait for the time that a refusal names."""
+    if answer.response is not None and "retry-after" in answer.response.headers:
+        await asyncio.sleep(float(answer.response.headers["retry-after"]))
+
+
 async def _use(
     fleet: deployment.Deployment, daemons: _Daemons, ends_at: float
 ) -> list[_Sent]:
@@ -72,14 +78,18 @@
     while log.now() < ends_at:
         host = random.choice(sorted(daemons.up))
         each = fleet.client(fleet.hosts.index(host))
-        await each.send("POST", "/preview/1", b"file", body_after_s=_BODY_AFTER_S)
+        first = await each.send(
+            "POST", "/preview/1", b"file", body_after_s=_BODY_AFTER_S
+        )
+        await _wait_as_told(first)
         while each.is_connected and log.now() < ends_at:
             if random.random() >= _ORDER_SHARE:
-                await each.send("POST", "/preview/1", b"file")
+                await _wait_as_told(await each.send("POST", "/preview/1", b"file"))
                 continue
             sent_at = log.now()
             answer = await each.send("POST", "/order/1", b"file", _ORDER_BUDGET_S)
             orders.append(_Sent(answer, host, sent_at, log.now()))
+            await _wait_as_told(answer)
         await each.close()
     return orders
 
--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -54,6 +54,8 @@
     ) -> None:
         self.name = name
         self.runs: list[Run] = []
+        # Targets of the requests that reached it.
+        self.targets: set[str] = set()
         # Called with each response; returns bytes that follow it, or nothing. They are
         # sent at the point where the next response is expected on the connection.
         self.extra: Callable[[int, bytes], bytes] = lambda status, data: b""
@@ -108,6 +110,7 @@
 
     async def _answer(self, request: message.Message) -> tuple[int, bytes]:
         headers = request.headers
+        self.targets.add(request.target)
         if request.target == "/healthz":
             return 200, message.encode(
                 "HTTP/1.1 200 OK", {"Rattanlug-Backend-Id": self.name}
