--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,48 +1,104 @@
-"""Another writer's entry, which can't be read, must not end any daemon."""
+"""Orders that a daemon has passed on must be answered after its SIGTERM."""
 
 import asyncio
 import pathlib
 import random
+import signal
+from typing import NamedTuple
 
 from standins import backend, case, client, deployment, record
 
 _DAEMONS = 3
-_CLIENTS = 12
+_CLIENTS = 100
 _SEED = 1
-_ENTRY_AT_S = 5.0
-_LENGTH_S = 30.0
-# The platform restarts a process that has ended after a short delay.
-_RESTART_S = 1.0
-# JSON that is nested too deeply to be read: 4,000 bytes, of 65,536 allowed.
-_ENTRY = b"[" * 2000 + b"]" * 2000
-# RULES.md, Fault: on a tenth of the machines, two at least, three ends in the day.
-_MAX_MACHINES = 2
-_MAX_ENDS = 3
-
-
-async def _view(each: client.Client, ends_at: float, log: record.Record) -> list[int]:
-    statuses = []
+_LENGTH_S = 62.0
+_SHORT_WORK_S = 0.005
+_ORDER_WORK_S = 4.0
+_ORDER_TIMEOUT_S = 6.0
+_ORDER_BUDGET_S = 7.0
+_ORDER_SHARE = 0.4
+# Pause between the head and the body of the first request on a connection.
+_BODY_AFTER_S = 0.003
+_SIGNAL_PAUSE_S = 2.0
+# Clients open no new connections to a daemon this long after its SIGTERM.
+_NEW_CONNECTIONS_S = 0.5
+_GRACE_S = 6.0
+# RULES.md, LOST: from this time after SIGTERM, a backend that is still at work is an
+# excuse.
+_EXCUSED_FROM_S = _GRACE_S * 5 / 6
+
+
+class _Sent(NamedTuple):
+    answer: client.Answer
+    host: str
+    sent_at: float
+    ended_at: float
+
+
+class _Daemons:
+    """Stops and starts daemons in turn, as the platform does for planned work."""
+
+    def __init__(self, fleet: deployment.Deployment) -> None:
+        self._fleet = fleet
+        self.up = set(fleet.hosts)
+        # Time of each SIGTERM, by host.
+        self.terms: list[tuple[str, float]] = []
+
+    async def roll(self, ends_at: float) -> None:
+        """Send SIGTERM to one daemon after the other until a time."""
+        fleet, index = self._fleet, 0
+        while fleet.log.now() < ends_at:
+            host = fleet.hosts[index % len(fleet.hosts)]
+            index += 1
+            await asyncio.sleep(_SIGNAL_PAUSE_S)
+            fleet.signal(host, signal.SIGTERM)
+            self.terms.append((host, fleet.log.now()))
+            await asyncio.sleep(_NEW_CONNECTIONS_S)
+            self.up.discard(host)
+            while fleet.exit_code(host) is None:
+                await asyncio.sleep(0.02)
+            fleet.start_daemon(host)
+            while not await fleet.is_ready(host):
+                await asyncio.sleep(0.05)
+            self.up.add(host)
+
+
+async def _use(
+    fleet: deployment.Deployment, daemons: _Daemons, ends_at: float
+) -> list[_Sent]:
+    """Send requests on a kept connection, each right after the answer before it."""
+    orders = []
+    log = fleet.log
     while log.now() < ends_at:
-        answer = await each.send("GET", "/preview/1")
-        statuses.append(answer.status)
-        await asyncio.sleep(random.uniform(0.1, 0.3))
-    await each.close()
-    return statuses
-
-
-async def _supervise(fleet: deployment.Deployment, ends: dict[str, int]) -> None:
-    """Restart each daemon that has ended, as the platform does."""
-    while True:
-        for host in fleet.hosts:
-            code = fleet.exit_code(host)
-            if code is not None:
-                ends[host] += 1
-                fleet.log.write("ended", daemon=host, exit_code=code)
-                lines = fleet.output(host).strip().splitlines()
-                fleet.log.write("last line", daemon=host, text=lines[-1][:200])
-                await asyncio.sleep(_RESTART_S)
-                fleet.start_daemon(host)
-        await asyncio.sleep(0.1)
+        host = random.choice(sorted(daemons.up))
+        each = fleet.client(fleet.hosts.index(host))
+        await each.send("POST", "/preview/1", b"file", body_after_s=_BODY_AFTER_S)
+        while each.is_connected and log.now() < ends_at:
+            if random.random() >= _ORDER_SHARE:
+                await each.send("POST", "/preview/1", b"file")
+                continue
+            sent_at = log.now()
+            answer = await each.send("POST", "/order/1", b"file", _ORDER_BUDGET_S)
+            orders.append(_Sent(answer, host, sent_at, log.now()))
+        await each.close()
+    return orders
+
+
+def _is_lost(
+    sent: _Sent, runs: dict[str, backend.Run], terms: list[tuple[str, float]]
+) -> bool:
+    """Tell whether an order was lost around planned work without an excuse."""
+    run = runs.get(sent.answer.request_id)
+    if run is None or sent.answer.status:
+        return False
+    if sent.ended_at - sent.sent_at >= _ORDER_TIMEOUT_S:
+        return False
+    return any(
+        host == sent.host
+        and term <= sent.ended_at <= term + _GRACE_S + 1.0
+        and run.at + _ORDER_WORK_S < term + _EXCUSED_FROM_S
+        for host, term in terms
+    )
 
 
 async def _play(log: record.Record) -> bool:
@@ -55,32 +111,38 @@
                 f"i-{index}",
                 deployment.SERVICE,
                 zones[index % 2],
-                5,
-                15,
-                lambda target: random.uniform(0.04, 0.08),
+                20,
+                60,
+                lambda target: (
+                    _ORDER_WORK_S if target.startswith("/order/") else _SHORT_WORK_S
+                ),
                 log,
             )
-            for index in range(4)
+            for index in range(6)
+        ]
+        routes = [
+            deployment.route("preview", "safe"),
+            deployment.route("order", "unsafe", timeout_s=_ORDER_TIMEOUT_S),
         ]
-        routes = [deployment.route("preview", "safe")]
         await fleet.start(deployment.desired_state(2, routes), backends)
-        began = log.now()
-        ends = dict.fromkeys(fleet.hosts, 0)
-        supervisor = asyncio.create_task(_supervise(fleet, ends))
-        views = [
-            asyncio.create_task(_view(fleet.client(index), began + _LENGTH_S, log))
-            for index in range(_CLIENTS)
+        ends_at = log.now() + _LENGTH_S
+        daemons = _Daemons(fleet)
+        users = [
+            asyncio.create_task(_use(fleet, daemons, ends_at)) for _ in range(_CLIENTS)
         ]
-        await asyncio.sleep(_ENTRY_AT_S)
         if case.has_trouble():
-            fleet.store.put("servers", "i-other", _ENTRY)
-            log.write("entry", key="i-other", bytes=len(_ENTRY))
-        statuses = [each for view in views for each in await view]
-        supervisor.cancel()
-        served = sum(each == 200 for each in statuses)
-        print(f"{served} of {len(statuses)} requests served; ends: {ends}")
-        machines = sum(each >= _MAX_ENDS for each in ends.values())
-        return machines < _MAX_MACHINES
+            await daemons.roll(ends_at - _GRACE_S - _ORDER_BUDGET_S)
+        orders = [each for user in users for each in await user]
+        runs = {run.request_id: run for each in backends for run in each.runs}
+        lost = [each for each in orders if _is_lost(each, runs, daemons.terms)]
+        for each in lost:
+            log.write("lost", id=each.answer.request_id, daemon=each.host)
+        answered = sum(bool(each.answer.status) for each in orders)
+        print(
+            f"{len(daemons.terms)} times SIGTERM; {len(orders)} orders sent, "
+            f"{answered} answered, {len(lost)} lost"
+        )
+        return not lost
     finally:
         fleet.end()
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,101 +1,48 @@
-"""Uploads within the limits of the desired state must not use up a daemon's memory."""
+"""Another writer's entry, which can't be read, must not end any daemon."""
 
 import asyncio
 import pathlib
 import random
-import signal
 
 from standins import backend, case, client, deployment, record
 
-_DAEMONS = 2
-_UPLOADERS = 120
+_DAEMONS = 3
 _CLIENTS = 12
 _SEED = 1
-_BODY_BEFORE_BYTES = 1 << 20
-# What ``fleetbench wire`` shows.
-_BODY_AFTER_BYTES = 64 << 20
-_SMALL_UPLOAD_BYTES = 900_000
-_LARGE_UPLOAD_BYTES = 15 << 20
-_UPLOAD_TIMEOUT_S = 10.0
-_UPLOAD_PAUSE_S = (0.5, 1.5)
-_CHANGE_AT_S = 5.0
-_LENGTH_S = 60.0
-# The change must be in force after 2.5 s.
-_APPLY_S = 3.0
-# The platform kills a process that exceeds ``memory_mb`` of its settings, and restarts
-# it after a short delay.
-_MEMORY_MB = 300
+_ENTRY_AT_S = 5.0
+_LENGTH_S = 30.0
+# The platform restarts a process that has ended after a short delay.
 _RESTART_S = 1.0
+# JSON that is nested too deeply to be read: 4,000 bytes, of 65,536 allowed.
+_ENTRY = b"[" * 2000 + b"]" * 2000
 # RULES.md, Fault: on a tenth of the machines, two at least, three ends in the day.
 _MAX_MACHINES = 2
 _MAX_ENDS = 3
 
 
-def _state(version: int, max_body_bytes: int) -> dict:
-    routes = [
-        deployment.route("order", "unsafe"),
-        deployment.route("artwork", "unsafe", timeout_s=_UPLOAD_TIMEOUT_S, priority=2),
-    ]
-    state = deployment.desired_state(version, routes)
-    state["limits"]["max_body_bytes"] = max_body_bytes
-    return state
-
-
-class _Uploads:
-    """Size of the bodies that clients upload, within the limit in force."""
-
-    def __init__(self) -> None:
-        self.body = bytes(_SMALL_UPLOAD_BYTES)
-
-
-async def _upload(
-    each: client.Client, ends_at: float, log: record.Record, uploads: _Uploads
-) -> None:
-    await asyncio.sleep(random.uniform(0.0, _UPLOAD_PAUSE_S[0]))
-    while log.now() < ends_at:
-        target = "/artwork/1"
-        await each.send("POST", target, uploads.body, budget_s=_UPLOAD_TIMEOUT_S)
-        await asyncio.sleep(random.uniform(*_UPLOAD_PAUSE_S))
-    await each.close()
-
-
-async def _order(
-    each: client.Client, ends_at: float, log: record.Record
-) -> list[client.Answer]:
-    answers = []
+async def _view(each: client.Client, ends_at: float, log: record.Record) -> list[int]:
+    statuses = []
     while log.now() < ends_at:
-        answers.append(await each.send("POST", "/order/1", b"stitch file"))
+        answer = await each.send("GET", "/preview/1")
+        statuses.append(answer.status)
         await asyncio.sleep(random.uniform(0.1, 0.3))
     await each.close()
-    return answers
-
-
-def _private_mb(pid: int) -> float:
-    """Return the memory of a process without mapped files, MB."""
-    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("RssAnon:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
+    return statuses
 
 
-async def _supervise(
-    fleet: deployment.Deployment, ends: dict[str, int], peaks: dict[str, float]
-) -> None:
-    """Kill each daemon that exceeds its memory, and restart it, as the platform does.
-
-    A daemon is killed at most as often as the rule needs, to end the case early.
-    """
+async def _supervise(fleet: deployment.Deployment, ends: dict[str, int]) -> None:
+    """Restart each daemon that has ended, as the platform does."""
     while True:
         for host in fleet.hosts:
-            used = _private_mb(fleet.pid(host))
-            peaks[host] = max(peaks[host], used)
-            if used > _MEMORY_MB and ends[host] < _MAX_ENDS:
-                fleet.log.write("over memory", daemon=host, mb=round(used))
-                fleet.signal(host, signal.SIGKILL)
+            code = fleet.exit_code(host)
+            if code is not None:
                 ends[host] += 1
+                fleet.log.write("ended", daemon=host, exit_code=code)
+                lines = fleet.output(host).strip().splitlines()
+                fleet.log.write("last line", daemon=host, text=lines[-1][:200])
                 await asyncio.sleep(_RESTART_S)
                 fleet.start_daemon(host)
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(0.1)
 
 
 async def _play(log: record.Record) -> bool:
@@ -108,43 +55,30 @@
                 f"i-{index}",
                 deployment.SERVICE,
                 zones[index % 2],
-                9,
-                27,
-                lambda target: random.uniform(0.1, 0.3),
+                5,
+                15,
+                lambda target: random.uniform(0.04, 0.08),
                 log,
             )
-            for index in range(6)
+            for index in range(4)
         ]
-        await fleet.start(_state(2, _BODY_BEFORE_BYTES), backends)
+        routes = [deployment.route("preview", "safe")]
+        await fleet.start(deployment.desired_state(2, routes), backends)
         began = log.now()
         ends = dict.fromkeys(fleet.hosts, 0)
-        peaks = dict.fromkeys(fleet.hosts, 0.0)
-        supervisor = asyncio.create_task(_supervise(fleet, ends, peaks))
-        uploads = _Uploads()
-        uploading = [
-            asyncio.create_task(
-                _upload(fleet.client(index), began + _LENGTH_S, log, uploads)
-            )
-            for index in range(_UPLOADERS)
-        ]
-        ordering = [
-            asyncio.create_task(_order(fleet.client(index), began + _LENGTH_S, log))
+        supervisor = asyncio.create_task(_supervise(fleet, ends))
+        views = [
+            asyncio.create_task(_view(fleet.client(index), began + _LENGTH_S, log))
             for index in range(_CLIENTS)
         ]
-        await asyncio.sleep(_CHANGE_AT_S)
+        await asyncio.sleep(_ENTRY_AT_S)
         if case.has_trouble():
-            fleet.store.put("op", "config", _state(4, _BODY_AFTER_BYTES))
-            log.write("config", version=4, max_body_bytes=_BODY_AFTER_BYTES)
-            await asyncio.sleep(_APPLY_S)
-            uploads.body = bytes(_LARGE_UPLOAD_BYTES)
-        answers = [answer for task in ordering for answer in await task]
-        for task in uploading:
-            task.cancel()
+            fleet.store.put("servers", "i-other", _ENTRY)
+            log.write("entry", key="i-other", bytes=len(_ENTRY))
+        statuses = [each for view in views for each in await view]
         supervisor.cancel()
-        ran = {run.request_id for each in backends for run in each.runs}
-        lost = sum(not each.status and each.request_id in ran for each in answers)
-        most = {host: round(peak) for host, peak in peaks.items()}
-        print(f"killed for memory: {ends}; peaks, MB: {most}; orders run, cut: {lost}")
+        served = sum(each == 200 for each in statuses)
+        print(f"{served} of {len(statuses)} requests served; ends: {ends}")
         machines = sum(each >= _MAX_ENDS for each in ends.values())
         return machines < _MAX_MACHINES
     finally:
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -50,9 +50,24 @@
         self._writer: asyncio.StreamWriter | None = None
 
     async def send(
-        self, method: str, target: str, body: bytes = b"", budget_s: float = 2.5
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        budget_s: float = 2.5,
+        body_after_s: float = 0.0,
     ) -> Answer:
-        """Send a request, on a new connection if there is none; return the answer."""
+        """Send a request, on a new connection if there is none; return the answer.
+
+        Parameters
+        ----------
+        method, target : str
+        body : bytes
+        budget_s : float
+            Time budget of the client.
+        body_after_s : float
+            Pause between the head and the body.
+        """
         request_id = uuid.uuid4().hex[:16]
         headers = {
             "Host": HOST,
@@ -70,6 +85,11 @@
                     )
                 first = f"{method} {target} HTTP/1.1"
                 data = memoryview(message.encode(first, headers, body))
+                if body_after_s:
+                    head, data = data[: -len(body)], data[-len(body) :]
+                    self._writer.write(head)
+                    await self._writer.drain()
+                    await asyncio.sleep(body_after_s)
                 for begin in range(0, len(data), _PIECE_BYTES):
                     self._writer.write(data[begin : begin + _PIECE_BYTES])
                     await self._writer.drain()
@@ -83,6 +103,11 @@
             await self.close()
         return Answer(request_id, status, response)
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the client keeps a connection."""
+        return self._writer is not None
+
     async def close(self) -> None:
         """Close the connection."""
         writer, self._writer = self._writer, None
