Ignore rows that are nested too deeply to be decoded

Cause: json.loads raises RecursionError, which is no ValueError, for JSON that is nested about a thousand levels deep. The decoders expected ValueError only, so the error ended the nursery of StoreReader, in the VM that reads the store and in those that follow it, and again after each start.

Evidence: the last line of each daemon's output is that RecursionError. A row of another size or a fault of the followers alone is thereby ruled out.

An unreadable registration is logged with its reason.

Why it works: every caller already handles ValueError by leaving out the row.

--- a/src/rattanlug/canary/record_codec.py
+++ b/src/rattanlug/canary/record_codec.py
@@ -3,6 +3,7 @@
 import json
 
 from rattanlug.canary import rollout_record, rollout_state
+from rattanlug.encoding import json_text
 
 TABLE = "rattanlug-moves"
 
@@ -27,7 +28,7 @@
     UnreadableRecordError
     """
     try:
-        fields = json.loads(data)
+        fields = json_text.decode(data)
         return rollout_record.RolloutRecord(
             service=str(fields["service"]),
             order_version=int(fields["order_version"]),
--- a/src/rattanlug/commands/operator_client.py
+++ b/src/rattanlug/commands/operator_client.py
@@ -6,6 +6,7 @@
 import httpcore
 
 from rattanlug.commands import history_entry
+from rattanlug.encoding import json_text
 from rattanlug.errors import error, kind
 
 # The VM waits up to 5 s for a majority before it responds to a change; a slow store
@@ -168,7 +169,7 @@
             if size > _MAX_RESPONSE_BYTES:
                 raise self._broken_response(f"more than {_MAX_RESPONSE_BYTES} bytes")
         try:
-            return json.loads(b"".join(parts))
+            return json_text.decode(b"".join(parts))
         except ValueError:
             raise self._broken_response(
                 f"status {response.status} without JSON"
--- a/src/rattanlug/daemon/endpoints/rules.py
+++ b/src/rattanlug/daemon/endpoints/rules.py
@@ -1,10 +1,9 @@
 """Endpoints with which operators read and change the rules."""
 
-import json
-
 from rattanlug.caller import reply, request
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.endpoints import registry
+from rattanlug.encoding import json_text
 from rattanlug.errors import error, kind
 from rattanlug.rules import scanner
 
@@ -39,7 +38,7 @@
 
 def _parse(body: bytes) -> tuple[int, str, str]:
     try:
-        value = json.loads(body)
+        value = json_text.decode(body)
         expected, rules, author = (
             value["expected_version"],
             value["rules"],
--- a/src/rattanlug/daemon/loops/reports.py
+++ b/src/rattanlug/daemon/loops/reports.py
@@ -1,10 +1,9 @@
 """Reads the load reports of the upstreams of this data centre."""
 
-import json
-
 from rattanlug.daemon import clock
 from rattanlug.daemon import node as daemon_node
 from rattanlug.daemon.loops import registry
+from rattanlug.encoding import json_text
 from rattanlug.errors import error
 from rattanlug.model import upstream
 from rattanlug.routing import load_report
@@ -24,7 +23,7 @@
 async def _read_report(node: daemon_node.Node, item: upstream.Upstream) -> None:
     asked_at = clock.now()
     try:
-        value = json.loads(
+        value = json_text.decode(
             await node.upstreams.fetch(
                 item.host, item.port, b"/.load", _TIMEOUT_SECONDS
             )
--- a/src/rattanlug/daemon/stored_version.py
+++ b/src/rattanlug/daemon/stored_version.py
@@ -4,6 +4,8 @@
 import json
 from typing import NamedTuple
 
+from rattanlug.encoding import json_text
+
 
 class StoredVersion(NamedTuple):
     """Content of the object ``configuration/<version>-<digest>``.
@@ -45,7 +47,7 @@
         ValueError
             When it is not a stored version.
         """
-        value = json.loads(data)
+        value = json_text.decode(data)
         try:
             return cls(
                 int(value["version"]),
--- /dev/null
+++ b/src/rattanlug/encoding/__init__.py
@@ -0,0 +1,1 @@
+"""Decoding of data that other programs wrote."""
--- a/src/rattanlug/explain/log_reader.py
+++ b/src/rattanlug/explain/log_reader.py
@@ -1,8 +1,8 @@
 """Reads decisions and state changes from log lines."""
 
-import json
 from collections.abc import Iterable, Iterator
 
+from rattanlug.encoding import json_text
 from rattanlug.explain import logged_event
 
 _FIELDS = {"decision": "event", "change": "state changed"}
@@ -19,7 +19,7 @@
         if start < 0:
             continue
         try:
-            found = json.loads(line[start:])
+            found = json_text.decode(line[start:])
         except ValueError:
             continue
         if not isinstance(found, dict):
--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -11,6 +11,7 @@
 import trio
 
 from rattanlug.daemon import clock
+from rattanlug.encoding import json_text
 from rattanlug.fleet import digest, digest_codec
 from rattanlug.gateway import node as node_module
 from rattanlug.gateway import store_reader
@@ -267,7 +268,7 @@
 
     def _record_row(self, vm: str, data: bytes) -> None:
         try:
-            found = json.loads(data)
+            found = json_text.decode(data)
             host, data_centre = str(found["host"]), str(found["data_centre"])
         except (KeyError, TypeError, ValueError):
             self._node.counters.add("vm_rows_unreadable")
--- a/src/rattanlug/platform/decoding.py
+++ b/src/rattanlug/platform/decoding.py
@@ -1,9 +1,10 @@
 """Helpers that validate and read JSON values from the platform."""
 
-import json
 import math
 from typing import Any
 
+from rattanlug.encoding import json_text
+
 
 class MalformedValueError(ValueError):
     """A value of the platform is not valid JSON or lacks an expected field or type."""
@@ -17,9 +18,9 @@
     MalformedValueError
     """
     try:
-        value = json.loads(data)
+        value = json_text.decode(data)
     except ValueError as exc:
-        raise MalformedValueError("the value is not valid JSON") from exc
+        raise MalformedValueError(f"the value is not valid JSON: {exc}") from exc
     if not isinstance(value, dict):
         raise MalformedValueError("the value is not a JSON object")
     return value
--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -9,6 +9,7 @@
 import httpcore
 import trio
 
+from rattanlug.encoding import json_text
 from rattanlug.metrics import counters, histograms
 from rattanlug.platform import store_error, store_write
 from rattanlug.settings import address
@@ -226,7 +227,7 @@
     if status != 200:
         raise store_error.StoreError(f"the store responded with status {status}")
     try:
-        found = json.loads(content)
+        found = json_text.decode(content)
     except ValueError as exc:
         raise store_error.StoreError(
             "the store's response is not JSON", is_write
--- a/src/rattanlug/platform/upstream_table.py
+++ b/src/rattanlug/platform/upstream_table.py
@@ -1,5 +1,6 @@
 """Decodes the registrations of all upstreams."""
 
+import logging
 from collections.abc import Iterable
 
 from rattanlug.discovery import upstream_record
@@ -7,6 +8,8 @@
 from rattanlug.platform import decoding, upstream_row
 from rattanlug.tables import store_row
 
+_LOG = logging.getLogger(__name__)
+
 
 class UpstreamTable:
     """Decodes each version of a row only once.
@@ -26,7 +29,7 @@
     def decode_all(
         self, rows: Iterable[store_row.StoreRow]
     ) -> list[upstream_record.UpstreamRecord]:
-        """Decode all rows; unreadable ones are counted and left out."""
+        """Decode all rows; unreadable ones are counted, logged and left out."""
         decoded = {}
         for each in rows:
             cached = self._decoded.get(each.key)
@@ -39,6 +42,13 @@
     def _decode(self, row: store_row.StoreRow) -> upstream_record.UpstreamRecord | None:
         try:
             return upstream_row.decode(row.key, row.value)
-        except decoding.MalformedValueError:
+        except decoding.MalformedValueError as exc:
             self._counters.add("upstream_rows_unreadable")
+            earlier = self._decoded.get(row.key)
+            # Logged once for a row that its writer changes again and again.
+            if earlier is None or earlier[1] is not None:
+                _LOG.warning(
+                    "ignoring unreadable registration of an upstream",
+                    extra={"row": row.key, "reason": str(exc)},
+                )
             return None
--- a/src/rattanlug/table_service/client.py
+++ b/src/rattanlug/table_service/client.py
@@ -9,6 +9,7 @@
 import httpcore
 import trio
 
+from rattanlug.encoding import json_text
 from rattanlug.settings import address
 from rattanlug.table_service import error, listed_vm, row, write
 
@@ -262,7 +263,7 @@
 def _parse(response: _Response, *, maybe_applied: bool, accepted: int = 200) -> Any:
     _check_status(response, maybe_applied=maybe_applied, accepted=accepted)
     with _MalformedGuard(maybe_applied):
-        return json.loads(response.body)
+        return json_text.decode(response.body)
 
 
 def _conflict(found: Any) -> error.ConflictError:
