Reject rows and headers whose values are out of range

What callers saw: a port of "²" or of thousands of digits in one registration ended every daemon. A port of 80800, a null character in the host or a capacity of 400 digits left the daemons running, but they answered 502 and chose the entry again and again.

Cause: the decoders checked types and not ranges. The error rose where the value was used (OverflowError from connect_ex and from arithmetic, ValueError from the header and the codec) and was of a type that nothing there expects: it ended the process in a task of the daemon, and in a request it gave a 502 that was not recorded as a failure of the upstream.

Evidence: the daemon logs "unexpected error while serving a request" for these requests and no "send failed". A capacity that outweighs recorded failures is thereby ruled out.

Change: addresses are IP addresses with ports from 1 to 65535, capacities at most the number of ports, integers at most 64 bits, texts and keys encodable and times finite, in every row, response of the store and header that is decoded. An address that no connection can have is a failure of the upstream.

--- a/src/rattanlug/canary/record_codec.py
+++ b/src/rattanlug/canary/record_codec.py
@@ -1,6 +1,7 @@
 """Encodes and decodes the rollout records in the store."""
 
 import json
+import math
 
 from rattanlug.canary import rollout_record, rollout_state
 from rattanlug.encoding import json_text
@@ -29,7 +30,7 @@
     """
     try:
         fields = json_text.decode(data)
-        return rollout_record.RolloutRecord(
+        record = rollout_record.RolloutRecord(
             service=str(fields["service"]),
             order_version=int(fields["order_version"]),
             target=str(fields["target"]),
@@ -40,5 +41,8 @@
             reason=str(fields["reason"]),
             row_version=row_version,
         )
-    except (KeyError, TypeError, ValueError) as exc:
+    except (KeyError, OverflowError, TypeError, ValueError) as exc:
         raise UnreadableRecordError(str(exc)) from exc
+    if not (math.isfinite(record.began) and math.isfinite(record.duration)):
+        raise UnreadableRecordError("a time is not finite")
+    return record
--- a/src/rattanlug/daemon/loops/reports.py
+++ b/src/rattanlug/daemon/loops/reports.py
@@ -34,7 +34,7 @@
             value["state"] == "draining",
             str(value["version"]),
         )
-    except (error.UpstreamError, ValueError, KeyError, TypeError):
+    except (error.UpstreamError, KeyError, OverflowError, TypeError, ValueError):
         node.counters.add("report_failures", upstream=item.name)
         return
     node.slots.receive_report(item.name, report, asked_at)
--- a/src/rattanlug/daemon/stored_version.py
+++ b/src/rattanlug/daemon/stored_version.py
@@ -55,7 +55,7 @@
                 float(value["at"]),
                 str(value["rules"]),
             )
-        except (KeyError, TypeError) as exc:
+        except (KeyError, OverflowError, TypeError) as exc:
             raise ValueError("not a stored version") from exc
 
 
--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -5,6 +5,7 @@
 other data centres.
 """
 
+import ipaddress
 import json
 import socket
 
@@ -270,8 +271,12 @@
         try:
             found = json_text.decode(data)
             host, data_centre = str(found["host"]), str(found["data_centre"])
-        except (KeyError, TypeError, ValueError):
+            ipaddress.ip_address(host)
+        except (KeyError, TypeError, ValueError) as exc:
             self._node.counters.add("vm_rows_unreadable")
+            state_log.log_change(
+                "address", None, "unreadable", peer=vm, reason=str(exc)
+            )
             return
         self._addresses.setdefault(data_centre, {})[vm] = host
         self._node.record_registered_vm(data_centre, vm)
--- a/src/rattanlug/platform/decoding.py
+++ b/src/rattanlug/platform/decoding.py
@@ -5,6 +5,9 @@
 
 from rattanlug.encoding import json_text
 
+# Integers are exchanged between VMs as signed 64-bit numbers.
+MAX_INTEGER = 2**63 - 1
+
 
 class MalformedValueError(ValueError):
     """A value of the platform is not valid JSON or lacks an expected field or type."""
@@ -32,13 +35,35 @@
     Raises
     ------
     MalformedValueError
-        When it is missing or of none of these types; bool does not count as int.
+        When it is missing or of none of these types, where bool does not count as
+        int, or when it is a string that can't be encoded or an integer of more than
+        64 bits.
     """
     value = table.get(name)
     if not isinstance(value, expected) or (
         isinstance(value, bool) and bool not in expected
     ):
         raise MalformedValueError(f"{name} is missing or has the wrong type")
+    if isinstance(value, str):
+        return encodable(value, name)
+    if isinstance(value, int) and abs(value) > MAX_INTEGER:
+        raise MalformedValueError(f"{name} is too large")
+    return value
+
+
+def encodable(value: str, name: str) -> str:
+    """Return a string after checking that it can be encoded.
+
+    JSON can express halves of surrogate pairs, which have no encoding.
+
+    Raises
+    ------
+    MalformedValueError
+    """
+    try:
+        value.encode()
+    except UnicodeEncodeError as exc:
+        raise MalformedValueError(f"{name} is not valid Unicode") from exc
     return value
 
 
@@ -51,10 +76,7 @@
     """
     if default is not None and table.get(name) is None:
         return default
-    try:
-        value = float(field(table, name, int, float))
-    except OverflowError as exc:
-        raise MalformedValueError(f"{name} is too large") from exc
+    value = float(field(table, name, int, float))
     if not math.isfinite(value):
         raise MalformedValueError(f"{name} is not finite")
     return value
@@ -112,4 +134,6 @@
     found = field(table, name, list)
     if not all(isinstance(each, expected) for each in found):
         raise MalformedValueError(f"an entry of {name} has the wrong type")
+    if expected is str:
+        return [encodable(each, name) for each in found]
     return found
--- a/src/rattanlug/platform/desired_state.py
+++ b/src/rattanlug/platform/desired_state.py
@@ -1,5 +1,6 @@
 """Decodes the desired state that operators write."""
 
+import math
 from typing import Any
 
 from rattanlug.desired import (
@@ -13,6 +14,8 @@
 )
 from rattanlug.platform import decoding
 
+_MAX_VERSION_DIGITS = len(str(decoding.MAX_INTEGER))
+
 
 def decode(data: bytes) -> state.DesiredState:
     """Decode the row that holds the desired state.
@@ -54,7 +57,10 @@
         raise decoding.MalformedValueError(
             f"{text!r} is not a version number such as r12"
         )
-    return int(digits)
+    number = int(digits) if len(digits) <= _MAX_VERSION_DIGITS else math.inf
+    if number > decoding.MAX_INTEGER:
+        raise decoding.MalformedValueError("the version number is too large")
+    return number
 
 
 def _decode_route(host: str, found: dict[str, Any]) -> route.Route:
--- a/src/rattanlug/platform/request_headers.py
+++ b/src/rattanlug/platform/request_headers.py
@@ -1,5 +1,6 @@
 """Decodes and forwards the headers of a caller's request."""
 
+import math
 from typing import NamedTuple
 
 from rattanlug.platform import names
@@ -114,9 +115,10 @@
     if value is None:
         return None
     try:
-        return float(value) / _MILLISECONDS
+        seconds = float(value) / _MILLISECONDS
     except ValueError:
         return None
+    return seconds if math.isfinite(seconds) else None
 
 
 def _decode_key(authorization: str) -> str | None:
--- a/src/rattanlug/platform/response_headers.py
+++ b/src/rattanlug/platform/response_headers.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from rattanlug.platform import names
+from rattanlug.settings import address
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -21,6 +22,9 @@
     }
 )
 
+# More requests than connections from one VM; such a load report is wrong.
+_MAX_BUSY = address.MAX_PORT
+
 
 class ResponseHeaders(NamedTuple):
     """Decoded headers of a response.
@@ -75,7 +79,8 @@
         running, waiting, *_ = (int(each) for each in value.split(b","))
     except ValueError:
         return None
-    return max(0, running) + max(0, waiting)
+    busy = max(0, running) + max(0, waiting)
+    return busy if busy <= _MAX_BUSY else None
 
 
 def _decode_idle_seconds(value: bytes) -> float | None:
--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import logging
 from collections.abc import Callable, Sequence
 from typing import Any
 from urllib import parse
@@ -11,7 +12,7 @@
 
 from rattanlug.encoding import json_text
 from rattanlug.metrics import counters, histograms
-from rattanlug.platform import store_error, store_write
+from rattanlug.platform import decoding, store_error, store_write
 from rattanlug.settings import address
 from rattanlug.tables import store_read, store_row
 
@@ -28,6 +29,7 @@
 _MAX_CONNECTIONS = 8
 _ROWS_PER_CALL = 500
 _MILLISECONDS = 1000.0
+_LOG = logging.getLogger(__name__)
 
 
 class StoreClient:
@@ -143,7 +145,12 @@
         }
         content = json.dumps(body, separators=(",", ":")).encode()
         found = await self._call("POST", "/rows-tx", content, CALL_TIMEOUT_SECONDS)
-        return int(found.get("row_version", 0))
+        try:
+            return _row_version(found)
+        except decoding.MalformedValueError as exc:
+            raise store_error.StoreError(
+                f"the store's response: {exc}", maybe_applied=True
+            ) from exc
 
     async def _get(self, call: str, query: dict[str, str], timeout: float) -> dict:
         target = f"/{call}?{parse.urlencode(query)}"
@@ -246,24 +253,50 @@
 def _decode_rows(found: dict[str, Any]) -> list[store_row.StoreRow]:
     try:
         return [
-            store_row.StoreRow(
-                str(each["key"]),
-                base64.b64decode(each.get("value") or ""),
-                int(each.get("row_version", 0)),
-                bool(each.get("tombstoned")),
-            )
-            for each in found["rows"]
+            _decode_row(each)
+            for each in decoding.objects(found, "rows", required=True)
+            if _has_usable_key(each)
         ]
-    except (KeyError, TypeError, ValueError) as exc:
+    except (TypeError, ValueError) as exc:
         raise store_error.StoreError("the store's response has malformed rows") from exc
 
 
+def _has_usable_key(found: dict[str, Any]) -> bool:
+    """Tell whether the key of a row, which any writer may choose, can be encoded."""
+    try:
+        decoding.field(found, "key", str)
+    except decoding.MalformedValueError as exc:
+        _LOG.warning("ignoring a row of the store", extra={"reason": str(exc)})
+        return False
+    return True
+
+
+def _decode_row(found: dict[str, Any]) -> store_row.StoreRow:
+    return store_row.StoreRow(
+        found["key"],
+        base64.b64decode(found.get("value") or ""),
+        _row_version(found),
+        bool(found.get("tombstoned")),
+    )
+
+
+def _row_version(found: dict[str, Any]) -> int:
+    if found.get("row_version") is None:
+        return 0
+    return decoding.field(found, "row_version", int)
+
+
 def _store_read(
     found: dict[str, Any], rows: list[store_row.StoreRow], sent_at: float
 ) -> store_read.StoreRead:
+    try:
+        version = _row_version(found)
+        store_now = decoding.number(found, "now_s", 0.0)
+    except decoding.MalformedValueError as exc:
+        raise store_error.StoreError(f"the store's response: {exc}") from exc
     return store_read.StoreRead(
         rows,
-        int(found.get("row_version", 0)),
-        float(found.get("now_s", 0.0)),
+        version,
+        store_now,
         sent_at,
     )
--- a/src/rattanlug/platform/upstream_row.py
+++ b/src/rattanlug/platform/upstream_row.py
@@ -1,9 +1,17 @@
 """Decodes the registration rows of upstreams."""
 
+import ipaddress
+import re
+
 from rattanlug.discovery import upstream_record
 from rattanlug.platform import decoding
+from rattanlug.settings import address
 
 _STATES = frozenset({"ready", "draining"})
+# A request that runs occupies a connection, and thereby a port.
+_MAX_SLOTS = address.MAX_PORT
+# An id is sent in a header.
+_ID = re.compile(r"[!-~]+")
 
 
 def decode(key: str, data: bytes) -> upstream_record.UpstreamRecord:
@@ -21,20 +29,20 @@
     state = decoding.field(status, "state", str)
     if state not in _STATES:
         raise decoding.MalformedValueError(f"{state!r} is not a valid state")
-    host, _, port = decoding.field(found, "address", str).rpartition(":")
+    target = _address(decoding.field(found, "address", str))
     slots = decoding.field(info, "capacity", int)
-    if not host or not port.isdigit() or not key or slots < 1:
-        raise decoding.MalformedValueError(
-            "the address, the id or the capacity is invalid"
-        )
+    if not 1 <= slots <= _MAX_SLOTS:
+        raise decoding.MalformedValueError("the capacity is out of range")
+    if not _ID.fullmatch(key):
+        raise decoding.MalformedValueError("the id cannot be sent in a header")
     return upstream_record.UpstreamRecord(
         id=key,
         incarnation=_start_time(found),
         sequence=decoding.field(status, "sequence", int),
         service=decoding.field(info, "service", str),
         version=decoding.field(info, "version", str),
-        host=host,
-        port=int(port),
+        host=target.host,
+        port=target.port,
         data_centre=decoding.field(info, "zone", str),
         slots=slots,
         leaving=state == "draining",
@@ -42,6 +50,17 @@
     )
 
 
+def _address(text: str) -> address.Address:
+    try:
+        target = address.parse(text)
+    except ValueError as exc:
+        raise decoding.MalformedValueError(f"the address is invalid: {exc}") from exc
+    ip = ipaddress.ip_address(target.host)
+    if ip.is_unspecified or ip.is_multicast:
+        raise decoding.MalformedValueError("the address is not that of one VM")
+    return target
+
+
 def _start_time(found: dict) -> int:
     # Start time, Unix milliseconds; absent if the upstream does not report its starts.
     if found.get("born") is None:
--- a/src/rattanlug/table_service/client.py
+++ b/src/rattanlug/table_service/client.py
@@ -243,7 +243,9 @@
         return self
 
     def __exit__(self, exc_type, exc, traceback):
-        if isinstance(exc, LookupError | TypeError | ValueError | AttributeError):
+        if isinstance(
+            exc, LookupError | TypeError | ValueError | AttributeError | OverflowError
+        ):
             raise error.PlatformError(
                 f"platform answer is malformed: {exc}", self._maybe_applied
             ) from exc
--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -226,7 +226,8 @@
             raw = await upstream_socket.connect(
                 host, port, self._local_host, options, max(0.0, limit)
             )
-        except OSError as exc:
+        except (OSError, OverflowError, ValueError) as exc:
+            # The last two are raised for an address that no connection can have.
             raise error.UpstreamError(
                 kind.ErrorKind.UPSTREAM_FAILED,
                 "the connection could not be opened",
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -19,6 +19,8 @@
 # Bodies are kept up to this size, to find the end of a chunked body. The connection of
 # a larger chunked body isn't reused.
 MAX_KEPT_BODY_BYTES = 64 * 1024
+# Longest Content-Length, which fits into 64 bits.
+MAX_LENGTH_DIGITS = 18
 
 
 class ResponseStream(httpcore.AsyncNetworkStream):
@@ -192,6 +194,11 @@
 
         A response to another request without ``Content-Length`` also gives None and is
         passed on; ``PooledConnection`` rejects it by its identifier.
+
+        Raises
+        ------
+        httpcore.RemoteProtocolError
+            The length has too many digits.
         """
         identifier, length = None, None
         for line in head.split(b"\r\n")[1:]:
@@ -200,6 +207,10 @@
                 identifier = value.strip()
             elif name.strip().lower() == b"content-length":
                 length = value.strip()
+        if length is not None and len(length) > MAX_LENGTH_DIGITS:
+            # Also checked for the current response: the HTTP library raises errors of
+            # other types for numbers of thousands of digits.
+            raise httpcore.RemoteProtocolError("the Content-Length is too large")
         if identifier is None or identifier == self._expected:
             return None
         return int(length) if length is not None and length.isdigit() else None
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -65,3 +65,66 @@
         assert sum(sent) <= 2 * store_client.MAX_RESPONSE_BYTES
 
     trio.run(main)
+
+
+async def respond_with(body, stream):
+    async with stream:
+        await stream.receive_some(65536)
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        await stream.send_all(head.encode() + body)
+
+
+def read_from(body):
+    """Read a table from a store that responds with some bytes.
+
+    Returns the read, or the error that it raised.
+    """
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            serve = functools.partial(respond_with, body)
+            listeners = await nursery.start(
+                functools.partial(trio.serve_tcp, serve, 0, host=HOST)
+            )
+            client = store_client.StoreClient(
+                address.Address(HOST, listeners[0].socket.getsockname()[1]),
+                HOST,
+                trio.current_time,
+                counters.Counters(),
+                histograms.Histograms(),
+            )
+            try:
+                found = await client.read_table("op")
+            except store_error.StoreError as exc:
+                found = exc
+            await client.aclose()
+            nursery.cancel_scope.cancel()
+        return found
+
+    return trio.run(main)
+
+
+# Guards against daemons that end because of an error that only StoreError stands for.
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 5000,
+        b"[]",
+        b'{"rows": 5}',
+        b'{"rows": [5]}',
+        b'{"rows": [{"key": "a", "value": 5}]}',
+        b'{"rows": [{"key": "a", "row_version": 1e999}]}',
+        b'{"rows": [{"key": "a", "row_version": 99999999999999999999}]}',
+        b'{"rows": [], "row_version": 1e999}',
+        b'{"rows": [], "row_version": []}',
+        b'{"rows": [], "now_s": []}',
+        b'{"rows": [], "now_s": NaN}',
+    ],
+)
+def test_a_malformed_response_is_a_store_error(body):
+    assert isinstance(read_from(body), store_error.StoreError)
+
+
+def test_a_row_with_a_key_that_is_not_valid_unicode_is_left_out():
+    body = b'{"rows": [{"key": "\\ud800"}, {"key": "a", "row_version": 3}]}'
+    assert [(each.key, each.version) for each in read_from(body).rows] == [("a", 3)]
--- a/tests/upstream/test_endless_responses.py
+++ b/tests/upstream/test_endless_responses.py
@@ -138,3 +138,11 @@
 def test_endless_bytes_after_a_response_close_the_connection():
     results, _ = exchange(OWN + b"Content-Length: 2\r\n\r\nab", b"x")
     assert [each.answer.body for each in results] == [b"ab"]
+
+
+# Guards against errors of the HTTP library that are no failure of the upstream, so that
+# the upstream is chosen again.
+@pytest.mark.parametrize("head", [OWN, OTHER], ids=["own", "other"])
+def test_a_length_of_thousands_of_digits_is_a_failure_of_the_upstream(head):
+    results, _ = exchange(head + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n", b"x")
+    assert [isinstance(each, error.UpstreamError) for each in results] == [True]
