Reject messages between VMs whose values are out of range

Cause: the codecs checked types and trusted values, as the decoders of rows did. Where the thrift library reads in pure Python, nested structures raise RecursionError, which the codecs did not expect.

Fixtures of older tests now have IP addresses as hosts.

--- a/src/rattanlug/tables/follow_codec.py
+++ b/src/rattanlug/tables/follow_codec.py
@@ -1,5 +1,6 @@
 """Encodes and decodes the messages between a VM and the VMs that follow its tables."""
 
+import math
 from typing import Any
 
 from thrift import Thrift
@@ -41,7 +42,8 @@
     """
     message = _read(ttypes.FollowRequest(), data)
     return follow_messages.FollowRequest(
-        dict(message.versions or {}), (message.waitMilliseconds or 0) / _MILLISECONDS
+        dict(message.versions or {}),
+        max(0, message.waitMilliseconds or 0) / _MILLISECONDS,
     )
 
 
@@ -77,8 +79,8 @@
     message = _read(ttypes.FollowAnswer(), data)
     try:
         tables = tuple(_changes(each) for each in message.tables or ())
-        failed = float(message.storeFailedSeconds)
-        clock = float(message.storeClock)
+        failed = _finite(message.storeFailedSeconds)
+        clock = _finite(message.storeClock)
     except (TypeError, ValueError) as exc:
         raise UnreadableMessageError("missing or invalid field") from exc
     return follow_messages.FollowAnswer(tables, clock, None if failed < 0.0 else failed)
@@ -87,19 +89,34 @@
 def _changes(message: ttypes.Changes) -> follow_messages.Changes:
     rows = tuple(
         store_row.StoreRow(
-            each.key, bytes(each.value or b""), int(each.version), bool(each.removed)
+            _text(each.key),
+            bytes(each.value or b""),
+            int(each.version),
+            bool(each.removed),
         )
         for each in message.rows or ()
     )
     return follow_messages.Changes(
-        message.table,
+        _text(message.table),
         bool(message.whole),
         rows,
         int(message.version),
-        float(message.ageSeconds),
+        max(0.0, _finite(message.ageSeconds)),
     )
 
 
+def _text(found: str | None) -> str:
+    if found is None:
+        raise UnreadableMessageError("a text is missing")
+    return found
+
+
+def _finite(number: float) -> float:
+    if not math.isfinite(number):
+        raise UnreadableMessageError("a number is not finite")
+    return number
+
+
 def _write(message: Any) -> bytes:
     buffer = TTransport.TMemoryBuffer()
     message.write(_FACTORY.getProtocol(buffer))
@@ -111,12 +128,15 @@
         message.read(_FACTORY.getProtocol(TTransport.TMemoryBuffer(data)))
     except (
         Thrift.TException,
+        AssertionError,
         EOFError,
+        LookupError,
         OverflowError,
+        RecursionError,
         TypeError,
         ValueError,
     ) as exc:
-        raise UnreadableMessageError(str(exc)) from exc
+        raise UnreadableMessageError(f"{type(exc).__name__}: {exc}") from exc
     if message.protocolVersion != PROTOCOL_VERSION:
         raise UnreadableMessageError("unsupported protocol version")
     return message
--- a/tests/fleet/test_data_centre_digest.py
+++ b/tests/fleet/test_data_centre_digest.py
@@ -11,11 +11,17 @@
 )
 
 
+def host(vm):
+    """Return the address of a VM such as a17."""
+    number = int(vm[1:] or 0)
+    return f"10.{ord(vm[0])}.{number // 250}.{number % 250 + 1}"
+
+
 def report(
     vm, data_centre, demand, sequence=1, incarnation=1, outcomes=(), reverted=()
 ):
     return digest.Digest(
-        vm, incarnation, sequence, data_centre, f"host-{vm}", 80, False, 7, demand,
+        vm, incarnation, sequence, data_centre, host(vm), 80, False, 7, demand,
         outcomes, reverted,
     )  # fmt: skip
 
--- a/tests/fleet/test_peer_table.py
+++ b/tests/fleet/test_peer_table.py
@@ -14,7 +14,7 @@
 def report(vm="b", incarnation=1, sequence=1, data_centre="d1", leaving=False):
     outcomes = (outcome_count.OutcomeCount("s", "r", 1, 2, 3, 4),)
     return digest.Digest(
-        vm, incarnation, sequence, data_centre, "h", 1, leaving, 7, {"o": 1.5},
+        vm, incarnation, sequence, data_centre, "10.0.0.1", 1, leaving, 7, {"o": 1.5},
         outcomes, (9,),
     )  # fmt: skip
 
--- a/tests/gateway/test_digest_exchange.py
+++ b/tests/gateway/test_digest_exchange.py
@@ -13,7 +13,7 @@
 
 def make_digest(vm, data_centre, sequence=1):
     return digest.Digest(
-        vm, 1, sequence, data_centre, f"host-{vm}", 1, False, 1, {}, (), ()
+        vm, 1, sequence, data_centre, "10.0.0.1", 1, False, 1, {}, (), ()
     )
 
 
--- a/tests/tables/test_follow_codec.py
+++ b/tests/tables/test_follow_codec.py
@@ -3,8 +3,11 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
 
 from rattanlug.tables import follow_codec, follow_messages, store_row
+from rattanlug.tables.generated import ttypes
 
 ANSWER = follow_messages.FollowAnswer(
     (
@@ -54,3 +57,58 @@
     monkeypatch.undo()
     with pytest.raises(follow_codec.UnreadableMessageError):
         follow_codec.decode_answer(encoded)
+
+
+@pytest.fixture(params=["accelerated", "python"])
+def protocol(request, monkeypatch):
+    """Use the compiled or the pure Python reader of the library."""
+    if request.param == "python":
+        monkeypatch.setattr(
+            follow_codec, "_FACTORY", TCompactProtocol.TCompactProtocolFactory()
+        )
+
+
+def encode_message(**changes):
+    """Return a response with values that ``encode_answer`` never writes."""
+    row = ttypes.Row(changes.pop("key", "config"), b"x", 7, False)
+    table = changes.pop("table", "op")
+    age = changes.pop("age", 0.5)
+    message = ttypes.FollowAnswer(
+        protocolVersion=follow_codec.PROTOCOL_VERSION,
+        tables=[ttypes.Changes(table, True, [row], 9, age)],
+        storeClock=changes.pop("clock", 1.0),
+        storeFailedSeconds=changes.pop("failed", -1.0),
+    )
+    buffer = TTransport.TMemoryBuffer()
+    message.write(TCompactProtocol.TCompactProtocol(buffer))
+    return buffer.getvalue()
+
+
+# Guards against a response that ends the follower, or makes its keys count as fresh
+# for good.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"key": None},
+        {"table": None},
+        {"age": float("nan")},
+        {"age": float("-inf")},
+        {"clock": float("nan")},
+        {"failed": float("nan")},
+    ],
+    ids=str,
+)
+def test_responses_with_values_out_of_range_are_rejected(protocol, changes):
+    with pytest.raises(follow_codec.UnreadableMessageError):
+        follow_codec.decode_answer(encode_message(**changes))
+
+
+def test_a_negative_age_counts_as_none(protocol):
+    (found,) = follow_codec.decode_answer(encode_message(age=-5.0)).tables
+    assert found.age == 0.0
+
+
+def test_nested_structures_are_rejected(protocol):
+    for decode in (follow_codec.decode_request, follow_codec.decode_answer):
+        with pytest.raises(follow_codec.UnreadableMessageError):
+            decode(b"\x0c\x90\x03" + b"\x1c" * 100_000)
