Keep a connection from counting as idle while its next request is served

The callers could not tell whether the order had run.

Cause: CallerStream.send_all marked the connection as idle after the call that sends the response. The bytes have left before that call returns, so the next request could be read, and not noted as the beginning of a request, in between. The server closes idle connections when it stops.

Evidence: the connections end 2.9 s after the SIGTERM, when the server stops accepting, and not at the end of the grace period; only connections that the library serves are hit, and the library closes them only after a response.

Change: a request ends when its response is handed to the socket, and a connection is not idle while bytes are being sent. Two more places had set the same state wrongly: a pipelined request in the buffer of the library was not noted, and an interim response counted as the end of a request, so that the body after it was parsed as a request.

Why it works: the state changes in the same step of the event loop as the bytes are handed over, before any other task can read the next request.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -77,6 +77,9 @@
             await send({"type": "websocket.close"})
         elif scope["type"] == "http":
             self._in_flight += 1
+            stream = scope.get(caller_stream.SCOPE_KEY)
+            if stream is not None:
+                stream.note_request()
             try:
                 await self._serve_request(scope, receive, send)
             finally:
--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -72,8 +72,11 @@
         # Pipelined bytes, and the lower bound of the arrival time of the first.
         self._pending = b""
         self._earliest_pending_at = accepted.earliest_opened_at
-        # Whether the next byte received begins a request.
-        self._between_requests = True
+        # Whether a request has begun whose response has not been handed to the socket.
+        self._in_request = False
+        # Whether bytes are being sent. The caller may receive a response, and send its
+        # next request, before the call that sends the response returns.
+        self._sending = False
         self._last_used = trio.current_time()
         self._has_disconnected = False
         self._on_disconnect: Callable[[], None] | None = None
@@ -87,8 +90,8 @@
 
     @property
     def between_requests(self) -> bool:
-        """Whether no request is being read or served."""
-        return self._between_requests
+        """Whether no request is being read or served and no response is being sent."""
+        return not self._in_request and not self._sending
 
     @property
     def socket(self) -> trio.socket.SocketType:
@@ -173,7 +176,7 @@
     async def send_response(self, data: bytes) -> None:
         """Send an encoded response; the next byte received begins a request."""
         await self._send_with_timeout(data)
-        self._between_requests = not self._pending
+        self._in_request = bool(self._pending)
 
     async def receive_some(self, max_bytes: int) -> bytes:
         """Receive bytes; an HTTP/2 preface is treated as the end of the stream."""
@@ -190,23 +193,32 @@
     async def _receive_request(self, max_bytes: int) -> bytes:
         """Send local replies; return the bytes of the first request without one."""
         data = await self._receive(max_bytes)
-        while self._between_requests:
+        while self.between_requests:
             head = request_head.parse_complete(data)
             local_reply = None if head is None else self.find_local_reply(head)
             if local_reply is None:
                 break
             self._begin_request()
             await self._send_with_timeout(local_reply)
-            self._between_requests = True
+            self._in_request = False
             data = await self._receive(max_bytes)
-        if self._between_requests:
+        if not self._in_request:
             self._begin_request()
         return data
 
+    def note_request(self) -> None:
+        """Record that a request is being served.
+
+        Its bytes may have been received before the response to the previous request
+        was sent.
+        """
+        if not self._in_request:
+            self._begin_request()
+
     def _begin_request(self) -> None:
         # A shutdown closes the connections that are between requests; from now on it
         # waits for the response on this one.
-        self._between_requests = False
+        self._in_request = True
         self._arrived_at = self._earliest_received_at
 
     async def send_all(self, data: bytes) -> None:
@@ -223,8 +235,11 @@
         data, self._head = self._head + data, b""
         if not data:
             return
+        if not data.startswith(_INFORMATIONAL):
+            # Ends before the bytes leave: the next request may be received, and begin,
+            # while they are being sent.
+            self._in_request = _CLOSE in data[: data.find(_HEAD_END)].lower()
         await self._send_with_timeout(data)
-        self._between_requests = _CLOSE not in data[: data.find(_HEAD_END)].lower()
 
     async def _receive(self, max_bytes: int) -> bytes:
         try:
@@ -257,9 +272,13 @@
         self._last_used = trio.current_time()
         # Callers send the next request after they have received the response.
         self._earliest_next_byte_at = clock.now()
-        with trio.move_on_after(SEND_SECONDS):
-            await self._stream.send_all(data)
-            return
+        self._sending = True
+        try:
+            with trio.move_on_after(SEND_SECONDS):
+                await self._stream.send_all(data)
+                return
+        finally:
+            self._sending = False
         self._counters.add("answers_not_read")
         self.abort()
         raise trio.BrokenResourceError("the caller does not read its response")
--- a/tests/caller/test_fast_path.py
+++ b/tests/caller/test_fast_path.py
@@ -5,8 +5,9 @@
 
 import pytest
 import trio
+import trio.testing
 
-from rattanlug.caller import application, reply, server
+from rattanlug.caller import application, caller_stream, reply, server
 from rattanlug.daemon import clock
 from rattanlug.metrics import counters
 from rattanlug.settings import address
@@ -261,3 +262,97 @@
         assert b"connection: close" in head
         assert await busy.receive_some(1) == b""
         assert await idle.receive_some(1) == b""
+
+
+_HEAD, _BODY = _WITH_BODY[:-3], _WITH_BODY[-3:]
+
+
+async def connect_to_library(served):
+    """Return a connection that the library serves, after its first response."""
+    stream = await connect(served)
+    await stream.send_all(_HEAD)
+    while not served.server._streams:
+        await trio.sleep(0.001)
+    await trio.testing.wait_all_tasks_blocked(0.01)
+    await stream.send_all(_BODY)
+    assert (await read_response(stream))[1] == b"POST /a  abc"
+    assert served.by_library == 1
+    return stream
+
+
+@pytest.fixture
+def slow_send(monkeypatch):
+    """Let each call that sends return some time after the bytes have left."""
+    send = caller_stream.CallerStream._send_with_timeout
+
+    async def send_slowly(self, data):
+        inner = self._stream.send_all
+
+        async def send_all(data):
+            await inner(data)
+            await trio.sleep(0.05)
+
+        with monkeypatch.context() as patch:
+            patch.setattr(self._stream, "send_all", send_all)
+            await send(self, data)
+
+    monkeypatch.setattr(caller_stream.CallerStream, "_send_with_timeout", send_slowly)
+
+
+# Guards against a shutdown that cuts a request which was received while the response
+# before it was still being sent: its connection counted as idle.
+@pytest.mark.parametrize("data", [_PLAIN, _WITH_BODY])
+@caller.in_trio
+async def test_a_request_sent_right_after_a_response_survives_the_shutdown(
+    slow_send, data
+):
+    async with serving() as served:
+        stream = await connect_to_library(served)
+        served.hold_requests()
+        await stream.send_all(data)
+        await served.entered.wait()
+        served.closing = True
+        served.stop.set()
+        await trio.sleep(0.1)
+        served.release.set()
+        head, _ = await read_response(stream)
+        assert head.startswith(b"HTTP/1.1 200")
+
+
+# The same for a request that was sent ahead, together with the one before it.
+@caller.in_trio
+async def test_a_pipelined_request_at_the_library_survives_the_shutdown():
+    async with serving() as served:
+        stream = await connect_to_library(served)
+        served.hold_requests()
+        release_first = served.release
+        await stream.send_all(_PLAIN + _PLAIN)
+        await served.entered.wait()
+        served.hold_requests()
+        release_first.set()
+        await read_response(stream)
+        await served.entered.wait()
+        served.stop.set()
+        await trio.sleep(0.1)
+        served.release.set()
+        head, _ = await read_response(stream)
+        assert head.startswith(b"HTTP/1.1 200")
+
+
+# Guards against a body that is taken for a request after an interim response.
+@caller.in_trio
+async def test_a_body_after_an_interim_response_is_no_request():
+    async with serving() as served:
+        served.server._local_reply = lambda head, arrived_at: b"wrong"
+        stream = await connect(served)
+        await stream.send_all(
+            b"POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(_PLAIN)
+        )
+        interim = b""
+        while not interim.endswith(b"\r\n\r\n"):
+            interim += await stream.receive_some(1) or _end(interim)
+        assert b" 100 " in interim
+        await stream.send_all(_PLAIN)
+        _, body = await read_response(stream)
+        assert body == b"POST /a  " + _PLAIN
