Answer a request that waits in the socket when idle connections are closed

What callers saw: a request that arrives just as a stopping VM closes its idle connections found its connection reset.

Cause: the server closed each connection that is between requests without looking whether the next request had already arrived. Closing a socket with unread bytes resets the connection.

Change: such a connection is read, answered with Connection: close, and closed after that, as those with a request are.

Test: test_a_request_that_was_not_read_yet_at_the_shutdown_is_answered fails before (connection reset) and passes now.

--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -116,6 +116,15 @@
             # Reset by the caller, or closed by the shutdown of the server.
             return True
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes of the caller wait in the socket."""
+        try:
+            return bool(self._raw.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing to read, or the connection is broken or closed.
+            return False
+
     def on_disconnect(self, action: Callable[[], None] | None) -> None:
         """Set the disconnect callback; call it now if the caller has disconnected."""
         self._on_disconnect = action
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -99,11 +99,12 @@
                     accepting.cancel_scope.cancel()
             finally:
                 listening.close()
-            # Idle connections close at once, the others after their response.
+            # Idle connections close at once, the others after their response. A request
+            # that waits in the socket is still read and answered.
             self._stopping = True
             await self._context.terminated.set()
             for stream in list(self._streams):
-                if stream.between_requests:
+                if stream.between_requests and not stream.has_unread_bytes:
                     stream.abort()
             with trio.move_on_after(graceful_timeout_seconds):
                 while self._streams:
--- a/tests/caller/test_fast_path.py
+++ b/tests/caller/test_fast_path.py
@@ -356,3 +356,26 @@
         await stream.send_all(_PLAIN)
         _, body = await read_response(stream)
         assert body == b"POST /a  " + _PLAIN
+
+
+# Guards against a reset for a request that waits in the socket while the server closes
+# its idle connections.
+@caller.in_trio
+async def test_a_request_that_was_not_read_yet_at_the_shutdown_is_answered():
+    async with serving() as served:
+        stream = await connect(served)
+        await stream.send_all(_PLAIN)
+        await read_response(stream)
+        served.closing = True
+        terminated = served.server._context.terminated
+        set_terminated = terminated.set
+
+        async def send_and_set():
+            stream.socket._sock.send(_PLAIN)
+            await set_terminated()
+
+        terminated.set = send_and_set
+        served.stop.set()
+        head, _ = await read_response(stream)
+        assert head.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in head
