Reject orders that may outlast the shutdown of their VM

What callers would see: while a VM shuts down, a request that may run only once was sent on although its deadline lay after the VM's end, and was cut there without an answer. Reported by another operator.

Cause: the VM stops listening in time for the longest timeout, but not earlier than half of the grace period before its end. With longer timeouts, what came before could last longer than the VM.

Ruled out: requests on kept connections after the VM has stopped listening; each connection is closed after its response from then on.

Change: such a request is rejected with 503, not run, and Retry-After 0, so that its caller repeats it at another VM at once. Repeatable requests are still accepted. Deployments whose timeouts are below half of the grace period see no change.

--- a/src/rattanlug/gateway/admission.py
+++ b/src/rattanlug/gateway/admission.py
@@ -121,17 +121,18 @@
             raise rejections.rejection(
                 kind.ErrorKind.ROUTE_UNKNOWN, "no route matches this host and path"
             )
+        arrived_at = now if incoming.arrived_at is None else incoming.arrived_at
+        timeout = matched_route.timeout
+        if headers.time_left is not None:
+            timeout = min(timeout, headers.time_left - RESPONSE_MARGIN_SECONDS)
+        self._check_shutdown(matched_route, arrived_at + timeout)
         owner = None
         if state.organisations and not matched_route.public:
             owner = self._authenticate(headers, now)
-        arrived_at = now if incoming.arrived_at is None else incoming.arrived_at
         node.histograms.record("request_unread", now - arrived_at)
         self._check_load(matched_route, owner, arrived_at, now)
         service = split.pick_service(matched_route, node.rng)
         node.retry_budget(service).count_request(now)
-        timeout = matched_route.timeout
-        if headers.time_left is not None:
-            timeout = min(timeout, headers.time_left - RESPONSE_MARGIN_SECONDS)
         return admitted_request.AdmittedRequest(
             incoming,
             headers,
@@ -143,6 +144,22 @@
             now,
         )
 
+    def _check_shutdown(self, matched_route: route.Route, deadline: float) -> None:
+        """Reject a request that the shutdown of this VM may cut.
+
+        A request that may run only once is accepted only if it ends before the VM does.
+        Its caller could not repeat it; after the rejection it can, at another VM.
+
+        Raises
+        ------
+        error.RefusedError
+        """
+        if not matched_route.idempotent and deadline > self._node.ends_at:
+            raise rejections.rejection(
+                kind.ErrorKind.LEAVING,
+                "this VM shuts down before the deadline of the request",
+            )
+
     def _should_shed(
         self,
         matched_route: route.Route,
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from rattanlug.canary import outcome_window, record_codec, version_choice
@@ -101,6 +102,7 @@
         self._upstreams_read = False
         self._store_outcome = "unknown"
         self._leaving = False
+        self._ends_at = math.inf
         self._sequence = 0
 
     @property
@@ -208,6 +210,11 @@
         """Whether a graceful shutdown has begun."""
         return self._leaving
 
+    @property
+    def ends_at(self) -> float:
+        """Time by which the process ends, monotonic seconds; infinite by default."""
+        return self._ends_at
+
     @property
     def knows_upstreams(self) -> bool:
         """Whether the upstreams have been read since the start."""
@@ -267,9 +274,16 @@
         self._settings = settings
         return changed
 
-    def leave(self) -> None:
-        """Begin a graceful shutdown."""
+    def leave(self, ends_at: float) -> None:
+        """Begin a graceful shutdown.
+
+        Parameters
+        ----------
+        ends_at : float
+            Time by which the process ends, monotonic seconds.
+        """
         self._leaving = True
+        self._ends_at = ends_at
 
     def record_upstreams_read(self) -> None:
         """Record that the upstreams have been read."""
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -164,10 +164,10 @@
         """Leave the look-ups, serve late arrivals and finish the requests in flight."""
         node = self._node
         started_at = clock.now()
-        node.leave()
+        grace = node.settings.bounds.stop - EXIT_MARGIN_SECONDS
+        node.leave(started_at + grace)
         state_log.log_change("process", "running", "stopping")
         await self._digest_exchange.leave()
-        grace = node.settings.bounds.stop - EXIT_MARGIN_SECONDS
         finish_seconds = min(
             node.longest_timeout() + FINISH_MARGIN_SECONDS, MAX_FINISH_FRACTION * grace
         )
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -131,6 +131,48 @@
         assert set(statuses) == {200, None}
 
 
+def state_with_timeout(seconds):
+    """Return a desired state whose routes have a timeout."""
+    state = fleet.desired_state(3)
+    for each in state["virtual_hosts"][0]["paths"]:
+        each["timeout_s"] = seconds
+    return state
+
+
+# Guards against requests that are sent on during a shutdown and cut at its end.
+@caller.in_trio
+async def test_a_request_that_may_outlast_the_shutdown_is_rejected_unless_repeatable():
+    async with fleet.open_fleet() as deployment:
+        deployment.store.put("op", "config", state_with_timeout(10.0))
+        added = await deployment.add_upstream("u1")
+        vm = await deployment.add_vm(bounds={"grace_s": 3})
+        results = {}
+
+        async def request(name, path, method, milliseconds):
+            headers = {"Rattanlug-Deadline-Ms": str(milliseconds)}
+            try:
+                request_id, response = await caller.send(
+                    vm, path, method, b"b" if method == "POST" else None, **headers
+                )
+            except (OSError, httpcore.NetworkError, httpcore.ProtocolError):
+                results[name] = (None, None)
+            else:
+                ran = len(caller.executions(deployment, request_id))
+                results[name] = (response.status, ran)
+                if response.status == 503:
+                    assert response.headers["retry-after"] == "0"
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(vm.stop)
+            await trio.sleep(0.2)
+            await request("short", "/claim/x", "POST", 1500)
+            await request("repeatable", "/view/x", "GET", 9000)
+            added.cold_seconds = added.warm_seconds = 3.0
+            await request("long", "/claim/x", "POST", 9000)
+            nursery.cancel_scope.cancel()
+        assert results == {"short": (200, 1), "repeatable": (200, 1), "long": (503, 0)}
+
+
 @caller.in_trio
 async def test_the_only_vm_of_a_data_centre_announces_its_shutdown():
     async with fleet.open_fleet() as deployment:
