Wait for ports and addresses that are not available yet

What was seen: the users' runs of real processes had processes that did not start.

Cause: each port was opened once, and an error ended the daemon.

Ruled out: a store that is not there; the daemon starts and waits for it.

Change: an endpoint whose address is in use or not assigned is opened again for 30 s, logged when it is first missing and when it is open, and signals are handled meanwhile. The port for callers is opened before the first digest is sent. The port of the metrics no longer holds up the start. Errors of accept() that stand for a failed connection no longer end the daemon.

--- a/src/rattanlug/caller/listener.py
+++ b/src/rattanlug/caller/listener.py
@@ -25,6 +25,9 @@
         errno.ENETUNREACH,
         errno.EHOSTDOWN,
         errno.EHOSTUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.ETIMEDOUT,
     }
 )
 
--- /dev/null
+++ b/src/rattanlug/caller/local_endpoint.py
@@ -0,0 +1,61 @@
+"""Opens endpoints on local addresses that may not be available yet."""
+
+import errno
+from collections.abc import Callable
+from typing import TypeVar
+
+import trio
+
+from rattanlug.logs import state_log
+from rattanlug.settings import address
+
+# The previous process of a VM may hold its ports until the end of its graceful
+# shutdown, and a VM that boots may get its address after the process starts.
+MAX_WAIT_SECONDS = 30.0
+RETRY_SECONDS = 0.1
+_UNAVAILABLE = frozenset({errno.EADDRINUSE, errno.EADDRNOTAVAIL})
+
+Endpoint = TypeVar("Endpoint")
+
+
+async def open_when_available(
+    open_endpoint: Callable[[], Endpoint],
+    local: address.Address,
+    max_wait: float = MAX_WAIT_SECONDS,
+) -> Endpoint:
+    """Open an endpoint; wait while its address is in use or not assigned.
+
+    Parameters
+    ----------
+    open_endpoint : callable
+        Opens the endpoint, such as a listening socket.
+    local : address.Address
+        Address of the endpoint, for the log.
+    max_wait : float
+        Time limit, seconds.
+
+    Raises
+    ------
+    OSError
+        The endpoint could not be opened, or not in time.
+    """
+    target = f"{local.host}:{local.port}"
+    give_up_at = trio.current_time() + max_wait
+    logged = None
+    while True:
+        try:
+            endpoint = open_endpoint()
+        except OSError as exc:
+            if exc.errno not in _UNAVAILABLE or trio.current_time() >= give_up_at:
+                raise
+            reason = str(exc)
+            state_log.log_change(
+                "endpoint", logged, "unavailable", address=target, reason=reason
+            )
+            logged = "unavailable"
+            await trio.sleep(RETRY_SECONDS)
+            continue
+        state_log.log_change(
+            "endpoint", logged, "open" if logged else None, address=target
+        )
+        return endpoint
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -9,7 +9,13 @@
 from hypercorn import utils
 from hypercorn.trio import tcp_server, worker_context
 
-from rattanlug.caller import application, caller_stream, fast_path, listener
+from rattanlug.caller import (
+    application,
+    caller_stream,
+    fast_path,
+    listener,
+    local_endpoint,
+)
 from rattanlug.daemon import clock
 from rattanlug.metrics import counters
 from rattanlug.settings import address
@@ -69,9 +75,33 @@
         """Number of open connections."""
         return len(self._streams)
 
-    async def run(
+    async def open(
         self,
         local: address.Address,
+        max_wait: float = local_endpoint.MAX_WAIT_SECONDS,
+    ) -> listener.Listener:
+        """Open the listener for `run`; wait while its address is not available.
+
+        Parameters
+        ----------
+        local : address.Address
+            Where to listen; port 0 picks a free one.
+        max_wait : float
+            Time limit, seconds.
+
+        Raises
+        ------
+        OSError
+        """
+
+        def open_listener() -> listener.Listener:
+            return listener.Listener(local, self._earliest_ready_at, self._counters)
+
+        return await local_endpoint.open_when_available(open_listener, local, max_wait)
+
+    async def run(
+        self,
+        local: address.Address | listener.Listener,
         stop: trio.Event,
         graceful_timeout_seconds: float,
         task_status=trio.TASK_STATUS_IGNORED,
@@ -80,15 +110,17 @@
 
         Parameters
         ----------
-        local : address.Address
-            Where to listen; port 0 picks a free one.
+        local : address.Address or listener.Listener
+            Where to listen, or a listener that is open already.
         stop : trio.Event
         graceful_timeout_seconds : float
             Time limit for the requests that are being served when ``stop`` is set.
         task_status : optional
             Reports a list with the listener.
         """
-        listening = listener.Listener(local, self._earliest_ready_at, self._counters)
+        listening = (
+            local if isinstance(local, listener.Listener) else await self.open(local)
+        )
         async with trio.open_nursery() as serving:
             try:
                 async with trio.open_nursery() as accepting:
--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from rattanlug.caller import local_endpoint
 from rattanlug.daemon import clock
 from rattanlug.encoding import json_text
 from rattanlug.fleet import digest, digest_codec
@@ -18,6 +19,7 @@
 from rattanlug.gateway import store_reader
 from rattanlug.logs import state_log
 from rattanlug.platform import store_error, store_write
+from rattanlug.settings import address
 
 # Determines how soon a failed VM is noticed and how fast rate shares adapt.
 DIGEST_INTERVAL_SECONDS = 1.0
@@ -60,8 +62,11 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Receive and send until cancelled."""
+        local = address.Address(self._node.settings.host, self._port)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-            sock.bind((self._node.settings.host, self._port))
+            await local_endpoint.open_when_available(
+                lambda: sock.bind((local.host, local.port)), local
+            )
             self._socket = trio.socket.from_stdlib_socket(sock)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -1,7 +1,10 @@
 """Starts and stops the gateway daemon."""
 
+from __future__ import annotations
+
 import functools
 import gc
+import math
 import signal
 
 import trio
@@ -75,19 +78,26 @@
     with trio.open_signal_receiver(*handled) as signals:
         async with trio.open_nursery() as nursery:
             daemon = GatewayDaemon(settings)
-            await nursery.start(daemon.serve)
-            gc.freeze()
+            # Signals are handled while the daemon waits for its ports.
+            nursery.start_soon(_serve, daemon)
             async for signal_number in signals:
                 if signal_number != signal.SIGHUP:
                     break
                 reload(daemon.node, settings_path)
-            await daemon.stop()
+            if daemon.is_serving:
+                await daemon.stop()
             nursery.cancel_scope.cancel()
         await daemon.node.pools.aclose()
         await daemon.node.store.aclose()
     state_log.log_change("process", "finished", "stopped")
 
 
+async def _serve(daemon: GatewayDaemon) -> None:
+    async with trio.open_nursery() as nursery:
+        await nursery.start(daemon.serve)
+        gc.freeze()
+
+
 class GatewayDaemon:
     """Listeners and background tasks of the gateway daemon.
 
@@ -108,6 +118,7 @@
             max_body_bytes=self._max_body_bytes,
         )
         self._digest_exchange = digest_exchange.DigestExchange(node)
+        self._is_serving = False
         self._stop_caller_server = trio.Event()
         self._caller_server = caller_server.Server(
             self._app,
@@ -121,6 +132,11 @@
         """State shared by the components."""
         return self._node
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether all listeners are open."""
+        return self._is_serving
+
     @property
     def requests_in_flight(self) -> int:
         """Number of callers' requests being served."""
@@ -132,6 +148,9 @@
         trio.lowlevel.add_instrument(node.utilisation)
         settings = node.settings
         handlers = endpoints.Endpoints(node)
+        # Opened first: once the digests are sent, the look-ups of the other VMs name
+        # this one.
+        callers_listener = await self._caller_server.open(settings.callers)
         async with trio.open_nursery() as nursery:
             reader = store_reader.StoreReader(node)
             nursery.start_soon(reader.run)
@@ -140,11 +159,9 @@
             nursery.start_soon(node.lag.run)
             nursery.start_soon(node.pools.run_sweeps)
             await nursery.start(self._digest_exchange.run)
-            metrics_address = address.Address(settings.host, METRICS_PORT)
             for handler, local, local_reply in (
                 (handlers.serve_readiness, settings.readiness, None),
                 (handlers.serve_lookup, settings.lookups, handlers.local_lookup_reply),
-                (handlers.serve_metrics, metrics_address, None),
             ):
                 app = application.Application(handler, node.counters)
                 internal_server = caller_server.Server(
@@ -152,14 +169,25 @@
                 )
                 start = functools.partial(internal_server.run, local, trio.Event(), 0.0)
                 await nursery.start(start)
+            nursery.start_soon(self._serve_metrics, handlers)
             await nursery.start(
                 self._caller_server.run,
-                settings.callers,
+                callers_listener,
                 self._stop_caller_server,
                 settings.bounds.stop,
             )
+            self._is_serving = True
             task_status.started()
 
+    async def _serve_metrics(self, handlers: endpoints.Endpoints) -> None:
+        """Serve the metrics, as soon as their port is free."""
+        node = self._node
+        local = address.Address(node.settings.host, METRICS_PORT)
+        app = application.Application(handlers.serve_metrics, node.counters)
+        server = caller_server.Server(app, node.counters)
+        listening = await server.open(local, math.inf)
+        await server.run(listening, trio.Event(), 0.0)
+
     async def stop(self) -> None:
         """Leave the look-ups, serve late arrivals and finish the requests in flight."""
         node = self._node
--- a/src/rattanlug/gateway/table_server.py
+++ b/src/rattanlug/gateway/table_server.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from rattanlug.caller import listener
+from rattanlug.caller import listener, local_endpoint
 from rattanlug.daemon import clock
 from rattanlug.gateway import node as node_module
 from rattanlug.peer import error, framing
@@ -22,7 +22,9 @@
     of its region reconnects at the same time and gives up after a fraction of a second.
     """
     local = address.Address(node.settings.host, node.settings.peer_ports[0])
-    listening = listener.Listener(local, clock.now, node.counters)
+    listening = await local_endpoint.open_when_available(
+        lambda: listener.Listener(local, clock.now, node.counters), local
+    )
     try:
         async with trio.open_nursery() as nursery:
             task_status.started()
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -2,12 +2,14 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
 
 import pytest
 
+from rattanlug.gateway import run
 from trial.shared_platform import boot_file
 
 STOP = {"grace_s": 1}
@@ -81,6 +83,87 @@
     assert process.wait(10) == code, process.stderr.read()
 
 
+HOST, FIRST_PORT = "127.0.4.2", 9220
+
+
+def hold(port, kind=socket.SOCK_STREAM):
+    """Take a port of the daemon, as its previous process does until it ends."""
+    held = socket.socket(socket.AF_INET, kind)
+    held.bind((HOST, port))
+    if kind == socket.SOCK_STREAM:
+        held.listen()
+    return held
+
+
+def is_serving():
+    try:
+        socket.create_connection((HOST, FIRST_PORT), 1.0).close()
+    except OSError:
+        return False
+    return True
+
+
+def wait_until_serving():
+    end = time.monotonic() + 10
+    while not is_serving():
+        assert time.monotonic() < end, "the daemon does not accept connections"
+        time.sleep(0.02)
+
+
+def start_in_background(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds=STOP))
+    return subprocess.Popen(
+        [sys.executable, "-m", "rattanlug.gateway"],
+        env={**os.environ, "RATTANLUG_BOOT": str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+
+
+# Guards against a daemon that ends at its start because its previous process has not
+# ended yet, or because another program has one of its ports.
+@pytest.mark.parametrize(
+    ("offset", "kind"),
+    [
+        (boot_file.CALLERS, socket.SOCK_STREAM),
+        (boot_file.READINESS, socket.SOCK_STREAM),
+        (boot_file.PEERS, socket.SOCK_STREAM),
+        (boot_file.PEERS, socket.SOCK_DGRAM),
+    ],
+)
+def test_a_daemon_waits_for_its_ports(tmp_path, offset, kind):
+    with hold(FIRST_PORT + offset, kind):
+        process = start_in_background(tmp_path)
+        try:
+            while "unavailable" not in (line := process.stdout.readline()):
+                assert line, "the daemon ended"
+        except AssertionError:
+            process.kill()
+            raise
+    wait_until_serving()
+    process.terminate()
+    assert process.wait(10) == 0
+
+
+def test_a_daemon_that_waits_for_a_port_can_be_stopped(tmp_path):
+    with hold(FIRST_PORT):
+        process = start_in_background(tmp_path)
+        while "unavailable" not in (line := process.stdout.readline()):
+            assert line, "the daemon ended"
+        process.terminate()
+        assert process.wait(10) == 0
+
+
+def test_a_daemon_serves_while_another_program_has_its_metrics_port(tmp_path):
+    with hold(run.METRICS_PORT):
+        process = start_in_background(tmp_path)
+        wait_until_serving()
+        process.terminate()
+        assert process.wait(10) == 0
+
+
 @pytest.mark.parametrize("at", [0.2, 0.45, 0.7])
 def test_a_reload_during_a_shutdown_is_ignored(tmp_path, at):
     path = tmp_path / "local.toml"
