Accept a late settings file, and survive an invalid one at a reload

What was seen: the users' runs of real processes had processes that did not start or ended by themselves.

Cause: reading expected errors of the file system and of TOML syntax only. Values of wrong types raise ValueError, TypeError or IndexError. At the start, a file that was not complete yet was final.

Ruled out: SIGHUP with an empty file, which was logged and ignored before too.

Change: each value is checked and the error names it; bytes that cannot be parsed are an error like invalid syntax. At a reload, the error is logged and the settings stay. At the start, a file that is missing or invalid is read again for 5 s. An odd seed is logged and left out, as a VM can do without it.

--- a/src/rattanlug/gateway/__main__.py
+++ b/src/rattanlug/gateway/__main__.py
@@ -26,7 +26,7 @@
 
     try:
         path = boot_settings.path_from_environment()
-        settings = boot_settings.read(path)
+        settings = boot_settings.read_when_complete(path)
     except error.InvalidInputError as exc:
         print(exc.detail, file=sys.stderr)
         return 2
--- a/src/rattanlug/platform/boot_settings.py
+++ b/src/rattanlug/platform/boot_settings.py
@@ -1,6 +1,9 @@
 """Reads the settings file that the platform writes for each process."""
 
+import ipaddress
+import logging
 import os
+import time
 import tomllib
 from typing import Any
 
@@ -8,7 +11,13 @@
 from rattanlug.errors import error, kind
 from rattanlug.settings import address, gateway_settings, store_settings
 
+_LOG = logging.getLogger(__name__)
 PATH_VARIABLE = "RATTANLUG_BOOT"
+# The platform may write the file while the process starts.
+MAX_WAIT_SECONDS = 5.0
+_RETRY_SECONDS = 0.1
+# More than any setting's sensible value, and small enough to calculate with.
+_MAX_NUMBER = 1e12
 
 
 def path_from_environment() -> str:
@@ -47,13 +56,38 @@
     try:
         with open(path, "rb") as file:
             found = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as exc:
+    except (OSError, RecursionError, ValueError) as exc:
+        # Invalid TOML and bytes that are not UTF-8 raise a ValueError.
         raise error.InvalidInputError(
             kind.ErrorKind.SETTINGS_INVALID, f"{path}: {exc}"
         ) from exc
     return decode(found)
 
 
+def read_when_complete(path: str) -> gateway_settings.GatewaySettings:
+    """Read a settings file that may not be written yet.
+
+    Returns as soon as the file is valid; blocks for `MAX_WAIT_SECONDS` at most.
+
+    Raises
+    ------
+    error.InvalidInputError
+        When the file is still missing or invalid after that time.
+    """
+    give_up_at = time.monotonic() + MAX_WAIT_SECONDS
+    logged = ""
+    while True:
+        try:
+            return read(path)
+        except error.InvalidInputError as exc:
+            if time.monotonic() >= give_up_at:
+                raise
+            if exc.detail != logged:
+                logged = exc.detail
+                _LOG.warning("waiting for the settings file: %s", exc.detail)
+        time.sleep(_RETRY_SECONDS)
+
+
 def decode(found: dict[str, Any]) -> gateway_settings.GatewaySettings:
     """Convert the parsed settings file to settings.
 
@@ -64,25 +98,22 @@
     """
     listen = _field(found, "listen", dict)
     limits = _field(found, "limits", dict)
-    ports = _field(found, "internal_ports", list)
     return gateway_settings.GatewaySettings(
         vm=_field(found, "node_name", str),
-        host=_field(found, "ip", str),
+        host=_host(found),
         data_centre=_field(found, "zone", str),
         region=_field(found, "region", str),
-        region_of=dict(_field(found, "zones", dict)),
+        region_of=_regions(found),
         callers=_address(listen, "front"),
         readiness=_address(listen, "ready"),
         lookups=_address(listen, "directory"),
-        peer_ports=(int(ports[0]), int(ports[-1])),
-        seed_hosts=tuple(
-            str(each).rpartition(":")[0] for each in found.get("seeds", [])
-        ),
-        heartbeat=float(found.get("heartbeat_s", 1.5)),
-        memory_bytes=int(limits.get("memory_mb", 256)) << 20,
-        max_descriptors=int(limits.get("max_fds", 1024)),
-        processor_share=float(limits.get("cpu_share", 1.0)) * limits.get("cores", 1),
-        bounds=_bounds(found.get("bounds", {})),
+        peer_ports=_ports(found),
+        seed_hosts=_seed_hosts(found),
+        heartbeat=_number(found, "heartbeat_s", 1.5),
+        memory_bytes=int(_number(limits, "memory_mb", 256)) << 20,
+        max_descriptors=int(_number(limits, "max_fds", 1024)),
+        processor_share=_number(limits, "cpu_share", 1.0) * _number(limits, "cores", 1),
+        bounds=_bounds(_field(found, "bounds", dict) if "bounds" in found else {}),
         store=_store(_field(found, "platform", dict)),
     )
 
@@ -111,37 +142,81 @@
         "region_shift": "max_shift",
     }
     values = {
-        name: float(found.get(platform_name, getattr(defaults, name)))
+        name: _number(found, platform_name, getattr(defaults, name))
         for name, platform_name in platform_names.items()
     }
-    return bounds.Bounds(
-        **values, strict_withdrawal=bool(found.get("strict_revoke", True))
-    )
+    strict = _field(found, "strict_revoke", bool) if "strict_revoke" in found else True
+    return bounds.Bounds(**values, strict_withdrawal=strict)
 
 
 def _store(found: dict[str, Any]) -> store_settings.StoreSettings:
     return store_settings.StoreSettings(
         _address(found, "address"),
-        float(found.get("reads_per_s", 1000.0)),
-        float(found.get("writes_per_s", 100.0)),
+        _number(found, "reads_per_s", 1000.0),
+        _number(found, "writes_per_s", 100.0),
     )
 
 
 def _field(table: dict[str, Any], name: str, expected: type) -> Any:
     value = table.get(name)
     if not isinstance(value, expected):
-        raise error.InvalidInputError(
-            kind.ErrorKind.SETTINGS_INVALID,
-            f"settings: {name} is missing or not of type {expected.__name__}",
-        )
+        raise _invalid(f"{name} is missing or not of type {expected.__name__}")
     return value
 
 
+def _number(table: dict[str, Any], name: str, default: float) -> float:
+    """Return a finite number that is not negative, or the default if it is missing."""
+    value = table.get(name, default)
+    if (
+        isinstance(value, bool)
+        or not isinstance(value, int | float)
+        or not 0 <= value <= _MAX_NUMBER
+    ):
+        raise _invalid(f"{name} must be a number from 0 to {_MAX_NUMBER:g}")
+    return float(value)
+
+
+def _regions(found: dict[str, Any]) -> dict[str, str]:
+    regions = _field(found, "zones", dict)
+    return {name: _field(regions, name, str) for name in regions}
+
+
+def _ports(found: dict[str, Any]) -> tuple[int, int]:
+    ports = _field(found, "internal_ports", list)
+    if not ports or not all(
+        type(each) is int and 1 <= each <= address.MAX_PORT for each in ports
+    ):
+        raise _invalid(f"internal_ports must be ports from 1 to {address.MAX_PORT}")
+    return ports[0], ports[-1]
+
+
+def _seed_hosts(found: dict[str, Any]) -> tuple[str, ...]:
+    seeds = _field(found, "seeds", list) if "seeds" in found else []
+    hosts = []
+    for each in seeds:
+        try:
+            hosts.append(address.parse(str(each)).host)
+        except ValueError as exc:
+            # A VM can do without a seed.
+            _LOG.warning("ignoring the seed %r: %s", each, exc)
+    return tuple(hosts)
+
+
+def _host(found: dict[str, Any]) -> str:
+    try:
+        return str(ipaddress.ip_address(_field(found, "ip", str)))
+    except ValueError as exc:
+        raise _invalid(f"ip is not an IP address: {exc}") from exc
+
+
 def _address(table: dict[str, Any], name: str) -> address.Address:
-    host, _, port = _field(table, name, str).rpartition(":")
-    if not port.isdigit():
-        raise error.InvalidInputError(
-            kind.ErrorKind.SETTINGS_INVALID,
-            f"settings: {name} must be HOST:PORT with a numeric port",
-        )
-    return address.Address(host, int(port))
+    try:
+        return address.parse(_field(table, name, str))
+    except ValueError as exc:
+        raise _invalid(f"{name} must be HOST:PORT: {exc}") from exc
+
+
+def _invalid(detail: str) -> error.InvalidInputError:
+    return error.InvalidInputError(
+        kind.ErrorKind.SETTINGS_INVALID, f"settings: {detail}"
+    )
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -180,3 +180,44 @@
         process.send_signal(signal.SIGHUP)
         time.sleep(0.01 * at)
     assert process.wait(10) == 0
+
+
+# Guards against a daemon that ends because its settings are written while it starts.
+@pytest.mark.parametrize("first", [None, "", "node_name = "])
+def test_a_daemon_waits_for_its_settings(tmp_path, first):
+    path = tmp_path / "local.toml"
+    if first is not None:
+        path.write_text(first)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "rattanlug.gateway"],
+        env={**os.environ, "RATTANLUG_BOOT": str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    assert "waiting for the settings" in process.stdout.readline()
+    path.write_text(boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds=STOP))
+    wait_until_serving()
+    process.terminate()
+    assert process.wait(10) == 0
+
+
+# Guards against a reload that ends the daemon.
+def test_invalid_settings_at_a_reload_are_logged_and_ignored(tmp_path):
+    process = start_in_background(tmp_path)
+    wait_until_serving()
+    path = tmp_path / "local.toml"
+    text = path.read_text()
+    for data in (
+        b"\xff\xfe",
+        b"a = " + b"[" * 5000,
+        text.replace("revoke_s = 5", 'revoke_s = "x"').encode(),
+        b"",
+    ):
+        path.write_bytes(data)
+        process.send_signal(signal.SIGHUP)
+        while "rejected" not in (line := process.stdout.readline()):
+            assert line, "the daemon ended"
+    assert is_serving()
+    process.terminate()
+    assert process.wait(10) == 0
--- a/tests/platform/test_boot_settings.py
+++ b/tests/platform/test_boot_settings.py
@@ -47,3 +47,58 @@
 def test_the_error_names_a_missing_file(tmp_path):
     with pytest.raises(error.InvalidInputError, match=r"none\.toml"):
         boot_settings.read(str(tmp_path / "none.toml"))
+
+
+# Guards against a daemon that ends at its start or at a reload because of a value that
+# it does not expect.
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("ip",), "vm-1"),
+        (("ip",), 5),
+        (("zones", "north-b"), 5),
+        (("internal_ports",), []),
+        (("internal_ports",), ["x"]),
+        (("internal_ports",), [70000]),
+        (("internal_ports",), "9204"),
+        (("seeds",), 5),
+        (("heartbeat_s",), "soon"),
+        (("heartbeat_s",), float("nan")),
+        (("limits",), 5),
+        (("limits", "memory_mb"), float("inf")),
+        (("limits", "memory_mb"), "300"),
+        (("limits", "max_fds"), -1),
+        (("limits", "cores"), None),
+        (("listen", "front"), "127.0.0.1:²"),
+        (("listen", "front"), "127.0.0.1:70000"),
+        (("listen", "front"), "entry.example:80"),
+        (("platform", "address"), 5),
+        (("platform", "reads_per_s"), []),
+        (("bounds",), []),
+        (("bounds", "revoke_s"), "5x"),
+        (("bounds", "grace_s"), True),
+        (("bounds", "strict_revoke"), "false"),
+    ],
+    ids=str,
+)
+def test_the_error_names_a_value_that_is_invalid(path, value):
+    found = table()
+    target = found
+    for each in path[:-1]:
+        target = target[each]
+    target[path[-1]] = value
+    with pytest.raises(error.InvalidInputError, match=path[-1]):
+        boot_settings.decode(found)
+
+
+@pytest.mark.parametrize("data", [b"\xff\xfe", b"a = " + b"[" * 5000, b"a = 1e", b"a"])
+def test_a_file_that_cannot_be_parsed_is_invalid(tmp_path, data):
+    path = tmp_path / "local.toml"
+    path.write_bytes(data)
+    with pytest.raises(error.InvalidInputError, match=r"local\.toml"):
+        boot_settings.read(str(path))
+
+
+def test_an_odd_seed_is_ignored():
+    found = {**table(), "seeds": ["10.0.0.1:80", "vm.example:80", 5, ""]}
+    assert boot_settings.decode(found).seed_hosts == ("10.0.0.1",)
