Take no response without an identifier for the response to a later request

What callers saw: the users' runs of real processes had requests that ran after they had been refused with a promise (REFUSED).

Cause: a response without an identifier was taken for the response to the current request. Bytes that follow an earlier response, such as a rejection without an identifier, thus made a request that runs count as not executed: it was sent to another upstream, or its caller was told that it has not run.

Ruled out: the retry policy, which repeats such a request only after a statement that it has not run; responses with another identifier, which are dropped.

Change: on a connection that has carried a request before, a response without an identifier is dropped like one with another identifier, and without a length it breaks the connection with the outcome unknown. The first response on a new connection may lack it, as nothing can precede it, and so may interim responses.

--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -26,8 +26,10 @@
 class ResponseStream(httpcore.AsyncNetworkStream):
     """Drops responses to earlier requests and counts the bytes of the current one.
 
-    Some upstreams send a late duplicate of a response, where the response to the next
-    request is expected. The request identifier in each response tells them apart.
+    Some upstreams send a late duplicate of a response, or other bytes that look like a
+    response, where the response to the next request is expected. The request identifier
+    in each response tells them apart. The first response on a connection may lack it,
+    as nothing can precede that response.
     A broken upstream may send bytes without end, so everything before the body of the
     response is limited.
 
@@ -44,6 +46,7 @@
         self._inner = inner
         self._identifier_header = identifier_header
         self._expected = b""
+        self._requests = 0
         self._head = bytearray()
         self._in_head = True
         self._bytes_to_drop = 0
@@ -91,6 +94,7 @@
         """
         self._inner.set_deadline(deadline)
         self._expected = identifier
+        self._requests += 1
         self._check_send = check_send
         self._head.clear()
         self._in_head = True
@@ -192,13 +196,15 @@
     def _other_body_length(self, head: bytes) -> int | None:
         """Return the body length of a response to another request, else None.
 
-        A response to another request without ``Content-Length`` also gives None and is
-        passed on; ``PooledConnection`` rejects it by its identifier.
+        A response with the identifier of another request and without
+        ``Content-Length`` also gives None and is passed on; ``PooledConnection``
+        rejects it by its identifier.
 
         Raises
         ------
         httpcore.RemoteProtocolError
-            The length has too many digits.
+            The length has too many digits, or the response has neither an identifier
+            nor a length.
         """
         identifier, length = None, None
         for line in head.split(b"\r\n")[1:]:
@@ -211,6 +217,15 @@
             # Also checked for the current response: the HTTP library raises errors of
             # other types for numbers of thousands of digits.
             raise httpcore.RemoteProtocolError("the Content-Length is too large")
-        if identifier is None or identifier == self._expected:
+        has_length = length is not None and length.isdigit()
+        if identifier is None:
+            is_interim = head[_STATUS_AT : _STATUS_AT + 1] == _INFORMATIONAL
+            if self._requests == 1 or not self._expected or is_interim:
+                return None
+            if not has_length:
+                raise httpcore.RemoteProtocolError(
+                    "a response has no request identifier"
+                )
+        elif identifier == self._expected:
             return None
-        return int(length) if length is not None and length.isdigit() else None
+        return int(length) if has_length else None
--- /dev/null
+++ b/tests/upstream/test_unidentified_responses.py
@@ -0,0 +1,119 @@
+"""Responses without a request identifier, on new and on reused connections."""
+
+import functools
+
+import pytest
+import trio
+
+from rattanlug.errors import error, executed
+from rattanlug.metrics import counters
+from rattanlug.upstream import connection_pools, memory_budget
+from tests.upstream import test_endless_responses
+
+HOST, ID = test_endless_responses.HOST, test_endless_responses.ID
+NOT_EXECUTED = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+OK = b"HTTP/1.1 200 OK\r\n"
+INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
+
+
+def with_body(head, body, identifier=None):
+    lines = b"" if identifier is None else ID + b": " + identifier + b"\r\n"
+    return head + lines + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def send_twice(first, second, identifier=b"mine"):
+    """Send two requests to an upstream that responds with some bytes to each.
+
+    Returns the result of each request and the number of connections.
+    """
+
+    async def serve(connections, stream):
+        connections.append(stream)
+        async with stream:
+            for data in (first, second):
+                if not await stream.receive_some(65536):
+                    return
+                await stream.send_all(data)
+            await trio.sleep_forever()
+
+    async def main():
+        connections, results = [], []
+        pools = connection_pools.ConnectionPools(
+            HOST,
+            ID,
+            trio.current_time,
+            counters.Counters(),
+            memory_budget.MemoryBudget(1 << 28),
+        )
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(
+                functools.partial(
+                    trio.serve_tcp,
+                    functools.partial(serve, connections),
+                    0,
+                    host=HOST,
+                )
+            )
+            port = listeners[0].socket.getsockname()[1]
+            for _ in range(2):
+                try:
+                    found = await pools.send(
+                        HOST,
+                        port,
+                        functools.partial(test_endless_responses.build_request, port),
+                        identifier,
+                        1.0,
+                        trio.current_time() + 2.0,
+                        lambda: None,
+                    )
+                    results.append(found.answer)
+                except error.UpstreamError as exc:
+                    results.append(exc)
+            nursery.cancel_scope.cancel()
+        return results, len(connections)
+
+    return trio.run(main)
+
+
+# Guards against a stray response that is taken for the response to the next request: a
+# request that may run only once was repeated, or rejected as not executed, and ran.
+@pytest.mark.parametrize(
+    "stray",
+    [
+        with_body(NOT_EXECUTED, b""),
+        with_body(NOT_EXECUTED, b"busy"),
+        with_body(OK, b"ok"),
+        with_body(OK, b"ok") * 3,
+    ],
+)
+def test_a_response_without_an_identifier_is_dropped_on_a_reused_connection(stray):
+    own = with_body(OK, b"own", b"mine")
+    results, connections = send_twice(own, stray + own)
+    assert [each.body for each in results] == [b"own", b"own"]
+    assert connections == 1
+
+
+@pytest.mark.parametrize("head", [NOT_EXECUTED, OK])
+def test_without_a_length_it_leaves_open_whether_the_request_ran(head):
+    results, _ = send_twice(with_body(OK, b"own", b"mine"), head + b"\r\n")
+    assert results[0].body == b"own"
+    assert results[1].response.executed is executed.Executed.UNKNOWN
+
+
+def test_the_first_response_on_a_connection_needs_no_identifier():
+    results, _ = send_twice(
+        with_body(NOT_EXECUTED, b"busy"), with_body(OK, b"own", b"mine")
+    )
+    assert (results[0].status, results[1].body) == (503, b"own")
+
+
+def test_interim_responses_need_no_identifier():
+    own = with_body(OK, b"own", b"mine")
+    results, _ = send_twice(own, INTERIM + own)
+    assert [each.body for each in results] == [b"own", b"own"]
+
+
+def test_a_request_without_an_identifier_accepts_any_response():
+    own = with_body(OK, b"own")
+    results, _ = send_twice(own, own, identifier=b"")
+    assert [each.body for each in results] == [b"own", b"own"]
