Show that a stray rejection made a running order count as refused

The users' runs of real processes had requests that ran after they had been refused with a promise (REFUSED).

The stand-in of an upstream can send bytes before its response.

--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -385,3 +385,19 @@
         if getattr(each, "decision", {}).get("id") == request_id
     ]
     assert line["organisation"] == organisation
+
+
+# Guards against a request that is answered as not executed because of stray bytes of
+# its upstream, and is executed there.
+@caller.in_trio
+async def test_a_stray_rejection_does_not_stand_for_the_response():
+    async with open_vm("u1") as (deployment, vm):
+        assert (await caller.send(vm, "/claim/x", "POST", b"b"))[1].status == 200
+        deployment.upstreams["u1"].stray_bytes = (
+            b"HTTP/1.1 503 Service Unavailable\r\nRattanlug-Not-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        for _ in range(3):
+            request_id, response = await caller.send(vm, "/claim/x", "POST", b"b")
+            assert len(caller.executions(deployment, request_id)) == 1
+            assert response.status == 200
--- a/trial/http_server.py
+++ b/trial/http_server.py
@@ -60,12 +60,15 @@
         ``short`` sends half of the body, ``duplicate`` sends the response twice,
         ``close`` sends nothing; each closes the connection. ``stray`` sends the
         response twice and keeps the connection open.
+    before : bytes
+        Bytes that are sent before the response, as they are.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     fault: str = ""
+    before: bytes = b""
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -225,4 +228,4 @@
     data += connection.send(h11.EndOfMessage())
     if response.fault in ("duplicate", "stray"):
         data += data
-    await stream.send_all(data)
+    await stream.send_all(response.before + data)
--- a/trial/shared_platform/upstream.py
+++ b/trial/shared_platform/upstream.py
@@ -52,6 +52,8 @@
         self.shed_seconds = 0.0
         self.silent = False
         self.fault = ""
+        # Bytes that precede each response.
+        self.stray_bytes = b""
         self.cold_seconds = cold_seconds
         self.warm_seconds = warm_seconds
         self._limiter = trio.CapacityLimiter(slots)
@@ -98,7 +100,9 @@
             ("Content-Type", "application/octet-stream"),
         )
         body = f"{self.name} {request_id}".encode()
-        return http_server.Response(self.status, response_headers, body, self.fault)
+        return http_server.Response(
+            self.status, response_headers, body, self.fault, self.stray_bytes
+        )
 
     def _service_time(self, cookie: str) -> float:
         is_cached = cookie in self._cached_objects
