Do not close a connection as idle while its request is served

Change: a connection is not idle while the application serves a request of it. One with an incomplete head is closed as before.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -1,5 +1,6 @@
 """The ASGI application that hypercorn runs for callers and operators."""
 
+import contextlib
 import logging
 from collections.abc import Awaitable, Callable
 
@@ -78,10 +79,9 @@
         elif scope["type"] == "http":
             self._in_flight += 1
             stream = scope.get(caller_stream.SCOPE_KEY)
-            if stream is not None:
-                stream.note_request()
             try:
-                await self._serve_request(scope, receive, send)
+                with stream.serving() if stream else contextlib.nullcontext():
+                    await self._serve_request(scope, receive, send)
             finally:
                 self._in_flight -= 1
 
@@ -100,7 +100,8 @@
             _check_headers(incoming.headers)
             if len(incoming.body) > self._max_body_bytes():
                 raise _too_large(self._max_body_bytes())
-            response = await self._respond(incoming, stream)
+            with stream.serving():
+                response = await self._respond(incoming, stream)
         except error.RattanlugError as exc:
             response = self._close_if_stopping(self._from_error(exc))
         finally:
--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -1,7 +1,8 @@
 """Stream of the connection of one caller, read by the fast path or by hypercorn."""
 
+import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import trio
 
@@ -77,6 +78,8 @@
         # Whether bytes are being sent. The caller may receive a response, and send its
         # next request, before the call that sends the response returns.
         self._sending = False
+        # Whether the application is serving a request of this connection.
+        self._is_served = False
         self._last_used = trio.current_time()
         self._has_disconnected = False
         self._on_disconnect: Callable[[], None] | None = None
@@ -134,12 +137,15 @@
     def idle_seconds(self, now: float) -> float:
         """Return the seconds since bytes were last received or sent.
 
+        It is 0 while a request is being served, which may take longer than a caller may
+        be idle.
+
         Parameters
         ----------
         now : float
             Seconds on the clock of trio.
         """
-        return now - self._last_used
+        return 0.0 if self._is_served else now - self._last_used
 
     async def receive_request(self) -> bytes:
         """Receive the first bytes of a request; empty if the caller disconnected."""
@@ -215,14 +221,21 @@
             self._begin_request()
         return data
 
-    def note_request(self) -> None:
-        """Record that a request is being served.
+    @contextlib.contextmanager
+    def serving(self) -> Iterator[None]:
+        """Record that a request is being served until the context ends.
 
         Its bytes may have been received before the response to the previous request
         was sent.
         """
         if not self._in_request:
             self._begin_request()
+        self._is_served = True
+        try:
+            yield
+        finally:
+            self._is_served = False
+            self._last_used = trio.current_time()
 
     def _begin_request(self) -> None:
         # A shutdown closes the connections that are between requests; from now on it
--- a/tests/caller/test_fast_path.py
+++ b/tests/caller/test_fast_path.py
@@ -379,3 +379,34 @@
         head, _ = await read_response(stream)
         assert head.startswith(b"HTTP/1.1 200")
         assert b"connection: close" in head
+
+
+# Guards against requests that last longer than a caller may be idle: their connections
+# were closed as idle.
+@pytest.mark.parametrize("by_library", [False, True])
+@caller.in_trio
+async def test_a_long_request_is_not_idle(monkeypatch, by_library):
+    monkeypatch.setattr(server, "KEEP_ALIVE_SECONDS", 0.1)
+    monkeypatch.setattr(server, "SWEEP_SECONDS", 0.02)
+    async with serving() as served:
+        stream = await (connect_to_library if by_library else connect)(served)
+        served.hold_requests()
+        await stream.send_all(_PLAIN)
+        await served.entered.wait()
+        await trio.sleep(0.3)
+        served.release.set()
+        assert (await read_response(stream))[1] == b"GET /a b=1 "
+        # The connection is closed once it is idle.
+        with trio.fail_after(2.0):
+            assert await stream.receive_some(1) == b""
+
+
+@caller.in_trio
+async def test_a_connection_with_an_incomplete_head_is_closed_as_idle(monkeypatch):
+    monkeypatch.setattr(server, "KEEP_ALIVE_SECONDS", 0.1)
+    monkeypatch.setattr(server, "SWEEP_SECONDS", 0.02)
+    async with serving() as served:
+        stream = await connect(served)
+        await stream.send_all(_PLAIN[:10])
+        with trio.fail_after(2.0), contextlib.suppress(trio.BrokenResourceError):
+            assert await stream.receive_some(1) == b""
