Keep the count of a cold upstream while its registration is missing

Cause: the count of sent requests was removed with the registration and began anew when it returned; and a VM that is killed and started again knows nothing of what its previous process sent within the same second.

Ruled out: too few VMs counted and cold upstreams taken for warm ones.

Change: the counts are kept apart until their window is over, also for a new start under the same id. A VM sends nothing to cold upstreams for one window after its start.

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -306,7 +306,7 @@
 ) -> None:
     """Apply all registrations as of a version of the store."""
     if node.registry.apply(records, version, now):
-        node.placer.upstreams_changed()
+        node.placer.upstreams_changed(now)
         node.log.write("upstreams changed", now, count=node.registry.size, read=version)
     node.record_upstreams_read()
     versions: dict[str, set[str]] = {}
--- a/src/rattanlug/placement/cold_budget.py
+++ b/src/rattanlug/placement/cold_budget.py
@@ -20,6 +20,10 @@
     def __init__(self) -> None:
         self._sends: collections.deque[float] = collections.deque()
 
+    def is_unused(self, now: float) -> bool:
+        """Tell whether nothing was sent within the window."""
+        return not self._sends or self._sends[-1] <= now - WINDOW_SECONDS
+
     def allows(self, bound: float, vms: int, now: float) -> bool:
         """Tell whether one more request stays within this VM's share of the limit.
 
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -11,9 +11,9 @@
 latency; see `valuation`.
 """
 
+import math
 import random
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from typing import NamedTuple
 
 from rattanlug.desired import bounds, service
 from rattanlug.discovery import upstream_record, upstream_registry
@@ -63,11 +63,6 @@
 REMOTE_SAMPLE_SIZE = 2
 
 
-class _UpstreamState(NamedTuple):
-    load: upstream_load.UpstreamLoad
-    cold: cold_budget.ColdBudget
-
-
 class Placer:
     """Tracks the load of all upstreams and selects the upstream of each request.
 
@@ -84,6 +79,9 @@
         Takes the name of a data centre or region, or an empty string for all; returns
         the number of VMs there.
     rng : random.Random
+    started_at : float, optional
+        Time at which this VM started, on its monotonic clock, seconds. Its previous
+        process may have used up the limits of cold upstreams shortly before.
     """
 
     def __init__(
@@ -95,6 +93,7 @@
         all_bounds: bounds.Bounds,
         senders: Callable[[str], int],
         rng: random.Random,
+        started_at: float = -math.inf,
     ) -> None:
         self._data_centre = data_centre
         self._region = region
@@ -103,7 +102,11 @@
         self._bounds = all_bounds
         self._senders = senders
         self._rng = rng
-        self._upstreams: dict[str, tuple[int, _UpstreamState]] = {}
+        self._started_at = started_at
+        # Incarnation and load of each upstream, by id.
+        self._upstreams: dict[str, tuple[int, upstream_load.UpstreamLoad]] = {}
+        # Kept for upstreams whose registration is missing for a moment, too.
+        self._cold_budgets: dict[str, cold_budget.ColdBudget] = {}
         self._times: dict[str, service_times.ServiceTimes] = {}
         self._groups = candidate_groups.CandidateGroups(registry, region_of)
         self._home_selector = home_selector.HomeSelector(
@@ -132,21 +135,29 @@
             self._groups.evacuate(data_centres)
             self._home_selector.clear()
 
-    def upstreams_changed(self) -> None:
+    def upstreams_changed(self, now: float) -> None:
         """Clear caches and remove the state of upstreams that are gone."""
         self._groups.clear()
         self._home_selector.clear()
-        for upstream_id, (incarnation, state) in list(self._upstreams.items()):
+        for upstream_id, (incarnation, load) in list(self._upstreams.items()):
             record = self._registry.record(upstream_id)
             gone = record is None or record.incarnation != incarnation
-            if gone and not state.load.in_flight:
+            if gone and not load.in_flight:
                 del self._upstreams[upstream_id]
+        for upstream_id, budget in list(self._cold_budgets.items()):
+            if self._registry.record(upstream_id) is None and budget.is_unused(now):
+                del self._cold_budgets[upstream_id]
 
     def load(
         self, record: upstream_record.UpstreamRecord, now: float
     ) -> upstream_load.UpstreamLoad:
         """Return the load of an upstream."""
-        return self._state(record, now).load
+        entry = self._upstreams.get(record.id)
+        if entry is not None and entry[0] == record.incarnation:
+            return entry[1]
+        load = upstream_load.UpstreamLoad(record.slots, now)
+        self._upstreams[record.id] = (record.incarnation, load)
+        return load
 
     def times(
         self, route: str, target_latency: float, affinity: bool
@@ -181,7 +192,7 @@
         groups = self._groups.find(request)
         self._startup_load.update(
             self._with_regions(groups),
-            lambda record: self._state(record, now).load.in_flight,
+            lambda record: self.load(record, now).in_flight,
             lambda: max(0, self._count_senders(self._region, now) - 1),
             now,
         )
@@ -250,12 +261,12 @@
         self, record: upstream_record.UpstreamRecord, object_id: str | None, now: float
     ) -> int:
         """Record that a request is sent; return the token for `UpstreamLoad.end`."""
-        state = self._state(record, now)
-        state.cold.count(now)
+        load = self.load(record, now)
+        self._cold_budget(record).count(now)
         self._region_shift.count(self._region_of.get(record.data_centre, ""), now)
         if object_id is not None:
-            state.load.objects.touch(object_id)
-        return state.load.begin(now)
+            load.objects.touch(object_id)
+        return load.begin(now)
 
     def record_warm_hit(
         self, service_name: str, chosen: placement.Placement, hit: bool
@@ -263,16 +274,13 @@
         """Record whether the upstream had the object of a request cached."""
         self._warm_estimator.record(service_name, chosen.ground, hit)
 
-    def _state(
-        self, record: upstream_record.UpstreamRecord, now: float
-    ) -> _UpstreamState:
-        entry = self._upstreams.get(record.id)
-        if entry is not None and entry[0] == record.incarnation:
-            return entry[1]
-        load = upstream_load.UpstreamLoad(record.slots, now)
-        state = _UpstreamState(load, cold_budget.ColdBudget())
-        self._upstreams[record.id] = (record.incarnation, state)
-        return state
+    def _cold_budget(
+        self, record: upstream_record.UpstreamRecord
+    ) -> cold_budget.ColdBudget:
+        budget = self._cold_budgets.get(record.id)
+        if budget is None:
+            budget = self._cold_budgets[record.id] = cold_budget.ColdBudget()
+        return budget
 
     def _candidates(
         self,
@@ -292,7 +300,7 @@
         likely_cached = [
             each
             for each in group
-            if each.id == home or object_id in self._state(each, now).load.objects
+            if each.id == home or object_id in self.load(each, now).objects
         ]
         return likely_cached + [each for each in sample if each not in likely_cached]
 
@@ -307,13 +315,12 @@
         now: float,
     ) -> placement.Placement | None:
         """Return an upstream with its value, or None if it can't take a request."""
-        state = self._state(record, now)
-        load = state.load
+        load = self.load(record, now)
         region = self._region_of.get(record.data_centre, "")
         busy = load.busy(now, self._startup_load.unreported(region))
         if busy >= FULL_RATIO * record.slots or load.is_paused(now):
             return None
-        if not self._cold_budget_allows(record, state, now):
+        if not self._cold_budget_allows(record, now):
             return None
         slowdown = load.slowdown(now)
         delay = self._round_trips.estimate(record.data_centre)
@@ -384,7 +391,7 @@
         )
 
     def _cold_budget_allows(
-        self, record: upstream_record.UpstreamRecord, state: _UpstreamState, now: float
+        self, record: upstream_record.UpstreamRecord, now: float
     ) -> bool:
         """Tell whether an upstream's warm-up permits one more request.
 
@@ -396,13 +403,17 @@
         settings = self._services.get(record.service)
         if settings is None or settings.warmup_rate <= 0.0:
             return True
+        if now < self._started_at + cold_budget.WINDOW_SECONDS:
+            return False
         senders = self._senders(record.data_centre)
         if record.data_centre != self._data_centre and senders > 0:
             return False
         bound = (
             settings.warmup_rate * self._bounds.cold_factor + self._bounds.cold_slack
         )
-        return state.cold.allows(bound, senders or self._senders(""), now)
+        return self._cold_budget(record).allows(
+            bound, senders or self._senders(""), now
+        )
 
 
 def _queueing_delay(
--- a/tests/placement/test_bounds.py
+++ b/tests/placement/test_bounds.py
@@ -24,7 +24,7 @@
     return request._replace(**changes)
 
 
-def build(records, senders=2, data_centre="d1"):
+def build(records, senders=2, data_centre="d1", **options):
     registry = upstream_registry.UpstreamRegistry()
     registry.apply(records, 1, 0.0)
     regions = {"d1": "r1", "d2": "r1", "d3": "r2"}
@@ -36,6 +36,7 @@
         BOUNDS,
         lambda name: senders,
         random.Random(1),
+        **options,
     )
     built.configure({"s": service.Service("s", 100, 3.0, 7.4)})
     return built
@@ -78,6 +79,51 @@
         assert sum(at - 1.0 < each <= at for each in sent) <= bound
 
 
+def send_all_that_are_allowed(chooser, now):
+    """Send requests until the placer rejects one; return how many were sent."""
+    times = chooser.times("r", 0.4, True)
+    count = 0
+    while (chosen := chooser.choose(make_request(), times, now)) is not None:
+        token = chooser.begin(chosen.record, "o", now)
+        chooser.load(chosen.record, now).end(token)
+        count += 1
+    return count
+
+
+# Guards against a cold upstream that gets its limit once more each time when its
+# registration is missing for a moment, or when it restarts under the same id.
+@pytest.mark.parametrize("incarnation", [1, 2])
+def test_a_registration_that_returns_does_not_renew_the_limit(incarnation):
+    chooser = build([record("u1", cold=10.0)])
+    first = send_all_that_are_allowed(chooser, 1.0)
+    assert first > 0
+    chooser._registry.apply([], 2, 1.1)
+    chooser.upstreams_changed(1.1)
+    returned = record("u1", cold=10.0, sequence=2)._replace(incarnation=incarnation)
+    chooser._registry.apply([returned], 3, 1.2)
+    chooser.upstreams_changed(1.2)
+    assert send_all_that_are_allowed(chooser, 1.3) == 0
+    later = 1.0 + cold_budget.WINDOW_SECONDS + 0.01
+    assert send_all_that_are_allowed(chooser, later) == first
+
+
+def test_budgets_of_upstreams_that_are_gone_are_removed():
+    chooser = build([record("u1", cold=10.0)])
+    send_all_that_are_allowed(chooser, 1.0)
+    chooser._registry.apply([], 2, 1.1)
+    for now in (1.1, 3.0):
+        chooser.upstreams_changed(now)
+    assert chooser._cold_budgets == {}
+
+
+# Guards against a VM whose new process sends its whole share again within the second in
+# which its previous process was killed.
+def test_a_vm_that_has_just_started_sends_nothing_to_cold_upstreams():
+    chooser = build([record("u1", cold=10.0)], started_at=5.0)
+    assert send_all_that_are_allowed(chooser, 5.5) == 0
+    assert send_all_that_are_allowed(chooser, 5.0 + cold_budget.WINDOW_SECONDS) > 0
+
+
 def test_a_cold_upstream_gets_no_requests_from_vms_of_other_data_centres():
     chooser = build([record("u1", "d2", cold=10.0)])
     assert chooser.choose(make_request(), chooser.times("r", 0.4, True), 0.0) is None
@@ -130,6 +176,6 @@
     for index in range(200):
         send(index, index * 0.05)
     chooser._registry.apply([record(f"u{n}") for n in range(4)], 2, 10.0)
-    chooser.upstreams_changed()
+    chooser.upstreams_changed(10.0)
     targets = [send(index, 10.0 + index * 0.05) for index in range(40)]
     assert "u3" in targets[:5]
