Limit the memory of small response bodies together

Reported by another operator: an upstream sent bytes without end, and a machine kept them all and ran out of memory.

Cause of what remained: a body of up to 256 KiB was kept even if the budget for all bodies was used up, so that many such bodies had no limit but the number of connections: 512 MB for 2,048.

Change: small bodies may use twice the budget, a quarter of the VM's memory, and fail beyond that like large ones.

Test: test_many_small_endless_bodies_never_exceed_the_memory; before, nothing limits them.

--- a/src/rattanlug/upstream/memory_budget.py
+++ b/src/rattanlug/upstream/memory_budget.py
@@ -6,6 +6,9 @@
 # A body up to this size is received even if the budget is used up, so that a few large
 # bodies don't make the usual small ones fail.
 SMALL_BODY_BYTES = 256 * 1024
+# Share of the VM's memory beyond which small bodies fail too: upstreams that send
+# without end make many bodies that are still small at the same time.
+MAX_MEMORY_SHARE = 0.25
 
 
 class MemoryBudget:
@@ -19,6 +22,7 @@
 
     def __init__(self, memory_bytes: int) -> None:
         self._limit = int(MEMORY_SHARE * memory_bytes)
+        self._max_limit = int(MAX_MEMORY_SHARE * memory_bytes)
         self._reserved = 0
 
     @property
@@ -39,7 +43,8 @@
             Number of bytes of the body so far, including these.
         """
         self._reserved += size
-        return body_bytes <= SMALL_BODY_BYTES or self._reserved <= self._limit
+        is_small = body_bytes <= SMALL_BODY_BYTES
+        return self._reserved <= (self._max_limit if is_small else self._limit)
 
     def release(self, size: int) -> None:
         """Release the bytes of a body that is finished or abandoned."""
--- a/tests/upstream/test_endless_responses.py
+++ b/tests/upstream/test_endless_responses.py
@@ -135,6 +135,29 @@
     assert sent <= MEMORY + 6 * BUFFERED
 
 
+# Guards against many bodies, each of them small, that exceed the memory together.
+def test_many_small_endless_bodies_never_exceed_the_memory():
+    memory = memory_budget.MemoryBudget(64 * MEBIBYTE)
+    kept = 0
+    for _ in range(1000):
+        size = memory_budget.SMALL_BODY_BYTES
+        if memory.reserve(size, size):
+            kept += size
+        else:
+            memory.release(size)
+    assert kept == memory.reserved
+    assert kept <= memory_budget.MAX_MEMORY_SHARE * 64 * MEBIBYTE
+
+
+def test_small_bodies_are_kept_beside_large_ones():
+    memory = memory_budget.MemoryBudget(64 * MEBIBYTE)
+    large = int(MEMORY)
+    assert memory.reserve(large, large)
+    assert not memory.reserve(MEBIBYTE, large + MEBIBYTE)
+    size = memory_budget.SMALL_BODY_BYTES
+    assert memory.reserve(size, size)
+
+
 def test_endless_bytes_after_a_response_close_the_connection():
     results, _ = exchange(OWN + b"Content-Length: 2\r\n\r\nab", b"x")
     assert [each.answer.body for each in results] == [b"ab"]
