Start the daemon of the signal tests with the default action for SIGHUP

Change: the daemon is started with the default action for SIGHUP, so that only its own handler ends the wait. A comment in caller_stream.py is worded more plainly.

--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -258,7 +258,7 @@
         if not data:
             return
         if not data.startswith(_INFORMATIONAL):
-            # Ends before the bytes leave: the next request may be received, and begin,
+            # The request ends before the bytes leave, since the next one may begin
             # while they are being sent.
             self._in_request = _CLOSE in data[: data.find(_HEAD_END)].lower()
         await self._send_with_timeout(data)
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -73,6 +73,8 @@
         env={**os.environ, "RATTANLUG_BOOT": str(path)},
         stdout=subprocess.DEVNULL,
         stderr=subprocess.PIPE,
+        # Otherwise an ignored SIGHUP, as under nohup, looks like the daemon's own.
+        preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_DFL),
     )
     # The interpreter takes some time to start before the daemon's code runs.
     wait_for_signal_handlers(process)
