Send the pipelined request of an age test after the server waits for it

The test was listed as red: the arrival of the pipelined request was up to 1.8 ms before it was sent. Bytes that are there when the server first reads ahead have no later lower bound than the response before, and the test could send before that first read.

Change: the test waits until the server's tasks are blocked before it sends.

--- a/tests/caller/test_fast_path.py
+++ b/tests/caller/test_fast_path.py
@@ -189,6 +189,9 @@
         served.hold_requests()
         await stream.send_all(_PLAIN)
         await served.entered.wait()
+        # Bytes that are there when the server first looks for them have no later bound
+        # than the response before.
+        await trio.testing.wait_all_tasks_blocked()
         sent_at = clock.now()
         await stream.send_all(_WITH_BODY)
         await trio.sleep(0.1)
