Wait for the settings file outside the platform's adapter

The adapter translates and decides nothing, so the wait for a file that is not complete moves to gateway/settings_file.py. The command rattanlug gateway uses it too; it ended at once before.

--- a/src/rattanlug/commands/gateway.py
+++ b/src/rattanlug/commands/gateway.py
@@ -5,6 +5,7 @@
 import cappa
 
 from rattanlug.commands import registry
+from rattanlug.gateway import settings_file
 from rattanlug.logs import setup
 from rattanlug.platform import boot_settings
 
@@ -33,7 +34,7 @@
     def __call__(self) -> int | None:
         """Check the settings, then run until stopped."""
         path = self.settings or boot_settings.path_from_environment()
-        loaded = boot_settings.read(path)
+        loaded = settings_file.read_when_complete(path)
         setup.configure(self.log_level, loaded.vm, to_standard_output=True)
         # Imported here so that the other commands don't load the daemon.
         from rattanlug.gateway import run
--- a/src/rattanlug/gateway/__main__.py
+++ b/src/rattanlug/gateway/__main__.py
@@ -20,13 +20,13 @@
     import_patches.disable_find_library()
     # Imported after the call above, because these modules import trio.
     from rattanlug.errors import error
-    from rattanlug.gateway import run
+    from rattanlug.gateway import run, settings_file
     from rattanlug.logs import setup
     from rattanlug.platform import boot_settings
 
     try:
         path = boot_settings.path_from_environment()
-        settings = boot_settings.read_when_complete(path)
+        settings = settings_file.read_when_complete(path)
     except error.InvalidInputError as exc:
         print(exc.detail, file=sys.stderr)
         return 2
--- a/src/rattanlug/platform/boot_settings.py
+++ b/src/rattanlug/platform/boot_settings.py
@@ -3,7 +3,6 @@
 import ipaddress
 import logging
 import os
-import time
 import tomllib
 from typing import Any
 
@@ -13,9 +12,6 @@
 
 _LOG = logging.getLogger(__name__)
 PATH_VARIABLE = "RATTANLUG_BOOT"
-# The platform may write the file while the process starts.
-MAX_WAIT_SECONDS = 5.0
-_RETRY_SECONDS = 0.1
 # More than any setting's sensible value, and small enough to calculate with.
 _MAX_NUMBER = 1e12
 
@@ -64,30 +60,6 @@
     return decode(found)
 
 
-def read_when_complete(path: str) -> gateway_settings.GatewaySettings:
-    """Read a settings file that may not be written yet.
-
-    Returns as soon as the file is valid; blocks for `MAX_WAIT_SECONDS` at most.
-
-    Raises
-    ------
-    error.InvalidInputError
-        When the file is still missing or invalid after that time.
-    """
-    give_up_at = time.monotonic() + MAX_WAIT_SECONDS
-    logged = ""
-    while True:
-        try:
-            return read(path)
-        except error.InvalidInputError as exc:
-            if time.monotonic() >= give_up_at:
-                raise
-            if exc.detail != logged:
-                logged = exc.detail
-                _LOG.warning("waiting for the settings file: %s", exc.detail)
-        time.sleep(_RETRY_SECONDS)
-
-
 def decode(found: dict[str, Any]) -> gateway_settings.GatewaySettings:
     """Convert the parsed settings file to settings.
 
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -85,7 +85,8 @@
     assert process.wait(10) == code, process.stderr.read()
 
 
-HOST, FIRST_PORT = "127.0.4.2", 9220
+# Test runs at the same time have addresses of their own.
+HOST, FIRST_PORT = f"127.5.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}", 9220
 
 
 def hold(port, kind=socket.SOCK_STREAM):
