Open the port for callers after the one for other VMs

What callers would see: a process that is started while its predecessor still finishes its requests opened the port for callers as soon as the predecessor stopped listening, and then waited for the port for other VMs until the predecessor had ended. Callers connected meanwhile and got no answer; a refused connection would have sent them to another VM at once.

Cause: opened the port for callers before all others, for the sake of the look-ups of other VMs.

Change: it is opened after the port for other VMs, which the predecessor releases last, and before the first digest, after which look-ups name this VM.

Measured: test_callers_are_refused_while_the_port_for_other_vms_is_missing fails before and passes now.

--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -148,14 +148,15 @@
         trio.lowlevel.add_instrument(node.utilisation)
         settings = node.settings
         handlers = endpoints.Endpoints(node)
-        # Opened first: once the digests are sent, the look-ups of the other VMs name
-        # this one.
-        callers_listener = await self._caller_server.open(settings.callers)
         async with trio.open_nursery() as nursery:
             reader = store_reader.StoreReader(node)
             nursery.start_soon(reader.run)
             nursery.start_soon(rollouts.run, node, reader)
             await nursery.start(table_server.run, node)
+            # Opened after the port for other VMs, which the previous process releases
+            # last, since callers would wait meanwhile; and before the first digest,
+            # after which the look-ups of other VMs name this one.
+            callers_listener = await self._caller_server.open(settings.callers)
             nursery.start_soon(node.lag.run)
             nursery.start_soon(node.pools.run_sweeps)
             await nursery.start(self._digest_exchange.run)
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -150,6 +150,20 @@
     assert process.wait(10) == 0
 
 
+# Guards against callers that wait for a VM which cannot serve them yet: after a refused
+# connection, they try another VM at once.
+def test_callers_are_refused_while_the_port_for_other_vms_is_missing(tmp_path):
+    with hold(FIRST_PORT + boot_file.PEERS):
+        process = start_in_background(tmp_path)
+        while "unavailable" not in (line := process.stdout.readline()):
+            assert line, "the daemon ended"
+        time.sleep(0.3)
+        assert not is_serving()
+    wait_until_serving()
+    process.terminate()
+    assert process.wait(10) == 0
+
+
 def test_a_daemon_that_waits_for_a_port_can_be_stopped(tmp_path):
     with hold(FIRST_PORT):
         process = start_in_background(tmp_path)
