Replace the built package file by file, only where it has changed

Cause: the line removed the package and copied it again, also if nothing had changed. Libraries copied from another kind of machine were kept as well, since only the age of a stamp was compared.

Ruled out: the libraries, which weren't installed again; every module named was one of the package.

Change: deploy/build.py replaces changed files in one step each, under a lock, and installs the libraries again for another machine, Python or requirements.

Tests: tests/deploy/test_build.py; with the earlier line the first test finds modules missing during a second build.

--- /dev/null
+++ b/deploy/build.py
@@ -0,0 +1,92 @@
+"""Builds the daemon into ``target/deps``: its libraries and the package itself.
+
+Daemons may start while this runs, for instance those of another deployment that uses
+the same checkout. So no file of the package is ever missing or incomplete: each one is
+replaced in one step, and only if it has changed.
+"""
+
+import compileall
+import fcntl
+import filecmp
+import os
+import pathlib
+import platform
+import shutil
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PACKAGE = "rattanlug"
+_CACHE = "__pycache__"
+
+
+def sync(source: pathlib.Path, target: pathlib.Path) -> None:
+    """Make a directory equal to another one, file by file.
+
+    Parameters
+    ----------
+    source, target : pathlib.Path
+        Directories; ``target`` is created if it doesn't exist. Compiled files in it are
+        kept.
+
+    Raises
+    ------
+    OSError
+    """
+    target.mkdir(parents=True, exist_ok=True)
+    wanted = {each.name for each in source.iterdir() if each.name != _CACHE}
+    for name in sorted(wanted):
+        if (source / name).is_dir():
+            sync(source / name, target / name)
+        else:
+            _replace(source / name, target / name)
+    for each in target.iterdir():
+        if each.name in wanted or each.name == _CACHE:
+            continue
+        if each.is_dir():
+            shutil.rmtree(each)
+        else:
+            each.unlink()
+
+
+def _replace(source: pathlib.Path, target: pathlib.Path) -> None:
+    if target.is_file() and filecmp.cmp(source, target, shallow=False):
+        return
+    incomplete = target.with_name(f".{target.name}.new")
+    shutil.copyfile(source, incomplete)
+    os.replace(incomplete, target)
+
+
+def install_libraries(requirements: pathlib.Path, target: pathlib.Path) -> None:
+    """Install the libraries, unless they are there already.
+
+    Libraries of another kind of machine or Python, in a directory that was copied, are
+    installed anew.
+
+    Raises
+    ------
+    subprocess.CalledProcessError
+    """
+    built = target / ".built"
+    wanted = f"{platform.machine()} {sys.version}\n{requirements.read_text()}"
+    if built.is_file() and built.read_text() == wanted:
+        return
+    command = [sys.executable, "-m", "pip", "install", "-q", "-U"]
+    command += ["--target", str(target), "-r", str(requirements)]
+    subprocess.run(command, check=True)
+    built.write_text(wanted)
+
+
+def main() -> None:
+    """Build; wait while another build of this checkout is running."""
+    target = ROOT / "target" / "deps"
+    target.mkdir(parents=True, exist_ok=True)
+    with (target.parent / "build.lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        install_libraries(ROOT / "deploy" / "requirements.txt", target)
+        sync(ROOT / "src" / PACKAGE, target / PACKAGE)
+        compileall.compile_dir(str(target / PACKAGE), quiet=1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/deploy/test_build.py
@@ -0,0 +1,109 @@
+"""Tests of the build, which daemons may run beside."""
+
+import importlib.util
+import pathlib
+import shutil
+import subprocess
+import tomllib
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parents[2]
+
+
+@pytest.fixture
+def build():
+    spec = importlib.util.spec_from_file_location("build", ROOT / "deploy" / "build.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+@pytest.fixture
+def tree(tmp_path):
+    source = tmp_path / "source"
+    (source / "inner").mkdir(parents=True)
+    (source / "kept.py").write_text("A = 1\n")
+    (source / "inner" / "changed.py").write_text("B = 1\n")
+    (source / "inner" / "removed.py").write_text("C = 1\n")
+    return source
+
+
+# Guards against daemons that fail to import the package while it is built again.
+def test_a_daemon_can_start_while_the_package_is_built_again(tmp_path):
+    checkout = tmp_path / "checkout"
+    for name in ("deploy", "src"):
+        shutil.copytree(
+            ROOT / name,
+            checkout / name,
+            ignore=shutil.ignore_patterns("__pycache__", "*.egg-info"),
+        )
+    (checkout / "deploy" / "requirements.txt").write_text("")
+    command = tomllib.loads((checkout / "deploy" / "system.toml").read_text())["build"]
+    subprocess.run(command, shell=True, cwd=checkout, check=True)
+    package = checkout / "target" / "deps" / "rattanlug"
+    files = sorted(package.rglob("*.py"))
+    before = [each.stat().st_ino for each in files]
+
+    again = subprocess.Popen(command, shell=True, cwd=checkout)
+    missing = set()
+    while again.poll() is None:
+        missing.update(each.name for each in files if not each.exists())
+
+    assert again.returncode == 0
+    assert missing == set()
+    assert [each.stat().st_ino for each in files] == before
+
+
+def test_sync_replaces_changed_files_and_removes_old_ones(build, tree, tmp_path):
+    target = tmp_path / "target"
+    build.sync(tree, target)
+    (tree / "inner" / "changed.py").write_text("B = 2\n")
+    (tree / "inner" / "removed.py").unlink()
+    (tree / "added.py").write_text("D = 1\n")
+
+    build.sync(tree, target)
+
+    found = {
+        str(each.relative_to(target)): each.read_text()
+        for each in target.rglob("*")
+        if each.is_file()
+    }
+    assert found == {
+        "kept.py": "A = 1\n",
+        "inner/changed.py": "B = 2\n",
+        "added.py": "D = 1\n",
+    }
+
+
+def test_sync_never_shows_an_incomplete_file(build, tree, tmp_path, monkeypatch):
+    target = tmp_path / "target"
+    build.sync(tree, target)
+    (tree / "inner" / "changed.py").write_text("B = 2\n")
+    seen = []
+    copy = build.shutil.copyfile
+
+    def copy_and_look(source, destination):
+        copy(source, destination)
+        seen.append((target / "inner" / "changed.py").read_text())
+
+    monkeypatch.setattr(build.shutil, "copyfile", copy_and_look)
+    build.sync(tree, target)
+
+    assert seen == ["B = 1\n"]
+
+
+def test_libraries_of_another_machine_are_installed_anew(build, tmp_path, monkeypatch):
+    requirements = tmp_path / "requirements.txt"
+    requirements.write_text("some-library\n")
+    commands = []
+    monkeypatch.setattr(
+        build.subprocess, "run", lambda command, check: commands.append(command)
+    )
+    build.install_libraries(requirements, tmp_path)
+    build.install_libraries(requirements, tmp_path)
+    assert len(commands) == 1
+
+    monkeypatch.setattr(build.platform, "machine", lambda: "another")
+    build.install_libraries(requirements, tmp_path)
+    assert len(commands) == 2
