Survive every error of accept

What callers saw: the users' runs had daemons that ended by themselves (FAULT). That they met this cause is suspected. Two daemons in one process, with one accept in three failing: EINVAL, EOPNOTSUPP, ENOSR, EACCES, ECONNRESET and EIO each ended a daemon at once.

Cause: the listener raised each error outside two known sets, and its task is in the nursery of the daemon.

Ruled out: recv, send, sendto, connect and bind, with nineteen errors each; no daemon ended, and all served afterwards.

Change: an error that isn't the peer's is counted by its name, logged when it begins and ends, and followed by a pause.

Tests: tests/caller/test_listener.py has accept fail with each error number; 112 of its cases fail before. The same injection on the change: no daemon ended with 126 errors at accept, and all served afterwards.

--- a/src/rattanlug/caller/listener.py
+++ b/src/rattanlug/caller/listener.py
@@ -7,14 +7,15 @@
 
 import trio
 
+from rattanlug.logs import state_log
 from rattanlug.metrics import counters
 from rattanlug.settings import address
 
 # Length of the kernel's accept queue.
 BACKLOG = 1024
-# Delay before the next accept when descriptors or memory are exhausted.
+# Delay before the next accept after an error that may last, such as exhausted
+# descriptors or memory.
 PAUSE_SECONDS = 0.1
-_RESOURCE_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
 # The caller disconnected, or its network failed, before the connection was accepted.
 _PEER_ERRORS = frozenset(
     {
@@ -74,11 +75,14 @@
             (local.host, local.port), family=family, backlog=BACKLOG
         )
         self._socket.setblocking(False)
+        self._target = f"{local.host}:{local.port}"
         self._earliest_ready_at = earliest_ready_at
         self._counters = all_counters
         # The accept queue was empty before this time.
         self._earliest_opened_at = earliest_ready_at()
         self._accepted_count = 0
+        # Name of the error of the last accept, None if it succeeded.
+        self._error: str | None = None
 
     @property
     def socket(self) -> socket.socket:
@@ -104,6 +108,7 @@
             except OSError as exc:
                 await self._handle_error(exc)
                 continue
+            self._record_outcome(None)
             stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
             return AcceptedConnection(stream, raw, self._earliest_opened_at)
 
@@ -115,8 +120,17 @@
     async def _handle_error(self, exc: OSError) -> None:
         if exc.errno in _PEER_ERRORS:
             self._counters.add("connections_broken")
-        elif exc.errno in _RESOURCE_ERRORS:
-            self._counters.add("connections_refused")
-            await trio.sleep(PAUSE_SECONDS)
-        else:
-            raise exc
+            return
+        # The process must not end because of one listener, whatever the error: the
+        # next connection may be accepted again.
+        name = errno.errorcode.get(exc.errno, str(exc.errno))
+        self._counters.add("connections_refused")
+        self._counters.add("accept_errors", error=name)
+        self._record_outcome(name)
+        await trio.sleep(PAUSE_SECONDS)
+
+    def _record_outcome(self, error: str | None) -> None:
+        """Record the outcome of an accept, and log a change."""
+        if error != self._error:
+            state_log.log_change("accept", self._error, error, address=self._target)
+            self._error = error
--- a/tests/caller/test_listener.py
+++ b/tests/caller/test_listener.py
@@ -1,14 +1,20 @@
 """Tests of the listening socket for callers."""
 
+import errno
+import os
 import socket
 
+import pytest
 import trio
+import trio.testing
 
 from rattanlug.caller import listener
 from rattanlug.metrics import counters
 from rattanlug.settings import address
 
 HOST = "127.0.0.1"
+# Python raises BlockingIOError for these, or calls again.
+WAITING = {errno.EAGAIN, errno.EALREADY, errno.EINPROGRESS, errno.EINTR}
 
 
 def peer(accepted):
@@ -85,3 +91,49 @@
         tested.close()
 
     trio.run(main)
+
+
+class FailingAccept:
+    """Fails with one error a number of times, then accepts."""
+
+    def __init__(self, number, failures):
+        self.failures = failures
+        self._number = number
+        self._accept = socket.socket.accept
+
+    def __call__(self, sock):
+        if self.failures:
+            self.failures -= 1
+            raise OSError(self._number, os.strerror(self._number))
+        return self._accept(sock)
+
+
+# Guards against an error of the operating system that ends the process: an error that
+# escapes from a listener ends every task of the daemon.
+@pytest.mark.parametrize(
+    "number",
+    sorted(errno.errorcode.keys() - WAITING),
+    ids=lambda number: errno.errorcode[number],
+)
+def test_no_error_of_accept_ends_the_listener(monkeypatch, number):
+    async def main():
+        all_counters = counters.Counters()
+        tested = listener.Listener(address.Address(HOST, 0), lambda: 0.0, all_counters)
+        failing = FailingAccept(number, 3)
+        monkeypatch.setattr(
+            socket.socket, "accept", lambda sock: failing(sock), raising=False
+        )
+        caller = socket.create_connection((HOST, tested.socket.getsockname()[1]))
+        accepted = await tested.accept()
+        assert peer(accepted) == caller.getsockname()
+        assert not failing.failures
+        counted = {name: value for name, _, value in all_counters.items()}
+        assert 3 in (
+            counted.get("connections_broken"),
+            counted.get("connections_refused"),
+        )
+        await trio.aclose_forcefully(accepted.stream)
+        caller.close()
+        tested.close()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
