Send a request identifier once on a connection to an upstream

A caller that repeats an identifier after a refusal would be told that its request was not executed (503), or the request would run at a second upstream too, when the upstream writes the earlier refusal once more on the kept connection and executes the request (REFUSED, TWICE).

Cause: the pools of the gateway tell responses apart by their identifier only, and sent requests with the same identifier, or with none, on the same connection.

Change: a connection remembers the identifiers it carried, 1,024 at most, and is closed instead of carrying one a second time. A request without an identifier has a connection of its own.

test_a_connection_carries_an_identifier_once failed before for a refusal and for a 200: [b'earlier', b'earlier'] instead of [b'earlier', b'own']; test_a_request_without_an_identifier_accepts_any_response, which now also checks that there are two connections, failed with 1.

--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -112,7 +112,8 @@
         build_request : callable
             Called when a connection is available; it may raise to send nothing.
         identifier : bytes
-            Value of the identifier header.
+            Value of the identifier header. A connection carries each value once, and no
+            second request if it is empty.
         connect_timeout_seconds : float
         deadline : float
             Latest time for the complete response, seconds on the clock of the pools.
@@ -126,7 +127,7 @@
         error.RefusedError
             Raised by `build_request` or `check_send`.
         """
-        connection = await self._take_idle(host, port)
+        connection = await self._take_idle(host, port, identifier)
         connect_time = None
         if connection is None:
             began = self._clock()
@@ -199,15 +200,22 @@
         self._idle.setdefault((host, port), []).append(connection)
 
     async def _take_idle(
-        self, host: str, port: int
+        self, host: str, port: int, identifier: bytes
     ) -> pooled_connection.PooledConnection | None:
+        if not identifier:
+            # Nothing tells the response from those to earlier requests.
+            return None
         idle = self._idle.get((host, port))
         limit = self._idle_seconds.get((host, port), DEFAULT_IDLE_SECONDS)
         while idle:
             connection = idle.pop()
-            if connection.is_reusable(self._clock(), limit):
+            if not connection.is_reusable(self._clock(), limit):
+                reason = "idle"
+            elif connection.has_carried(identifier):
+                reason = "repeated identifier"
+            else:
                 return connection
-            self._counters.add("upstream_connections_ended", reason="idle")
+            self._counters.add("upstream_connections_ended", reason=reason)
             await self._close(connection)
         return None
 
--- a/src/rattanlug/upstream/pooled_connection.py
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -8,6 +8,8 @@
 from rattanlug.upstream import chunked, memory_budget, response, response_stream
 
 _MAX_RESPONSE_BYTES = 64 << 20
+# Bounds the memory for identifiers, with a new connection for one in 1024 requests.
+MAX_REQUESTS = 1024
 
 
 class PooledConnection:
@@ -34,6 +36,15 @@
         self._memory = memory
         self._http = httpcore.AsyncHTTP11Connection(origin=origin, stream=stream)
         self._idle_since = now
+        self._identifiers: set[bytes] = set()
+
+    def has_carried(self, identifier: bytes) -> bool:
+        """Tell whether a request with this identifier was sent on the connection.
+
+        A late duplicate of the response to that request can't be told from the response
+        to a further one.
+        """
+        return identifier in self._identifiers
 
     def is_reusable(self, now: float, idle_seconds: float) -> bool:
         """Tell whether the connection may carry another request.
@@ -91,6 +102,7 @@
             The response is broken or belongs to another request.
         httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException
         """
+        self._identifiers.add(identifier)
         self._stream.begin_request(identifier, deadline, check_send)
         http_response = await self._http.handle_async_request(request)
         headers = [(name.lower(), value) for name, value in http_response.headers]
@@ -99,12 +111,17 @@
         if returned is not None and returned != identifier:
             raise _broken("the response belongs to another request")
         body = await self._read_body(http_response)
-        return head._replace(body=body), self._end_reason(head, len(body))
+        reason = self._end_reason(head, len(body), identifier)
+        return head._replace(body=body), reason
 
-    def _end_reason(self, head: response.Response, size: int) -> str:
+    def _end_reason(self, head: response.Response, size: int, identifier: bytes) -> str:
         """Return why the connection can't be reused; empty if it can."""
         if not self._http.is_idle():
             return "closed"
+        if not identifier:
+            return "no identifier"
+        if len(self._identifiers) >= MAX_REQUESTS:
+            return "requests"
         if head.header(b"content-length") is None:
             size = chunked.body_length(self._stream.body) or 0
         return "extra bytes" if self._stream.body_bytes > size else ""
--- a/tests/upstream/test_unidentified_responses.py
+++ b/tests/upstream/test_unidentified_responses.py
@@ -1,4 +1,4 @@
-"""Responses without a request identifier, on new and on reused connections."""
+"""Responses that may belong to another request on the same connection."""
 
 import functools
 
@@ -7,7 +7,7 @@
 
 from rattanlug.errors import error, executed
 from rattanlug.metrics import counters
-from rattanlug.upstream import connection_pools, memory_budget
+from rattanlug.upstream import connection_pools, memory_budget, pooled_connection
 from tests.upstream import test_endless_responses
 
 HOST, ID = test_endless_responses.HOST, test_endless_responses.ID
@@ -21,20 +21,21 @@
     return head + lines + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
-def send_twice(first, second, identifier=b"mine"):
+def send_twice(first, second, stray=b"", identifiers=(b"earlier", b"mine")):
     """Send two requests to an upstream that responds with some bytes to each.
 
+    The stray bytes precede a response on a connection that carried a request before.
     Returns the result of each request and the number of connections.
     """
+    responses = iter((first, second))
 
     async def serve(connections, stream):
         connections.append(stream)
+        before = b""
         async with stream:
-            for data in (first, second):
-                if not await stream.receive_some(65536):
-                    return
-                await stream.send_all(data)
-            await trio.sleep_forever()
+            while await stream.receive_some(65536):
+                await stream.send_all(before + next(responses))
+                before = stray
 
     async def main():
         connections, results = [], []
@@ -55,7 +56,7 @@
                 )
             )
             port = listeners[0].socket.getsockname()[1]
-            for _ in range(2):
+            for identifier in identifiers:
                 try:
                     found = await pools.send(
                         HOST,
@@ -87,15 +88,15 @@
     ],
 )
 def test_a_response_without_an_identifier_is_dropped_on_a_reused_connection(stray):
-    own = with_body(OK, b"own", b"mine")
-    results, connections = send_twice(own, stray + own)
+    first, own = (with_body(OK, b"own", each) for each in (b"earlier", b"mine"))
+    results, connections = send_twice(first, own, stray)
     assert [each.body for each in results] == [b"own", b"own"]
     assert connections == 1
 
 
 @pytest.mark.parametrize("head", [NOT_EXECUTED, OK])
 def test_without_a_length_it_leaves_open_whether_the_request_ran(head):
-    results, _ = send_twice(with_body(OK, b"own", b"mine"), head + b"\r\n")
+    results, _ = send_twice(with_body(OK, b"own", b"earlier"), head + b"\r\n")
     assert results[0].body == b"own"
     assert results[1].response.executed is executed.Executed.UNKNOWN
 
@@ -108,12 +109,32 @@
 
 
 def test_interim_responses_need_no_identifier():
-    own = with_body(OK, b"own", b"mine")
-    results, _ = send_twice(own, INTERIM + own)
+    first, own = (with_body(OK, b"own", each) for each in (b"earlier", b"mine"))
+    results, _ = send_twice(first, INTERIM + own)
     assert [each.body for each in results] == [b"own", b"own"]
 
 
 def test_a_request_without_an_identifier_accepts_any_response():
     own = with_body(OK, b"own")
-    results, _ = send_twice(own, own, identifier=b"")
+    results, connections = send_twice(own, own, identifiers=(b"", b""))
+    assert [each.body for each in results] == [b"own", b"own"]
+    assert connections == 2
+
+
+# Guards against an earlier refusal, written again by its upstream, that is taken for
+# the response to a request with the same identifier.
+@pytest.mark.parametrize("earlier", [NOT_EXECUTED, OK])
+def test_a_connection_carries_an_identifier_once(earlier):
+    first = with_body(earlier, b"earlier", b"mine")
+    own = with_body(OK, b"own", b"mine")
+    results, connections = send_twice(first, own, first, (b"mine", b"mine"))
+    assert [each.body for each in results] == [b"earlier", b"own"]
+    assert connections == 2
+
+
+def test_the_number_of_identifiers_on_a_connection_is_bounded(monkeypatch):
+    monkeypatch.setattr(pooled_connection, "MAX_REQUESTS", 1)
+    first, own = (with_body(OK, b"own", each) for each in (b"earlier", b"mine"))
+    results, connections = send_twice(first, own)
     assert [each.body for each in results] == [b"own", b"own"]
+    assert connections == 2
