Reject heads of responses that may consist of two

Cause: both heads were read as one, with the status of the first and the identifier of the second; of two identifiers the stream took the last and the connection the first. The HTTP library also accepts LF as line end and folds lines, which the streams read in another way. A missing comparison of the identifier was ruled out.

Change: response_head checks each head, for the pools of the gateway and for the earlier daemon's client: CR LF, no continuation line, no second status line, one identifier, one length.

test_a_cut_refusal_does_not_refuse_a_request_that_ran failed before: 503 with a stamp for a cut in the status line, 2 executions for two cuts after the statement, 504 instead of 502 for single LF. The four new cases of test_broken_responses failed before with a response instead of an error.

--- a/src/rattanlug/upstream/counting_stream.py
+++ b/src/rattanlug/upstream/counting_stream.py
@@ -6,10 +6,10 @@
 import httpcore
 import trio
 
+from rattanlug.upstream import response_head
+
 _HEAD_END = b"\r\n\r\n"
-_INFORMATIONAL = b"1"
-# Offset of the status code in a status line such as ``HTTP/1.1 200``.
-_STATUS_AT = 9
+_REQUEST_ID = b"request-id"
 
 
 class CountingStream(httpcore.AsyncNetworkStream):
@@ -43,7 +43,13 @@
         return now - self._opened
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Read and count bytes."""
+        """Read and count bytes.
+
+        Raises
+        ------
+        httpcore.RemoteProtocolError
+            The head of the response is not valid.
+        """
         data = await self._inner.read(max_bytes, timeout)
         if self._in_head:
             self._head += data
@@ -72,13 +78,14 @@
 
     def _find_body(self) -> None:
         while (end := self._head.find(_HEAD_END)) >= 0:
-            informational = self._head[_STATUS_AT : _STATUS_AT + 1] == _INFORMATIONAL
-            del self._head[: end + len(_HEAD_END)]
-            if not informational:
+            head = bytes(self._head[: end + len(_HEAD_END)])
+            del self._head[: len(head)]
+            if not response_head.parse(head, _REQUEST_ID).is_interim:
                 self._in_head = False
                 self._body_bytes = len(self._head)
                 self._head.clear()
                 return
+        response_head.check_line_ends(self._head)
 
 
 class CountingBackend(httpcore.AsyncNetworkBackend):
--- /dev/null
+++ b/src/rattanlug/upstream/response_head.py
@@ -0,0 +1,103 @@
+"""Checks the heads of responses and finds what tells responses apart."""
+
+import functools
+import re
+from typing import NamedTuple
+
+import httpcore
+
+# Longest Content-Length, which fits into 64 bits.
+MAX_LENGTH_DIGITS = 18
+_LINE_END = b"\r\n"
+_INFORMATIONAL = b"1"
+# Offset of the status code in a status line such as ``HTTP/1.1 200``.
+_STATUS_AT = 9
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [0-9]{3}")
+_LENGTH = b"content-length"
+
+
+class ResponseHead(NamedTuple):
+    """What tells a response from those to other requests.
+
+    Attributes
+    ----------
+    is_interim : bool
+        Another response to the same request follows.
+    identifier : bytes or None
+    body_length : int or None
+        Bytes; None if the head does not state it.
+    """
+
+    is_interim: bool
+    identifier: bytes | None
+    body_length: int | None
+
+
+def check_line_ends(data: bytes | bytearray) -> None:
+    """Check that each line of a possibly incomplete head ends with CR LF.
+
+    The HTTP library also accepts a single LF, so that it would find the end of a head
+    elsewhere than the streams that count the bytes of a response.
+
+    Raises
+    ------
+    httpcore.RemoteProtocolError
+    """
+    if data.count(b"\n") != data.count(_LINE_END):
+        raise httpcore.RemoteProtocolError("a line of the head has no CR")
+
+
+def parse(head: bytes, identifier_header: bytes) -> ResponseHead:
+    """Check a complete head.
+
+    An upstream that stops inside a head may continue with that of another response.
+    Together they would be one head with the status of the first and the identifier of
+    the second, so a head that may consist of two is not accepted.
+
+    Parameters
+    ----------
+    head : bytes
+        From the status line to the empty line.
+    identifier_header : bytes
+        Header that each response copies from its request, in lower case.
+
+    Raises
+    ------
+    httpcore.RemoteProtocolError
+    """
+    check_line_ends(head)
+    if b"\r\n " in head or b"\r\n\t" in head:
+        raise httpcore.RemoteProtocolError("a header has a continuation line")
+    if _STATUS_LINE.search(head, 1):
+        raise httpcore.RemoteProtocolError("a head contains another status line")
+    identifier, length, has_coding = None, None, False
+    for name, value in _pattern(identifier_header).findall(head):
+        lower = name.lower()
+        if lower == identifier_header:
+            if identifier is not None:
+                raise httpcore.RemoteProtocolError("a head has two identifiers")
+            identifier = value
+        elif lower == _LENGTH:
+            if length not in (None, value):
+                raise httpcore.RemoteProtocolError("a head has two lengths")
+            length = value
+        else:
+            has_coding = True
+    if length is not None and len(length) > MAX_LENGTH_DIGITS:
+        # The HTTP library raises errors of other types for numbers of thousands of
+        # digits.
+        raise httpcore.RemoteProtocolError("the Content-Length is too large")
+    has_length = length is not None and length.isdigit() and not has_coding
+    return ResponseHead(
+        head[_STATUS_AT : _STATUS_AT + 1] == _INFORMATIONAL,
+        identifier,
+        int(length) if has_length else None,
+    )
+
+
+@functools.cache
+def _pattern(identifier_header: bytes) -> re.Pattern[bytes]:
+    names = re.escape(identifier_header) + rb"|content-length|transfer-encoding"
+    return re.compile(
+        rb"\r\n(" + names + rb"):[ \t]*([^\r\n]*?)[ \t]*(?=\r\n)", re.IGNORECASE
+    )
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -4,12 +4,9 @@
 
 import httpcore
 
-from rattanlug.upstream import upstream_socket
+from rattanlug.upstream import response_head, upstream_socket
 
 _HEAD_END = b"\r\n\r\n"
-_INFORMATIONAL = b"1"
-# Offset of the status code in a status line such as ``HTTP/1.1 200``.
-_STATUS_AT = 9
 # Every HTTP/1 response begins with these bytes.
 _STATUS_LINE_START = b"HTTP/1."
 # Limit for the heads of the responses to one request, interim responses included.
@@ -19,8 +16,6 @@
 # Bodies are kept up to this size, to find the end of a chunked body. The connection of
 # a larger chunked body isn't reused.
 MAX_KEPT_BODY_BYTES = 64 * 1024
-# Longest Content-Length, which fits into 64 bits.
-MAX_LENGTH_DIGITS = 18
 
 
 class ResponseStream(httpcore.AsyncNetworkStream):
@@ -117,9 +112,11 @@
             data = await self._inner.read(max_bytes)
             self._received += len(data)
             if not data:
-                rest = bytes(self._head)
-                self._head.clear()
-                return rest
+                if self._head:
+                    raise httpcore.RemoteProtocolError(
+                        "the connection ended inside the head of a response"
+                    )
+                return data
             passed_on = self._filter(data)
             if passed_on:
                 return passed_on
@@ -150,18 +147,20 @@
             end = self._head.find(_HEAD_END)
             if self._bytes_to_drop or end < 0:
                 self._check_head(len(self._head))
+                response_head.check_line_ends(self._head)
                 return passed_on
             head = bytes(self._head[: end + len(_HEAD_END)])
             self._check_head(len(head))
             self._head_bytes += len(head)
             del self._head[: len(head)]
-            length = self._other_body_length(head)
+            parsed = response_head.parse(head, self._identifier_header)
+            length = self._other_body_length(parsed)
             if length is not None:
                 self._bytes_to_drop = length
                 self._dropped += 1
                 continue
             passed_on += head
-            self._in_head = head[_STATUS_AT : _STATUS_AT + 1] == _INFORMATIONAL
+            self._in_head = parsed.is_interim
         rest = bytes(self._head)
         self._head.clear()
         self._record_body(rest)
@@ -193,7 +192,7 @@
         if self._body_bytes <= MAX_KEPT_BODY_BYTES:
             self._body += data
 
-    def _other_body_length(self, head: bytes) -> int | None:
+    def _other_body_length(self, head: response_head.ResponseHead) -> int | None:
         """Return the body length of a response to another request, else None.
 
         A response with the identifier of another request and without
@@ -203,29 +202,15 @@
         Raises
         ------
         httpcore.RemoteProtocolError
-            The length has too many digits, or the response has neither an identifier
-            nor a length.
+            The response has neither an identifier nor a length.
         """
-        identifier, length = None, None
-        for line in head.split(b"\r\n")[1:]:
-            name, _, value = line.partition(b":")
-            if name.strip().lower() == self._identifier_header:
-                identifier = value.strip()
-            elif name.strip().lower() == b"content-length":
-                length = value.strip()
-        if length is not None and len(length) > MAX_LENGTH_DIGITS:
-            # Also checked for the current response: the HTTP library raises errors of
-            # other types for numbers of thousands of digits.
-            raise httpcore.RemoteProtocolError("the Content-Length is too large")
-        has_length = length is not None and length.isdigit()
-        if identifier is None:
-            is_interim = head[_STATUS_AT : _STATUS_AT + 1] == _INFORMATIONAL
-            if self._requests == 1 or not self._expected or is_interim:
+        if head.identifier is None:
+            if self._requests == 1 or not self._expected or head.is_interim:
                 return None
-            if not has_length:
+            if head.body_length is None:
                 raise httpcore.RemoteProtocolError(
                     "a response has no request identifier"
                 )
-        elif identifier == self._expected:
+        elif head.identifier == self._expected:
             return None
-        return int(length) if has_length else None
+        return head.body_length
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -401,3 +401,25 @@
             request_id, response = await caller.send(vm, "/claim/x", "POST", b"b")
             assert len(caller.executions(deployment, request_id)) == 1
             assert response.status == 200
+
+
+# Guards against a refusal that is cut inside its head and continues with the head of
+# the response to a request that ran.
+@pytest.mark.parametrize(
+    "cut",
+    [
+        b"HTTP/1.1 503 Serv",
+        b"HTTP/1.1 429 Too Many Requests\r\nRattanlug-Not-Executed: ",
+        b"HTTP/1.1 503 X\r\nRattanlug-Not-Executed: 1\r\nRattanlug-Backend-Id: u",
+        b"HTTP/1.1 503 X\r\nRattanlug-Not-Executed: 1\r\n\n",
+    ],
+)
+@caller.in_trio
+async def test_a_cut_refusal_does_not_refuse_a_request_that_ran(cut):
+    async with open_vm("u1", "u2") as (deployment, vm):
+        for each in deployment.upstreams.values():
+            each.stray_bytes = cut
+        for _ in range(4):
+            request_id, response = await caller.send(vm, "/claim/x", "POST", b"b")
+            assert len(caller.executions(deployment, request_id)) == 1
+            assert response.status == 502
--- a/tests/upstream/test_broken_responses.py
+++ b/tests/upstream/test_broken_responses.py
@@ -10,6 +10,7 @@
 
 HOST = "127.0.0.1"
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n"
+COMPLETE = HEAD + b"Content-Length: 2\r\n\r\nab"
 
 
 async def respond_with(data, close, connections, stream):
@@ -70,6 +71,11 @@
         (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", True),
         (HEAD.replace(b"mine", b"other") + b"Content-Length: 0\r\n\r\n", False),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", False),
+        # Heads that were cut and continue with the head of the response.
+        (b"HTTP/1.1 503 X\r\nRattanlug-Ran: no\r\nX: " + COMPLETE, False),
+        (b"HTTP/1.1 503 Serv" + COMPLETE, False),
+        (b"HTTP/1.1 503 X\nRequest-Id: mine\nContent-Length: 0\n\n", False),
+        (HEAD + b"Request-Id: other\r\nContent-Length: 0\r\n\r\n", False),
         (b"garbage\r\n\r\n", False),
         (b"", True),
     ],
--- /dev/null
+++ b/tests/upstream/test_response_head.py
@@ -0,0 +1,55 @@
+"""Tests of the check of response heads."""
+
+import httpcore
+import pytest
+
+from rattanlug.upstream import response_head
+
+ID = b"request-id"
+OWN = b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nContent-Length: 2\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("head", "found"),
+    [
+        (OWN, (False, b"mine", 2)),
+        (OWN.replace(b": ", b":").upper(), (False, b"MINE", 2)),
+        (OWN.replace(b"mine", b"\t mine \t"), (False, b"mine", 2)),
+        (b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", (True, None, None)),
+        (b"HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n", (False, None, None)),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", (False, None, None)),
+        (b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n\r\n", (False, None, None)),
+    ],
+)
+def test_a_head_tells_responses_apart(head, found):
+    assert response_head.parse(head, ID) == found
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"X: HTTP/1.1 200 OK",
+        b"X: a\r\n Request-Id: other",
+        b"X: a\r\n\tb",
+        b"X: a\nRequest-Id: other",
+        b"Request-Id: mine",
+        b"request-id:other",
+        b"Content-Length: 3",
+        b"Content-Length: " + b"9" * 19,
+    ],
+)
+def test_a_head_that_may_consist_of_two_is_rejected(line):
+    with pytest.raises(httpcore.RemoteProtocolError):
+        response_head.parse(OWN[:-2] + line + b"\r\n\r\n", ID)
+
+
+# Guards against a refusal that is cut inside its head and continues with the head of
+# the response, and is taken for a statement about that response's request.
+def test_no_cut_of_a_refusal_makes_one_head_with_the_response():
+    refusal = (
+        b"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: other\r\n"
+        b"Not-Executed: 1\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n"
+    )
+    for cut in range(1, len(refusal) - 3):
+        with pytest.raises(httpcore.RemoteProtocolError):
+            response_head.parse(refusal[:cut] + OWN, ID)
