Count only statements that are certain to be about the request

An upstream that executed a request which may run once and failed with its own 408, 421, 429 or 503 made the caller see that status, which promises that the request was not executed (REFUSED). The statement "not executed" was believed beside a stamp, with any status, and without the identifier of the request (TWICE).

Cause: the status was passed on as the upstream's matter, and the statement counted in any response. Promises of the gateway's own were ruled out by reading the errors of upstream/ and the request handler: only a failed connection, a check before the first byte and the statement count as not executed.

A status that promises the same without it becomes 502 on routes that are not idempotent, without the upstream's stamp and body (MIXED forbids another status beside the stamp). Idempotent routes pass it on as before. The stand-in of an upstream now repeats the identifier in a 421, as the protocol says of each response.

test_a_status_of_a_request_that_ran_is_no_promise_to_its_caller failed before with 408, 421, 429 and 503 instead of 502, one case each. The cases of test_response_status_and_headers_tell_whether_the_request_ran now give an identifier; the two with a statement and without one are kept as ambiguous.

--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -78,7 +78,9 @@
             node.placer.round_trips.record(record.data_centre, exchange.connect_seconds)
         upstream_response = exchange.answer
         headers = response_headers.decode(
-            upstream_response.status, upstream_response.headers
+            upstream_response.status,
+            upstream_response.headers,
+            admitted.headers.request_id.encode("latin-1"),
         )
         load.note_answer(now)
         if headers.idle_seconds is not None:
@@ -99,6 +101,16 @@
                 "the upstream did not execute the request",
                 executed.Executed.NO,
             )
+        if headers.ambiguous or (
+            headers.has_not_executed_status and not admitted.route.idempotent
+        ):
+            exc = error.UpstreamError(
+                kind.ErrorKind.ANSWER_BROKEN,
+                "the upstream does not state whether it executed the request",
+                executed.Executed.UNKNOWN,
+            )
+            self._record_failure(admitted, record, exc, now)
+            raise exc
         self._record_response(
             admitted, chosen, upstream_response, now - started_at, busy, now
         )
--- a/src/rattanlug/platform/names.py
+++ b/src/rattanlug/platform/names.py
@@ -28,3 +28,7 @@
 
 # Status of an upstream that did not execute a request meant for another one.
 MISDIRECTED_REQUEST_STATUS = 421
+# Status codes that tell a caller that its request was not and will not be executed.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+# Status codes with which upstreams state that they did not execute a request.
+REFUSAL_STATUSES = NOT_EXECUTED_STATUSES | {400}
--- a/src/rattanlug/platform/response_headers.py
+++ b/src/rattanlug/platform/response_headers.py
@@ -32,7 +32,12 @@
     Attributes
     ----------
     not_executed : bool
-        The upstream states that it did not execute the request.
+        The upstream states that it did not execute the request, and the statement is
+        certain to be about this request.
+    ambiguous : bool
+        The upstream makes that statement, but not in a way that is certain.
+    has_not_executed_status : bool
+        Callers take the status for that statement.
     misdirected : bool
         The address now belongs to another upstream.
     busy : int or None
@@ -44,21 +49,43 @@
     """
 
     not_executed: bool
+    ambiguous: bool
+    has_not_executed_status: bool
     misdirected: bool
     busy: int | None
     leaving: bool
     idle_seconds: float | None
 
 
-def decode(status: int, headers: Headers) -> ResponseHeaders:
-    """Decode the status and headers of a response; header names are in lower case."""
+def decode(status: int, headers: Headers, identifier: bytes) -> ResponseHeaders:
+    """Decode the status and headers of a response.
+
+    A statement that the request was not executed is certain if the response repeats
+    the identifier of the request, has the status of a refusal and lacks the stamp that
+    an upstream adds to the response to a request that it executed.
+
+    Parameters
+    ----------
+    status : int
+    headers : list of tuple of bytes
+        Names in lower case.
+    identifier : bytes
+        Identifier of the request; empty if it has none.
+    """
     by_name = dict(headers)
-    misdirected = (
-        status == names.MISDIRECTED_REQUEST_STATUS and names.SERVER_STAMP not in by_name
+    has_stamp = names.SERVER_STAMP in by_name
+    misdirected = status == names.MISDIRECTED_REQUEST_STATUS and not has_stamp
+    is_statement = names.NOT_EXECUTED in by_name or misdirected
+    is_certain = (
+        status in names.REFUSAL_STATUSES
+        and not has_stamp
+        and by_name.get(names.REQUEST_ID, b"") == identifier
     )
     return ResponseHeaders(
-        not_executed=names.NOT_EXECUTED in by_name or misdirected,
-        misdirected=misdirected,
+        not_executed=is_statement and is_certain,
+        ambiguous=is_statement and not is_certain,
+        has_not_executed_status=status in names.NOT_EXECUTED_STATUSES,
+        misdirected=misdirected and is_certain,
         busy=_decode_load(by_name.get(names.UPSTREAM_LOAD)),
         leaving=b"close" in by_name.get(b"connection", b"").lower(),
         idle_seconds=_decode_idle_seconds(by_name.get(b"keep-alive", b"")),
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -423,3 +423,20 @@
             request_id, response = await caller.send(vm, "/claim/x", "POST", b"b")
             assert len(caller.executions(deployment, request_id)) == 1
             assert response.status == 502
+
+
+# Guards against an upstream's own failure that promises the caller that a request that
+# may run once did not run.
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@caller.in_trio
+async def test_a_status_of_a_request_that_ran_is_no_promise_to_its_caller(status):
+    async with open_vm("u1", "u2") as (deployment, vm):
+        for each in deployment.upstreams.values():
+            each.status = status
+        request_id, response = await caller.send(vm, "/claim/x", "POST", b"b")
+        assert len(caller.executions(deployment, request_id)) == 1
+        assert response.status == 502
+        assert "rattanlug-server-stamp" not in response.headers
+        request_id, response = await caller.send(vm, "/view/x")
+        assert response.status == status
+        assert response.headers["rattanlug-server-stamp"].endswith(request_id)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -22,6 +22,9 @@
     "info": {"service": "s", "version": "v1", "zone": "d", "capacity": 5},
     "status": {"state": "ready", "sequence": 4, "warmup_left_s": 1.5},
 }
+OWN = (b"rattanlug-request-id", b"r1")
+REFUSED = (b"rattanlug-not-executed", b"1")
+STAMP = (b"rattanlug-server-stamp", b"s")
 
 
 def encode_row(**changes):
@@ -183,21 +186,35 @@
 
 
 @pytest.mark.parametrize(
-    ("status", "headers", "not_executed", "misdirected"),
+    ("status", "headers", "not_executed", "misdirected", "ambiguous"),
     [
-        (200, [], False, False),
-        (503, [], False, False),
-        (503, [(b"rattanlug-not-executed", b"1")], True, False),
-        (421, [(b"rattanlug-backend-id", b"u2")], True, True),
-        (421, [(b"rattanlug-server-stamp", b"s")], False, False),
+        (200, [OWN], False, False, False),
+        (503, [OWN], False, False, False),
+        (503, [OWN, REFUSED], True, False, False),
+        (400, [OWN, REFUSED], True, False, False),
+        (421, [OWN, (b"rattanlug-backend-id", b"u2")], True, True, False),
+        (421, [OWN, STAMP], False, False, False),
+        # Not certain to be about this request.
+        (421, [(b"rattanlug-backend-id", b"u2")], False, False, True),
+        (503, [REFUSED], False, False, True),
+        (503, [(b"rattanlug-request-id", b"other"), REFUSED], False, False, True),
+        (503, [OWN, REFUSED, STAMP], False, False, True),
+        (200, [OWN, REFUSED], False, False, True),
+        (500, [OWN, REFUSED], False, False, True),
     ],
 )
 def test_response_status_and_headers_tell_whether_the_request_ran(
-    status, headers, not_executed, misdirected
+    status, headers, not_executed, misdirected, ambiguous
 ):
-    found = response_headers.decode(status, headers)
+    found = response_headers.decode(status, headers, b"r1")
     assert found.not_executed is not_executed
     assert found.misdirected is misdirected
+    assert found.ambiguous is ambiguous
+
+
+def test_a_request_without_an_identifier_is_refused_without_one():
+    assert response_headers.decode(400, [REFUSED], b"").not_executed
+    assert not response_headers.decode(400, [OWN, REFUSED], b"").not_executed
 
 
 def test_load_and_idle_timeout_are_decoded():
@@ -208,9 +225,10 @@
             (b"keep-alive", b"timeout=10, max=5"),
             (b"connection", b"close"),
         ],
+        b"",
     )
     assert (found.busy, found.idle_seconds, found.leaving) == (5, 10.0, True)
-    broken = response_headers.decode(200, [(b"rattanlug-backend-load", b"many")])
+    broken = response_headers.decode(200, [(b"rattanlug-backend-load", b"many")], b"")
     assert broken.busy is None
 
 
--- a/tests/platform/test_extreme_values.py
+++ b/tests/platform/test_extreme_values.py
@@ -183,7 +183,7 @@
 
 @pytest.mark.parametrize("value", [b"9" * 4000 + b",0,8", b"99999999,0,8"])
 def test_an_impossible_load_report_is_ignored(value):
-    found = response_headers.decode(200, [(b"rattanlug-backend-load", value)])
+    found = response_headers.decode(200, [(b"rattanlug-backend-load", value)], b"")
     assert found.busy is None
 
 
--- a/trial/shared_platform/upstream.py
+++ b/trial/shared_platform/upstream.py
@@ -67,7 +67,13 @@
         request_id = headers.get(_REQUEST_ID, "")
         if headers.get("rattanlug-expect-instance", self.name) != self.name:
             self.refused.append(request_id)
-            return http_server.Response(421, (("Rattanlug-Backend-Id", self.name),))
+            return http_server.Response(
+                421,
+                (
+                    ("Rattanlug-Backend-Id", self.name),
+                    ("Rattanlug-Request-Id", request_id),
+                ),
+            )
         if self.shed:
             await trio.sleep(self.shed_seconds)
             self.refused.append(request_id)
