Drop stray responses with status 204 or 304 instead of failing the request

An upstream that writes a response with status 204, or 304 with the length of the body it leaves out, once more before the response to the next request made that request fail: the bytes of the stated length were dropped from the request's own response. The outcome was unknown, so no promise was false.

Cause: the body length of responses to be dropped was taken from the head without regard to the status.

The two new cases of test_a_response_without_an_identifier_is_dropped_on_a_reused_connection failed before with an error instead of the response.

--- a/src/rattanlug/upstream/response_head.py
+++ b/src/rattanlug/upstream/response_head.py
@@ -12,6 +12,9 @@
 _INFORMATIONAL = b"1"
 # Offset of the status code in a status line such as ``HTTP/1.1 200``.
 _STATUS_AT = 9
+_STATUS_END = 12
+# Their responses have no body, whatever length they state.
+_EMPTY_STATUSES = frozenset({b"204", b"304"})
 _STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [0-9]{3}")
 _LENGTH = b"content-length"
 
@@ -25,7 +28,7 @@
         Another response to the same request follows.
     identifier : bytes or None
     body_length : int or None
-        Bytes; None if the head does not state it.
+        Bytes, unless the request was a HEAD; None if the head does not state it.
     """
 
     is_interim: bool
@@ -88,11 +91,11 @@
         # digits.
         raise httpcore.RemoteProtocolError("the Content-Length is too large")
     has_length = length is not None and length.isdigit() and not has_coding
-    return ResponseHead(
-        head[_STATUS_AT : _STATUS_AT + 1] == _INFORMATIONAL,
-        identifier,
-        int(length) if has_length else None,
-    )
+    body_length = int(length) if has_length else None
+    status = head[_STATUS_AT:_STATUS_END]
+    if status in _EMPTY_STATUSES:
+        body_length = 0
+    return ResponseHead(status[:1] == _INFORMATIONAL, identifier, body_length)
 
 
 @functools.cache
--- a/tests/upstream/test_unidentified_responses.py
+++ b/tests/upstream/test_unidentified_responses.py
@@ -85,6 +85,8 @@
         with_body(NOT_EXECUTED, b"busy"),
         with_body(OK, b"ok"),
         with_body(OK, b"ok") * 3,
+        b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n",
+        b"HTTP/1.1 204 No Content\r\n\r\n",
     ],
 )
 def test_a_response_without_an_identifier_is_dropped_on_a_reused_connection(stray):
