Count the pause of a new process from the moment it begins to serve

What callers saw: a cold upstream gets the share of a VM twice within a second (FAILBACK), when the VM's process is replaced by one that was started while the first still ran.

Cause: the VM sends nothing to cold upstreams for one window after its start, which counted from the creation of the process. A process may then wait up to 30 s for the ports of the one before, which sends until its end.

Ruled out: the division among the VMs; both VMs knew each other.

Change: the pause counts from the opening of the callers' port, which follows that of the port that the earlier process releases last.

Test: test_a_vm_that_waited_for_its_ports_spares_cold_upstreams_at_first, before: 200 instead of 503 for the first request.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -91,7 +91,7 @@
             settings.bounds,
             self.vm_count,
             self._rng,
-            clock.now(),
+            started_at=math.inf,
         )
         self._retry_budgets: dict[str, service_retry_budget.ServiceRetryBudget] = {}
         # VMs that registered in the store, by data centre.
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -157,6 +157,7 @@
             # last, since callers would wait meanwhile; and before the first digest,
             # after which the look-ups of other VMs name this one.
             callers_listener = await self._caller_server.open(settings.callers)
+            node.placer.start(clock.now())
             nursery.start_soon(node.lag.run)
             nursery.start_soon(node.pools.run_sweeps)
             await nursery.start(self._digest_exchange.run)
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -80,8 +80,8 @@
         the number of VMs there.
     rng : random.Random
     started_at : float, optional
-        Time at which this VM started, on its monotonic clock, seconds. Its previous
-        process may have used up the limits of cold upstreams shortly before.
+        Time at which this process began to serve, on the VM's monotonic clock, seconds;
+        infinite until `start`.
     """
 
     def __init__(
@@ -125,6 +125,13 @@
         """Round-trip times to the other data centres."""
         return self._round_trips
 
+    def start(self, now: float) -> None:
+        """Record that this process begins to serve, and no earlier one of the VM does.
+
+        The earlier process may have used up the limits of cold upstreams until now.
+        """
+        self._started_at = now
+
     def configure(self, services: Mapping[str, service.Service]) -> None:
         """Apply the services of a new version of the desired state."""
         self._services = services
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -7,9 +7,12 @@
 import httpcore
 import trio
 
+from rattanlug.caller import local_endpoint
 from rattanlug.daemon import clock
 from rattanlug.fleet import digest, digest_codec
 from rattanlug.gateway import node as node_module
+from rattanlug.placement import cold_budget
+from rattanlug.settings import address
 from tests.gateway import caller
 from trial.shared_platform import fleet
 
@@ -189,6 +192,30 @@
             assert found == {staying.node.settings.host}
 
 
+# Guards against a new process that waited for the ports of the process before it, and
+# then sends the VM's share of a cold upstream's limit again within the same second.
+@caller.in_trio
+async def test_a_vm_that_waited_for_its_ports_spares_cold_upstreams_at_first():
+    async with fleet.open_fleet() as deployment:
+        upstream = await deployment.add_upstream("u1", cold_seconds=20.0)
+        local = address.Address("127.0.1.1", fleet.FIRST_VM_PORT)
+        earlier = await local_endpoint.open_when_available(
+            lambda: socket.create_server((local.host, local.port)), local
+        )
+
+        async def release():
+            await trio.sleep(2.0 * cold_budget.WINDOW_SECONDS)
+            earlier.close()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(release)
+            vm = await deployment.add_vm()
+        assert (await caller.send(vm, "/view/x"))[1].status == 503
+        assert upstream.executions == []
+        await trio.sleep(cold_budget.WINDOW_SECONDS)
+        assert (await caller.send(vm, "/view/x"))[1].status == 200
+
+
 # Guards against look-ups that return a failed VM for too long because a digest that
 # waited in the socket of a busy VM counts from when it was read.
 @caller.in_trio
@@ -200,11 +227,11 @@
         received = digest.Digest(
             "vm-9", 1, 1, "north-a", "127.0.1.9", 1, False, 1, {}, (), ()
         )
-        address = (node.settings.host, node.settings.peer_ports[0])
+        target = (node.settings.host, node.settings.peer_ports[0])
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             for sequence in range(1, 41):
                 data = digest_codec.encode(received._replace(sequence=sequence))
-                sender.sendto(data, address)
+                sender.sendto(data, target)
         time.sleep(1.0)
         await trio.sleep(0.05)
         now = clock.now()
