Divide the limit of a cold upstream by all VMs that may be running

What callers would see: a cold upstream gets more than its limit (FAILBACK) from VMs that have heard nothing of each other for 12 s, since they are cut off, were frozen or lose datagrams, or whose digests are dropped after their system clock was set back. With a limit of 16.1 requests, four VMs of a data centre sent 48 within a second, and one VM of the upstream's data centre and one of another sent 24: the other took the upstream's data centre for one without VMs.

Cause: the limit was divided by the VMs heard of within 12 s. The VMs that are registered in the store counted for the whole fleet only.

Change: VMs that were heard of or registered within 300 s count, whether or not their digests are applied, unless they left and had the time to end. A VM that hasn't read the registered VMs yet sends nothing to cold upstreams. After VMs ended without leaving, a cold upstream gets a smaller part of its limit for up to 300 s, or none until it is warm if its data centre has no VM left.

Tests: test_silent_vms_stay_within_the_limit_of_a_cold_upstream (48 and 24 before), test_a_vm_that_has_not_read_the_registered_vms_spares_cold_upstreams (12 before), test_vms_that_are_silent_or_whose_digests_are_dropped_may_be_running.

--- a/src/rattanlug/fleet/peer_table.py
+++ b/src/rattanlug/fleet/peer_table.py
@@ -8,6 +8,9 @@
 # accepted. The time is longer than a digest may be delayed, and shorter than the
 # detection of a silent VM takes.
 RESET_SECONDS = 2.5
+# A silent VM may be cut off from this VM, but not from the upstreams. It counts as
+# possibly running for this time.
+SILENT_SECONDS = 300.0
 
 
 class _Received(NamedTuple):
@@ -15,6 +18,12 @@
     received_at: float
 
 
+class _Sighting(NamedTuple):
+    data_centre: str
+    leaving: bool
+    seen_at: float
+
+
 class PeerTable:
     """Keeps the latest digest of each VM and of each data centre.
 
@@ -34,6 +43,7 @@
         self._own_data_centre = own_data_centre
         self._peers: dict[str, _Received] = {}
         self._data_centres: dict[str, _Received] = {}
+        self._sightings: dict[str, _Sighting] = {}
 
     def record_digest(self, report: digest.Digest, now: float) -> bool:
         """Record a received digest.
@@ -50,14 +60,48 @@
         """
         if report.vm == self._own_vm:
             return False
+        # Digests that are dropped below show that their VM is running, too.
+        self._record_sighting(
+            report.vm, _Sighting(report.data_centre, report.leaving, now)
+        )
         if report.members:
             return self._record_data_centre(report, now)
         return self._record_vm(report, now)
 
+    def record_registration(self, vm: str, data_centre: str, now: float) -> None:
+        """Record that a VM is registered in the store."""
+        self._record_sighting(vm, _Sighting(data_centre, False, now))
+
+    def possible_vms(self, data_centre: str, leaving_seconds: float, now: float) -> int:
+        """Return how many other VMs of a data centre may be running.
+
+        Unlike `recent_digests`, this includes VMs that have been silent for long.
+
+        Parameters
+        ----------
+        data_centre : str
+            An empty string stands for all.
+        leaving_seconds : float
+            Time within which a VM that is leaving ends.
+        now : float
+            Time on the VM's monotonic clock, seconds.
+        """
+        return sum(
+            data_centre in ("", each.data_centre)
+            and now - each.seen_at
+            <= (leaving_seconds if each.leaving else SILENT_SECONDS)
+            for each in self._sightings.values()
+        )
+
     def expire(self, before: float) -> None:
         """Remove the digests that were received before a time, seconds."""
         self._peers = _received_since(self._peers, before)
         self._data_centres = _received_since(self._data_centres, before)
+        self._sightings = {
+            vm: each
+            for vm, each in self._sightings.items()
+            if each.seen_at >= before - SILENT_SECONDS
+        }
 
     def recent_digests(self, seconds: float, now: float) -> list[digest.Digest]:
         """Return the latest digests of the VMs, sorted by VM.
@@ -117,6 +161,13 @@
             and now - received_at <= seconds
         ]
 
+    def _record_sighting(self, vm: str, sighting: _Sighting) -> None:
+        current = self._sightings.get(vm)
+        if vm != self._own_vm and (
+            current is None or current.seen_at <= sighting.seen_at
+        ):
+            self._sightings[vm] = sighting
+
     def _record_data_centre(self, report: digest.Digest, now: float) -> bool:
         if report.data_centre == self._own_data_centre:
             return False
@@ -127,6 +178,9 @@
         self._data_centres[report.data_centre] = _Received(report, now)
         for each in report.members:
             received_at = now - each.age
+            self._record_sighting(
+                each.vm, _Sighting(report.data_centre, each.leaving, received_at)
+            )
             earlier = self._peers.get(each.vm)
             if earlier is None or earlier.received_at < received_at:
                 self._record_vm(_from_member(each, report), received_at)
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -41,6 +41,8 @@
 TOLERATED_STALL_SECONDS = 0.15
 # VMs whose last digest is at most this old share the fleet's rates and retry budgets.
 RECENT_CONTACT_SECONDS = 12.0
+# Digests of a VM that is leaving may arrive this much earlier than it ends.
+LEAVING_MARGIN_SECONDS = 1.0
 
 
 class Node:
@@ -90,6 +92,7 @@
             self._registry,
             settings.bounds,
             self.vm_count,
+            self.possible_senders,
             self._rng,
             started_at=math.inf,
         )
@@ -298,6 +301,7 @@
     def record_registered_vm(self, data_centre: str, vm: str) -> None:
         """Record a VM that registered in the store."""
         self._registered_vms.setdefault(data_centre, set()).add(vm)
+        self._peers.record_registration(vm, data_centre, clock.now())
 
     def keys_usable(self, now: float) -> bool:
         """Tell whether the known keys are fresh enough to accept requests."""
@@ -350,6 +354,25 @@
             scope in (self._settings.data_centre, self._settings.region)
         )
 
+    def possible_senders(self, data_centre: str, now: float) -> float:
+        """Return how many VMs may send to upstreams; "" means the whole fleet.
+
+        The number is infinite until the registered VMs have been read from the store.
+
+        Parameters
+        ----------
+        data_centre : str
+            Data centre of the VMs.
+        now : float
+            Monotonic seconds.
+        """
+        if not self._registered_vms:
+            return math.inf
+        settings = self._settings
+        leaving_seconds = settings.bounds.stop + LEAVING_MARGIN_SECONDS
+        others = self._peers.possible_vms(data_centre, leaving_seconds, now)
+        return others + (data_centre in ("", settings.data_centre))
+
     def make_digest(self, now: float) -> digest.Digest:
         """Make this VM's digest, with the next sequence number."""
         self._sequence += 1
--- a/src/rattanlug/placement/cold_budget.py
+++ b/src/rattanlug/placement/cold_budget.py
@@ -24,7 +24,7 @@
         """Tell whether nothing was sent within the window."""
         return not self._sends or self._sends[-1] <= now - WINDOW_SECONDS
 
-    def allows(self, bound: float, vms: int, now: float) -> bool:
+    def allows(self, bound: float, vms: float, now: float) -> bool:
         """Tell whether one more request stays within this VM's share of the limit.
 
         Parameters
@@ -32,7 +32,7 @@
         bound : float
             Limit on the requests per second of all VMs together.
         vms : int
-            Number of VMs that send to this upstream.
+            Number of VMs that may send to this upstream.
         now : float
             Time on the VM's monotonic clock, seconds.
         """
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -78,6 +78,10 @@
     senders : callable
         Takes the name of a data centre or region, or an empty string for all; returns
         the number of VMs there.
+    possible_senders : callable
+        Takes the name of a data centre, or an empty string for all, and the time on the
+        VM's monotonic clock, seconds; returns how many VMs there may be sending,
+        including silent ones.
     rng : random.Random
     started_at : float, optional
         Time at which this process began to serve, on the VM's monotonic clock, seconds;
@@ -92,6 +96,7 @@
         registry: upstream_registry.UpstreamRegistry,
         all_bounds: bounds.Bounds,
         senders: Callable[[str], int],
+        possible_senders: Callable[[str, float], float],
         rng: random.Random,
         started_at: float = -math.inf,
     ) -> None:
@@ -101,6 +106,7 @@
         self._registry = registry
         self._bounds = all_bounds
         self._senders = senders
+        self._possible_senders = possible_senders
         self._rng = rng
         self._started_at = started_at
         # Incarnation and load of each upstream, by id.
@@ -403,7 +409,7 @@
         """Tell whether an upstream's warm-up permits one more request.
 
         A cold upstream receives requests only from the VMs of its data centre, if there
-        are any there.
+        may be any there.
         """
         if self._registry.cold_seconds(record.id, now) <= 0.0:
             return True
@@ -412,14 +418,14 @@
             return True
         if now < self._started_at + cold_budget.WINDOW_SECONDS:
             return False
-        senders = self._senders(record.data_centre)
+        senders = self._possible_senders(record.data_centre, now)
         if record.data_centre != self._data_centre and senders > 0:
             return False
         bound = (
             settings.warmup_rate * self._bounds.cold_factor + self._bounds.cold_slack
         )
         return self._cold_budget(record).allows(
-            bound, senders or self._senders(""), now
+            bound, senders or self._possible_senders("", now), now
         )
 
 
--- a/tests/fleet/test_peer_table.py
+++ b/tests/fleet/test_peer_table.py
@@ -80,3 +80,16 @@
     assert [
         each.vm for each in vm_selection.choose_vms(without_c, "d2", "r1", regions)
     ] == ["b"]
+
+
+# Guards against a VM that doesn't count as running since its digests are dropped.
+def test_vms_that_are_silent_or_whose_digests_are_dropped_may_be_running():
+    table = peer_table.PeerTable("a", "d1")
+    table.record_registration("a", "d1", 0.0)
+    table.record_registration("c", "d2", 0.0)
+    table.record_digest(report(incarnation=2), 1.0)
+    table.record_digest(report(incarnation=1), 2.0)
+    table.expire(200.0)
+    assert table.possible_vms("d1", 7.0, 301.5) == 1
+    assert table.possible_vms("", 7.0, 299.0) == 2
+    assert table.possible_vms("d1", 7.0, 303.0) == 0
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -5,9 +5,12 @@
 import pytest
 
 from rattanlug.daemon import clock
+from rattanlug.desired import service
+from rattanlug.discovery import upstream_record
 from rattanlug.fleet import digest
 from rattanlug.gateway import node as node_module
 from rattanlug.gateway import run
+from rattanlug.placement import placement_request
 from rattanlug.platform import boot_settings
 from trial.shared_platform import boot_file
 
@@ -58,3 +61,60 @@
     node.peers.record_digest(make_digest("vm-2", {}), now)
     assert [each.vm for each in node.live_vms(now + 3.0)] == ["vm-1", "vm-2"]
     assert [each.vm for each in node.live_vms(now + 4.0)] == ["vm-1"]
+
+
+def make_node(vm, data_centre="north-a"):
+    settings = boot_file.render(vm, "127.0.1.1", 9000, 9500, data_centre)
+    return node_module.Node(boot_settings.decode(tomllib.loads(settings)))
+
+
+def sends_to_a_cold_upstream(nodes, now):
+    """Return how many requests VMs send together, until all of them reject."""
+    cold = upstream_record.UpstreamRecord(
+        "u1", 1, 1, "s", "v1", "h", 1, "north-a", 50, False, 1000.0
+    )
+    wanted = placement_request.PlacementRequest(
+        "s", "r", None, True, 0.4, 1.0, 1.0, None, None, frozenset()
+    )
+    count = 0
+    for each in nodes:
+        each.placer.start(now - 100.0)
+        each.placer.configure({"s": service.Service("s", 100, 3.0, 7.4)})
+        each.registry.apply([cold], 1, now)
+        times = each.placer.times("r", 0.4, False)
+        while (chosen := each.placer.choose(wanted, times, now)) is not None:
+            each.placer.begin(chosen.record, None, now)
+            count += 1
+    return count
+
+
+# Guards against VMs that each take a larger share of a cold upstream's limit while they
+# have heard nothing of each other for a while.
+@pytest.mark.parametrize("data_centres", [("north-a",) * 4, ("north-a", "north-b")])
+def test_silent_vms_stay_within_the_limit_of_a_cold_upstream(data_centres):
+    now = clock.now()
+    names = {f"vm-{index}": each for index, each in enumerate(data_centres)}
+    nodes = [make_node(*each) for each in names.items()]
+    for node in nodes:
+        for vm, data_centre in names.items():
+            report = make_digest(vm, {})._replace(data_centre=data_centre)
+            node.peers.record_digest(report, now - 20.0)
+        node.record_registered_vm(node.settings.data_centre, node.settings.vm)
+    bounds = nodes[0].settings.bounds
+    sent = sends_to_a_cold_upstream(nodes, now)
+    assert 0 < sent <= 7.4 * bounds.cold_factor + bounds.cold_slack
+
+
+def test_a_vm_that_has_not_read_the_registered_vms_spares_cold_upstreams(node):
+    now = clock.now()
+    assert sends_to_a_cold_upstream([node], now) == 0
+    node.record_registered_vm("north-a", "vm-1")
+    assert sends_to_a_cold_upstream([node], now) > 0
+
+
+def test_a_vm_that_has_left_does_not_count_as_a_sender(node):
+    now = clock.now()
+    node.record_registered_vm("north-a", "vm-1")
+    node.peers.record_digest(make_digest("vm-2", {})._replace(leaving=True), now)
+    assert node.possible_senders("north-a", now + 6.0) == 2
+    assert node.possible_senders("north-a", now + 8.0) == 1
--- a/tests/placement/queue_model.py
+++ b/tests/placement/queue_model.py
@@ -116,6 +116,7 @@
             self._registry,
             bounds.Bounds(),
             self._senders,
+            lambda location, now: self._senders(location),
             random.Random(f"{site.name} {number}"),
         )
 
--- a/tests/placement/test_bounds.py
+++ b/tests/placement/test_bounds.py
@@ -35,6 +35,7 @@
         registry,
         BOUNDS,
         lambda name: senders,
+        lambda name, now: senders,
         random.Random(1),
         **options,
     )
