Drop the counts of requests that have left the window of a cold upstream

What callers would see: the memory of a VM grows with each request, until it is ended at its limit (FAULT).

Cause: requests are counted for warm upstreams too, since these may turn cold, but only the check for a cold upstream dropped old counts.

Change: each count drops the old ones.

Test: test_budgets_keep_the_requests_of_one_window_only, before: 1,000 entries.

--- a/src/rattanlug/placement/cold_budget.py
+++ b/src/rattanlug/placement/cold_budget.py
@@ -36,10 +36,14 @@
         now : float
             Time on the VM's monotonic clock, seconds.
         """
-        while self._sends and self._sends[0] <= now - WINDOW_SECONDS:
-            self._sends.popleft()
+        self._expire(now)
         return len(self._sends) < math.floor(SAFETY_FACTOR * bound / max(1, vms))
 
     def count(self, now: float) -> None:
         """Count a request that is sent."""
+        self._expire(now)
         self._sends.append(now)
+
+    def _expire(self, now: float) -> None:
+        while self._sends and self._sends[0] <= now - WINDOW_SECONDS:
+            self._sends.popleft()
--- a/tests/placement/test_bounds.py
+++ b/tests/placement/test_bounds.py
@@ -117,6 +117,14 @@
     assert chooser._cold_budgets == {}
 
 
+# Guards against memory that grows with each request to an upstream that stays warm.
+def test_budgets_keep_the_requests_of_one_window_only():
+    budget = cold_budget.ColdBudget()
+    for index in range(1000):
+        budget.count(0.1 * index)
+    assert len(budget._sends) <= 13
+
+
 # Guards against a VM whose new process sends its whole share again within the second in
 # which its previous process was killed.
 def test_a_vm_that_has_just_started_sends_nothing_to_cold_upstreams():
