Let each VM send one request to a cold upstream where its share is less

What callers would see: in a data centre with more VMs than 0.8 of the limit (9 VMs at a warm-up rate of 4 a second, limit 11), a cold upstream gets no request until it is warm, while the others of its service are full.

Cause: the share of each VM was rounded down to zero.

Change: as long as the VMs are no more than the limit, each may send one request in a window. With more VMs, a cold upstream still gets none.

--- a/src/rattanlug/placement/cold_budget.py
+++ b/src/rattanlug/placement/cold_budget.py
@@ -37,7 +37,10 @@
             Time on the VM's monotonic clock, seconds.
         """
         self._expire(now)
-        return len(self._sends) < math.floor(SAFETY_FACTOR * bound / max(1, vms))
+        share = math.floor(SAFETY_FACTOR * bound / max(1, vms))
+        if vms <= bound:
+            share = max(1, share)
+        return len(self._sends) < share
 
     def count(self, now: float) -> None:
         """Count a request that is sent."""
--- a/tests/placement/test_bounds.py
+++ b/tests/placement/test_bounds.py
@@ -24,7 +24,7 @@
     return request._replace(**changes)
 
 
-def build(records, senders=2, data_centre="d1", **options):
+def build(records, senders=2, data_centre="d1", warmup_rate=7.4, **options):
     registry = upstream_registry.UpstreamRegistry()
     registry.apply(records, 1, 0.0)
     regions = {"d1": "r1", "d2": "r1", "d3": "r2"}
@@ -39,7 +39,7 @@
         random.Random(1),
         **options,
     )
-    built.configure({"s": service.Service("s", 100, 3.0, 7.4)})
+    built.configure({"s": service.Service("s", 100, 3.0, warmup_rate)})
     return built
 
 
@@ -60,10 +60,14 @@
     assert name() == "u2"
 
 
+# With the larger numbers of VMs, guards against a cold upstream that gets no requests
+# since the share of each VM is less than one.
 @pytest.mark.parametrize("seed", range(10))
-def test_all_vms_together_stay_within_the_limit_of_a_cold_upstream(seed):
+@pytest.mark.parametrize(("count", "rate"), [(2, 7.4), (2, 15.0), (9, 4.0), (11, 4.0)])
+def test_all_vms_together_stay_within_the_limit_of_a_cold_upstream(seed, count, rate):
     rng = random.Random(seed)
-    vms = [build([record("u1", cold=10.0)], senders=2) for _ in range(2)]
+    cold = record("u1", cold=10.0)
+    vms = [build([cold], senders=count, warmup_rate=rate) for _ in range(count)]
     times = vms[0].times("r", 0.4, True)
     sent, now = [], 0.0
     while now < 8.0:
@@ -74,7 +78,7 @@
             token = vm.begin(chosen.record, "o", now)
             vm.load(chosen.record, now).end(token)
             sent.append(now)
-    bound = 7.4 * BOUNDS.cold_factor + BOUNDS.cold_slack
+    bound = rate * BOUNDS.cold_factor + BOUNDS.cold_slack
     assert sent
     for at in sent:
         assert sum(at - 1.0 < each <= at for each in sent) <= bound
