Count a request to a cold upstream when it is sent, not when it is chosen

What callers would see: a cold upstream gets more than its limit (FAILBACK) from a VM whose requests wait for their connections while the process is stalled, or that chose the upstream before it became cold.

Cause: a request counted when its upstream was chosen. Connecting may take 0.25 s and three round trips, and longer in a process that isn't scheduled, while the window allows for 0.2 s.

Change: right before its first byte is sent, a request counts anew, and it is rejected if the upstream can't take it any more (counter sends_held_back).

--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -65,7 +65,7 @@
         token = node.placer.begin(record, admitted.object_id, started_at)
         busy = chosen.busy
         try:
-            exchange = await self._exchange(admitted, record)
+            exchange = await self._exchange(admitted, record, started_at)
         except error.UpstreamError as exc:
             now = clock.now()
             self._record_failure(admitted, record, exc, now)
@@ -108,6 +108,7 @@
         self,
         admitted: admitted_request.AdmittedRequest,
         record: upstream_record.UpstreamRecord,
+        begun_at: float,
     ) -> connection_pools.Exchange:
         node = self._node
         round_trip_seconds = node.placer.round_trips.estimate(record.data_centre)
@@ -122,6 +123,13 @@
         def before_send() -> None:
             now = clock.now()
             self._check_sendable(admitted, now)
+            if not node.placer.may_send(record, begun_at, now):
+                node.counters.add("sends_held_back")
+                raise error.RefusedError(
+                    kind.ErrorKind.NO_CAPACITY,
+                    "the upstream has become cold, or its limit is used up",
+                    retry_after=rejections.retry_after_seconds(node.rng),
+                )
             node.histograms.record("request_unsent", now - admitted.admitted_at)
 
         try:
--- a/src/rattanlug/placement/cold_budget.py
+++ b/src/rattanlug/placement/cold_budget.py
@@ -47,6 +47,11 @@
         self._expire(now)
         self._sends.append(now)
 
+    def uncount(self, counted_at: float) -> None:
+        """Remove a request that was counted at a time and not sent then."""
+        if counted_at in self._sends:
+            self._sends.remove(counted_at)
+
     def _expire(self, now: float) -> None:
         while self._sends and self._sends[0] <= now - WINDOW_SECONDS:
             self._sends.popleft()
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -281,6 +281,29 @@
             load.objects.touch(object_id)
         return load.begin(now)
 
+    def may_send(
+        self, record: upstream_record.UpstreamRecord, begun_at: float, now: float
+    ) -> bool:
+        """Tell whether a request whose connection is open now may still be sent.
+
+        Meanwhile, the upstream may have become cold, or its limit may have been used up
+        by other requests. From now on, the request counts as sent now.
+
+        Parameters
+        ----------
+        record : upstream_record.UpstreamRecord
+        begun_at : float
+            Time that was passed to `begin`, seconds.
+        now : float
+            Time on the VM's monotonic clock, seconds.
+        """
+        budget = self._cold_budget(record)
+        budget.uncount(begun_at)
+        if not self._cold_budget_allows(record, now):
+            return False
+        budget.count(now)
+        return True
+
     def record_warm_hit(
         self, service_name: str, chosen: placement.Placement, hit: bool
     ) -> None:
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -13,6 +13,7 @@
 from rattanlug.gateway import node as node_module
 from rattanlug.placement import cold_budget
 from rattanlug.settings import address
+from rattanlug.upstream import upstream_socket
 from tests.gateway import caller
 from trial.shared_platform import fleet
 
@@ -216,6 +217,43 @@
         assert (await caller.send(vm, "/view/x"))[1].status == 200
 
 
+# Guards against requests that wait for their connections during a stall of the process,
+# and reach a cold upstream together with those that are begun after it.
+@caller.in_trio
+async def test_requests_that_wait_for_a_connection_count_when_they_are_sent(
+    monkeypatch,
+):
+    connect = upstream_socket.connect
+
+    async def connect_late(*args):
+        opened = await connect(*args)
+        await trio.sleep_until(stalled_until)
+        return opened
+
+    async with fleet.open_fleet() as deployment:
+        deployment.store.put("op", "config", state_with_timeout(3.0))
+        upstream = await deployment.add_upstream("u1", cold_seconds=20.0)
+        vm = await deployment.add_vm()
+        await trio.sleep(cold_budget.WINDOW_SECONDS)
+        monkeypatch.setattr(upstream_socket, "connect", connect_late)
+        stalled_until = trio.current_time() + cold_budget.WINDOW_SECONDS + 0.1
+        statuses = []
+
+        async def request():
+            statuses.append((await caller.send(vm, "/view/x"))[1].status)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(30):
+                nursery.start_soon(request)
+            await trio.sleep_until(stalled_until + 0.1)
+            for _ in range(30):
+                nursery.start_soon(request)
+        bounds = vm.node.settings.bounds
+        limit = 7.0 * bounds.cold_factor + bounds.cold_slack
+        assert 0 < len(upstream.executions) <= limit
+        assert statuses.count(200) == len(upstream.executions)
+
+
 # Guards against look-ups that return a failed VM for too long because a digest that
 # waited in the socket of a busy VM counts from when it was read.
 @caller.in_trio
--- a/tests/placement/test_bounds.py
+++ b/tests/placement/test_bounds.py
@@ -121,6 +121,16 @@
     assert chooser._cold_budgets == {}
 
 
+def test_a_request_that_is_sent_late_counts_from_then_on():
+    chooser = build([record("u1", cold=10.0)])
+    first = send_all_that_are_allowed(chooser, 1.0)
+    later = 1.0 + cold_budget.WINDOW_SECONDS + 0.1
+    cold = record("u1", cold=10.0)
+    assert all(chooser.may_send(cold, 1.0, later) for _ in range(first))
+    assert not chooser.may_send(cold, 1.0, later)
+    assert send_all_that_are_allowed(chooser, later) == 0
+
+
 # Guards against memory that grows with each request to an upstream that stays warm.
 def test_budgets_keep_the_requests_of_one_window_only():
     budget = cold_budget.ColdBudget()
