Send nothing to an upstream for one window after it became cold

What callers would see: an upstream that becomes cold while it serves gets more than its limit (FAILBACK): first the requests of VMs that haven't learned of it yet, among them those of other data centres, and within the same second the whole limit from the VMs of its data centre.

Cause: each VM counts its own requests from before the change, and not those of the VMs of other data centres, which send to the upstream only while it is warm.

Change: the registry keeps when an upstream was seen to become cold after it was warm, and the VMs wait for one window from then on. Upstreams that register cold get requests at once, as before.

--- a/src/rattanlug/discovery/upstream_registry.py
+++ b/src/rattanlug/discovery/upstream_registry.py
@@ -1,5 +1,6 @@
 """Registry of the upstreams that may receive requests."""
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -14,6 +15,8 @@
     record: upstream_record.UpstreamRecord
     cold_until: float
     first_seen_at: float
+    # Minus infinity if the upstream has been cold since it was first seen.
+    became_cold_at: float = -math.inf
 
 
 class UpstreamRegistry:
@@ -92,6 +95,14 @@
         entry = self._entries.get(upstream_id)
         return max(0.0, entry.cold_until - now) if entry else 0.0
 
+    def became_cold_at(self, upstream_id: str) -> float:
+        """Return when an upstream was seen to be cold after having been warm, seconds.
+
+        Minus infinity if it never was.
+        """
+        entry = self._entries.get(upstream_id)
+        return entry.became_cold_at if entry else -math.inf
+
     def known_seconds(self, upstream_id: str, now: float) -> float:
         """Return the time since an upstream's incarnation was first seen, seconds."""
         entry = self._entries.get(upstream_id)
@@ -99,15 +110,23 @@
 
     def _updated(self, record: upstream_record.UpstreamRecord, now: float) -> _Entry:
         current = self._entries.get(record.id)
-        if current is None or current.record.incarnation != record.incarnation:
-            return _Entry(record, now + record.cold_seconds, now)
+        cold_until = now + record.cold_seconds
+        if current is None:
+            return _Entry(record, cold_until, now)
+        was_warm = current.cold_until <= now
+        became_cold_at = (
+            now if was_warm and record.cold_seconds else current.became_cold_at
+        )
+        if current.record.incarnation != record.incarnation:
+            return _Entry(record, cold_until, now, became_cold_at)
         if record.sequence <= current.record.sequence:
             return current
         leaving = record.leaving or current.record.leaving
         return _Entry(
             record._replace(leaving=leaving),
-            now + record.cold_seconds,
+            cold_until,
             current.first_seen_at,
+            became_cold_at,
         )
 
     def _index(self) -> None:
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -439,7 +439,11 @@
         settings = self._services.get(record.service)
         if settings is None or settings.warmup_rate <= 0.0:
             return True
-        if now < self._started_at + cold_budget.WINDOW_SECONDS:
+        # Others, such as the earlier process of this VM, may have used up the limit.
+        may_send_from = cold_budget.WINDOW_SECONDS + max(
+            self._started_at, self._registry.became_cold_at(record.id)
+        )
+        if now < may_send_from:
             return False
         senders = self._possible_senders(record.data_centre, now)
         if record.data_centre != self._data_centre and senders > 0:
--- a/tests/discovery/test_upstream_registry.py
+++ b/tests/discovery/test_upstream_registry.py
@@ -1,5 +1,7 @@
 """Tests of the registry of upstreams."""
 
+import math
+
 from rattanlug.discovery import upstream_record, upstream_registry
 
 
@@ -57,3 +59,16 @@
     assert registry.cold_seconds("u1", 1.0) == 2.0
     registry.apply([record(sequence=2, cold=3.0)], 3, 1.5)
     assert registry.cold_seconds("u1", 1.5) == 3.0
+
+
+def test_the_time_at_which_a_warm_upstream_became_cold_is_kept():
+    registry = upstream_registry.UpstreamRegistry()
+    registry.apply([record(cold=3.0)], 1, 0.0)
+    assert registry.became_cold_at("u1") == -math.inf
+    registry.apply([record(sequence=2)], 2, 1.0)
+    registry.apply([record(sequence=3, cold=3.0)], 3, 2.0)
+    registry.apply([record(sequence=4, cold=2.0)], 4, 3.0)
+    assert registry.became_cold_at("u1") == 2.0
+    registry.apply([record(sequence=5)], 5, 4.0)
+    registry.apply([record(incarnation=2, cold=3.0)], 6, 5.0)
+    assert registry.became_cold_at("u1") == 5.0
--- a/tests/placement/test_bounds.py
+++ b/tests/placement/test_bounds.py
@@ -84,11 +84,14 @@
         assert sum(at - 1.0 < each <= at for each in sent) <= bound
 
 
-def send_all_that_are_allowed(chooser, now):
+def send_all_that_are_allowed(chooser, now, limit=100):
     """Send requests until the placer rejects one; return how many were sent."""
     times = chooser.times("r", 0.4, True)
     count = 0
-    while (chosen := chooser.choose(make_request(), times, now)) is not None:
+    while (
+        count < limit
+        and (chosen := chooser.choose(make_request(), times, now)) is not None
+    ):
         token = chooser.begin(chosen.record, "o", now)
         chooser.load(chosen.record, now).end(token)
         count += 1
@@ -131,6 +134,24 @@
     assert send_all_that_are_allowed(chooser, later) == 0
 
 
+# Guards against a cold upstream that gets its limit in addition to the requests of VMs
+# of other data centres that hadn't learned yet that it had become cold.
+@pytest.mark.parametrize("incarnation", [1, 2])
+def test_requests_sent_before_an_upstream_became_cold_do_not_add_to_its_limit(
+    incarnation,
+):
+    vms = [build([record("u1")], data_centre=name) for name in ("d1", "d1", "d2")]
+    sent_by_remote_vm = send_all_that_are_allowed(vms[2], 1.0, 10)
+    turned = record("u1", sequence=2, cold=10.0)._replace(incarnation=incarnation)
+    for chooser in vms:
+        chooser._registry.apply([turned], 2, 1.3)
+    sent = [send_all_that_are_allowed(each, 1.4) for each in vms]
+    bound = 7.4 * BOUNDS.cold_factor + BOUNDS.cold_slack
+    assert sent_by_remote_vm + sum(sent) <= bound
+    later = 1.3 + cold_budget.WINDOW_SECONDS
+    assert send_all_that_are_allowed(vms[0], later) > 0
+
+
 # Guards against memory that grows with each request to an upstream that stays warm.
 def test_budgets_keep_the_requests_of_one_window_only():
     budget = cold_budget.ColdBudget()
