--- a/src/rattanlug/placement/cold_budget.py
+++ b/src/rattanlug/placement/cold_budget.py
@@ -24,7 +24,7 @@
         """Tell whether nothing was sent within the window."""
         return not self._sends or self._sends[-1] <= now - WINDOW_SECONDS
 
-    def allows(self, bound: float, vms: int, now: float) -> bool:
+    def allows(self, bound: float, vms: float, now: float) -> bool:
         """Tell whether one more request stays within this VM's share of the limit.
 
         Parameters
@@ -32,14 +32,26 @@
         bound : float
             Limit on the requests per second of all VMs together.
         vms : int
-            Number of VMs that send to this upstream.
+            Number of VMs that may send to this upstream.
         now : float
             Time on the VM's monotonic clock, seconds.
         """
-        while self._sends and self._sends[0] <= now - WINDOW_SECONDS:
-            self._sends.popleft()
-        return len(self._sends) < math.floor(SAFETY_FACTOR * bound / max(1, vms))
+        self._expire(now)
+        share = math.floor(SAFETY_FACTOR * bound / max(1, vms))
+        if vms <= bound:
+            share = max(1, share)
+        return len(self._sends) < share
 
     def count(self, now: float) -> None:
         """Count a request that is sent."""
+        self._expire(now)
         self._sends.append(now)
+
+    def uncount(self, counted_at: float) -> None:
+        """Remove a request that was counted at a time and not sent then."""
+        if counted_at in self._sends:
+            self._sends.remove(counted_at)
+
+    def _expire(self, now: float) -> None:
+        while self._sends and self._sends[0] <= now - WINDOW_SECONDS:
+            self._sends.popleft()
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -78,10 +78,14 @@
     senders : callable
         Takes the name of a data centre or region, or an empty string for all; returns
         the number of VMs there.
+    possible_senders : callable
+        Takes the name of a data centre, or an empty string for all, and the time on the
+        VM's monotonic clock, seconds; returns how many VMs there may be sending,
+        including silent ones.
     rng : random.Random
     started_at : float, optional
-        Time at which this VM started, on its monotonic clock, seconds. Its previous
-        process may have used up the limits of cold upstreams shortly before.
+        Time at which this process began to serve, on the VM's monotonic clock, seconds;
+        infinite until `start`.
     """
 
     def __init__(
@@ -92,6 +96,7 @@
         registry: upstream_registry.UpstreamRegistry,
         all_bounds: bounds.Bounds,
         senders: Callable[[str], int],
+        possible_senders: Callable[[str, float], float],
         rng: random.Random,
         started_at: float = -math.inf,
     ) -> None:
@@ -101,6 +106,7 @@
         self._registry = registry
         self._bounds = all_bounds
         self._senders = senders
+        self._possible_senders = possible_senders
         self._rng = rng
         self._started_at = started_at
         # Incarnation and load of each upstream, by id.
@@ -125,6 +131,13 @@
         """Round-trip times to the other data centres."""
         return self._round_trips
 
+    def start(self, now: float) -> None:
+        """Record that this process begins to serve, and no earlier one of the VM does.
+
+        The earlier process may have used up the limits of cold upstreams until now.
+        """
+        self._started_at = now
+
     def configure(self, services: Mapping[str, service.Service]) -> None:
         """Apply the services of a new version of the desired state."""
         self._services = services
@@ -268,6 +281,29 @@
             load.objects.touch(object_id)
         return load.begin(now)
 
+    def may_send(
+        self, record: upstream_record.UpstreamRecord, begun_at: float, now: float
+    ) -> bool:
+        """Tell whether a request whose connection is open now may still be sent.
+
+        Meanwhile, the upstream may have become cold, or its limit may have been used up
+        by other requests. From now on, the request counts as sent now.
+
+        Parameters
+        ----------
+        record : upstream_record.UpstreamRecord
+        begun_at : float
+            Time that was passed to `begin`, seconds.
+        now : float
+            Time on the VM's monotonic clock, seconds.
+        """
+        budget = self._cold_budget(record)
+        budget.uncount(begun_at)
+        if not self._cold_budget_allows(record, now):
+            return False
+        budget.count(now)
+        return True
+
     def record_warm_hit(
         self, service_name: str, chosen: placement.Placement, hit: bool
     ) -> None:
@@ -396,23 +432,27 @@
         """Tell whether an upstream's warm-up permits one more request.
 
         A cold upstream receives requests only from the VMs of its data centre, if there
-        are any there.
+        may be any there.
         """
         if self._registry.cold_seconds(record.id, now) <= 0.0:
             return True
         settings = self._services.get(record.service)
         if settings is None or settings.warmup_rate <= 0.0:
             return True
-        if now < self._started_at + cold_budget.WINDOW_SECONDS:
+        # Others, such as the earlier process of this VM, may have used up the limit.
+        may_send_from = cold_budget.WINDOW_SECONDS + max(
+            self._started_at, self._registry.became_cold_at(record.id)
+        )
+        if now < may_send_from:
             return False
-        senders = self._senders(record.data_centre)
+        senders = self._possible_senders(record.data_centre, now)
         if record.data_centre != self._data_centre and senders > 0:
             return False
         bound = (
             settings.warmup_rate * self._bounds.cold_factor + self._bounds.cold_slack
         )
         return self._cold_budget(record).allows(
-            bound, senders or self._senders(""), now
+            bound, senders or self._possible_senders("", now), now
         )
 
 
--- a/tests/placement/test_bounds.py
+++ b/tests/placement/test_bounds.py
@@ -24,7 +24,7 @@
     return request._replace(**changes)
 
 
-def build(records, senders=2, data_centre="d1", **options):
+def build(records, senders=2, data_centre="d1", warmup_rate=7.4, **options):
     registry = upstream_registry.UpstreamRegistry()
     registry.apply(records, 1, 0.0)
     regions = {"d1": "r1", "d2": "r1", "d3": "r2"}
@@ -35,10 +35,11 @@
         registry,
         BOUNDS,
         lambda name: senders,
+        lambda name, now: senders,
         random.Random(1),
         **options,
     )
-    built.configure({"s": service.Service("s", 100, 3.0, 7.4)})
+    built.configure({"s": service.Service("s", 100, 3.0, warmup_rate)})
     return built
 
 
@@ -59,10 +60,14 @@
     assert name() == "u2"
 
 
+# With the larger numbers of VMs, guards against a cold upstream that gets no requests
+# since the share of each VM is less than one.
 @pytest.mark.parametrize("seed", range(10))
-def test_all_vms_together_stay_within_the_limit_of_a_cold_upstream(seed):
+@pytest.mark.parametrize(("count", "rate"), [(2, 7.4), (2, 15.0), (9, 4.0), (11, 4.0)])
+def test_all_vms_together_stay_within_the_limit_of_a_cold_upstream(seed, count, rate):
     rng = random.Random(seed)
-    vms = [build([record("u1", cold=10.0)], senders=2) for _ in range(2)]
+    cold = record("u1", cold=10.0)
+    vms = [build([cold], senders=count, warmup_rate=rate) for _ in range(count)]
     times = vms[0].times("r", 0.4, True)
     sent, now = [], 0.0
     while now < 8.0:
@@ -73,17 +78,20 @@
             token = vm.begin(chosen.record, "o", now)
             vm.load(chosen.record, now).end(token)
             sent.append(now)
-    bound = 7.4 * BOUNDS.cold_factor + BOUNDS.cold_slack
+    bound = rate * BOUNDS.cold_factor + BOUNDS.cold_slack
     assert sent
     for at in sent:
         assert sum(at - 1.0 < each <= at for each in sent) <= bound
 
 
-def send_all_that_are_allowed(chooser, now):
+def send_all_that_are_allowed(chooser, now, limit=100):
     """Send requests until the placer rejects one; return how many were sent."""
     times = chooser.times("r", 0.4, True)
     count = 0
-    while (chosen := chooser.choose(make_request(), times, now)) is not None:
+    while (
+        count < limit
+        and (chosen := chooser.choose(make_request(), times, now)) is not None
+    ):
         token = chooser.begin(chosen.record, "o", now)
         chooser.load(chosen.record, now).end(token)
         count += 1
@@ -116,6 +124,42 @@
     assert chooser._cold_budgets == {}
 
 
+def test_a_request_that_is_sent_late_counts_from_then_on():
+    chooser = build([record("u1", cold=10.0)])
+    first = send_all_that_are_allowed(chooser, 1.0)
+    later = 1.0 + cold_budget.WINDOW_SECONDS + 0.1
+    cold = record("u1", cold=10.0)
+    assert all(chooser.may_send(cold, 1.0, later) for _ in range(first))
+    assert not chooser.may_send(cold, 1.0, later)
+    assert send_all_that_are_allowed(chooser, later) == 0
+
+
+# Guards against a cold upstream that gets its limit in addition to the requests of VMs
+# of other data centres that hadn't learned yet that it had become cold.
+@pytest.mark.parametrize("incarnation", [1, 2])
+def test_requests_sent_before_an_upstream_became_cold_do_not_add_to_its_limit(
+    incarnation,
+):
+    vms = [build([record("u1")], data_centre=name) for name in ("d1", "d1", "d2")]
+    sent_by_remote_vm = send_all_that_are_allowed(vms[2], 1.0, 10)
+    turned = record("u1", sequence=2, cold=10.0)._replace(incarnation=incarnation)
+    for chooser in vms:
+        chooser._registry.apply([turned], 2, 1.3)
+    sent = [send_all_that_are_allowed(each, 1.4) for each in vms]
+    bound = 7.4 * BOUNDS.cold_factor + BOUNDS.cold_slack
+    assert sent_by_remote_vm + sum(sent) <= bound
+    later = 1.3 + cold_budget.WINDOW_SECONDS
+    assert send_all_that_are_allowed(vms[0], later) > 0
+
+
+# Guards against memory that grows with each request to an upstream that stays warm.
+def test_budgets_keep_the_requests_of_one_window_only():
+    budget = cold_budget.ColdBudget()
+    for index in range(1000):
+        budget.count(0.1 * index)
+    assert len(budget._sends) <= 13
+
+
 # Guards against a VM whose new process sends its whole share again within the second in
 # which its previous process was killed.
 def test_a_vm_that_has_just_started_sends_nothing_to_cold_upstreams():
