Count connections that end with an unanswered request, by cause

Callers saw: connections that ended without an answer. Nothing that was written told why: an error while a connection was served counted without a cause, and its log line had the level debug, which the daemon does not write.

- connections_unanswered counts each connection that ends with a request begun and not answered, by cause (disconnected, shutdown, idle, send_timeout, http_2, failed, closed) and phase (reading, serving, sending).
- connection_failures has the class of the error and the phase.
The first failure is logged with its traceback, further ones at most every 5 s with the number left out.
- The end of a request no longer clears the mark "being served" of a next request on the same connection that has begun meanwhile (found by reading, not seen).

Tests: four cases in tests/caller/test_fast_path.py.

--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -78,8 +78,15 @@
         # Whether bytes are being sent. The caller may receive a response, and send its
         # next request, before the call that sends the response returns.
         self._sending = False
-        # Whether the application is serving a request of this connection.
-        self._is_served = False
+        # Whether a request has begun whose response has not been sent.
+        self._is_unanswered = False
+        # Requests of this connection that the application is serving. The next one may
+        # begin before the task of the previous one has ended.
+        self._served = 0
+        # Whether the current request has been passed to the application.
+        self._has_been_read = False
+        self._has_failed_to_send = False
+        self._close_cause = ""
         self._last_used = trio.current_time()
         self._has_disconnected = False
         self._on_disconnect: Callable[[], None] | None = None
@@ -96,6 +103,30 @@
         """Whether no request is being read or served and no response is being sent."""
         return not self._in_request and not self._sending
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether a request has begun whose response has not been sent."""
+        return self._is_unanswered
+
+    @property
+    def phase(self) -> str:
+        """What was done last for the unanswered request, or idle."""
+        if not self._is_unanswered:
+            return "idle"
+        if self._has_failed_to_send:
+            return "sending"
+        return "serving" if self._has_been_read else "reading"
+
+    @property
+    def close_cause(self) -> str:
+        """Why the connection ended: of the server if it closed it, else of the caller.
+
+        Empty if neither is known to have ended it.
+        """
+        if self._close_cause or not self._has_disconnected:
+            return self._close_cause
+        return "disconnected"
+
     @property
     def socket(self) -> trio.socket.SocketType:
         """Socket of the connection."""
@@ -145,12 +176,13 @@
         now : float
             Seconds on the clock of trio.
         """
-        return 0.0 if self._is_served else now - self._last_used
+        return 0.0 if self._served else now - self._last_used
 
     async def receive_request(self) -> bytes:
         """Receive the first bytes of a request; empty if the caller disconnected."""
         data = self._take_pending() or await self._receive(_READ_BYTES)
-        self._begin_request()
+        if data:
+            self._begin_request()
         return data
 
     def find_local_reply(self, head: request_head.RequestHead) -> bytes | None:
@@ -190,8 +222,9 @@
 
     async def send_response(self, data: bytes) -> None:
         """Send an encoded response; the next byte received begins a request."""
+        self._is_unanswered = False
         await self._send_with_timeout(data)
-        self._in_request = bool(self._pending)
+        self._in_request = self._is_unanswered = bool(self._pending)
 
     async def receive_some(self, max_bytes: int) -> bytes:
         """Receive bytes; an HTTP/2 preface is treated as the end of the stream."""
@@ -202,6 +235,7 @@
             data = await self._receive_request(max_bytes)
         if data.startswith(_HTTP_2_PREFACE):
             self._counters.add("requests_rejected", reason="http_2")
+            self._close_cause = "http_2"
             return b""
         return data
 
@@ -214,10 +248,11 @@
             if local_reply is None:
                 break
             self._begin_request()
+            self._is_unanswered = False
             await self._send_with_timeout(local_reply)
             self._in_request = False
             data = await self._receive(max_bytes)
-        if not self._in_request:
+        if data and not self._in_request:
             self._begin_request()
         return data
 
@@ -230,17 +265,19 @@
         """
         if not self._in_request:
             self._begin_request()
-        self._is_served = True
+        self._served += 1
+        self._has_been_read = True
         try:
             yield
         finally:
-            self._is_served = False
+            self._served -= 1
             self._last_used = trio.current_time()
 
     def _begin_request(self) -> None:
         # A shutdown closes the connections that are between requests; from now on it
         # waits for the response on this one.
-        self._in_request = True
+        self._in_request = self._is_unanswered = True
+        self._has_been_read = False
         self._arrived_at = self._earliest_received_at
 
     async def send_all(self, data: bytes) -> None:
@@ -260,6 +297,7 @@
         if not data.startswith(_INFORMATIONAL):
             # The request ends before the bytes leave, since the next one may begin
             # while they are being sent.
+            self._is_unanswered = False
             self._in_request = _CLOSE in data[: data.find(_HEAD_END)].lower()
         await self._send_with_timeout(data)
 
@@ -299,12 +337,19 @@
             with trio.move_on_after(SEND_SECONDS):
                 await self._stream.send_all(data)
                 return
+        except BaseException:
+            self._record_failed_send()
+            raise
         finally:
             self._sending = False
         self._counters.add("answers_not_read")
-        self.abort()
+        self._record_failed_send()
+        self.abort("send_timeout")
         raise trio.BrokenResourceError("the caller does not read its response")
 
+    def _record_failed_send(self) -> None:
+        self._is_unanswered = self._has_failed_to_send = True
+
     async def send_eof(self) -> None:
         """Half-close the connection."""
         await self._stream.send_eof()
@@ -313,6 +358,13 @@
         """Close the connection."""
         await self._stream.aclose()
 
-    def abort(self) -> None:
-        """Close the connection at once; pending calls on it fail."""
+    def abort(self, cause: str) -> None:
+        """Close the connection at once; pending calls on it fail.
+
+        Parameters
+        ----------
+        cause : str
+            Label of the counter of unanswered requests.
+        """
+        self._close_cause = self._close_cause or cause
         self._stream.socket.close()
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -1,6 +1,7 @@
 """HTTP server with limits on the connections of callers."""
 
 import logging
+import math
 from collections.abc import Callable
 
 import hypercorn.config
@@ -26,6 +27,8 @@
 SWEEP_SECONDS = 2.0
 MAX_CONNECTIONS = 2048
 _MAX_HEADER_BYTES = 32 * 1024
+# Log lines for connections that failed are at least this far apart.
+LOG_INTERVAL_SECONDS = 5.0
 _LOG = logging.getLogger(__name__)
 
 
@@ -69,6 +72,8 @@
         self._context = worker_context.WorkerContext(None)
         self._streams: set[caller_stream.CallerStream] = set()
         self._stopping = False
+        self._logged_at = -math.inf
+        self._unlogged_failures = 0
 
     @property
     def connections(self) -> int:
@@ -137,12 +142,12 @@
             await self._context.terminated.set()
             for stream in list(self._streams):
                 if stream.between_requests and not stream.has_unread_bytes:
-                    stream.abort()
+                    stream.abort("shutdown")
             with trio.move_on_after(graceful_timeout_seconds):
                 while self._streams:
                     await trio.sleep(0.02)
             for stream in list(self._streams):
-                stream.abort()
+                stream.abort("shutdown")
             serving.cancel_scope.cancel()
 
     async def _accept(
@@ -174,7 +179,7 @@
             now = trio.current_time()
             for stream in list(self._streams):
                 if stream.idle_seconds(now) > KEEP_ALIVE_SECONDS:
-                    stream.abort()
+                    stream.abort("idle")
 
     async def _serve_connection(self, accepted: listener.AcceptedConnection) -> None:
         if len(self._streams) >= self._max_connections:
@@ -192,6 +197,7 @@
             return
         self._streams.add(caller)
         self._by_caller[caller.remote_address] = caller
+        failure = ""
         try:
             # Hypercorn's objects are only created for connections that need them:
             # rejected callers come back on a new connection each time.
@@ -200,15 +206,32 @@
                 await self._run_library(caller)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._counters.add("connections_broken")
-        except Exception:
+        except Exception as exc:
             # An error in one connection must not end the others.
-            self._counters.add("connection_failures")
-            _LOG.debug("connection of a caller failed", exc_info=True)
+            failure = _name_of_error(exc)
+            self._record_failure(failure, caller.phase, clock.now())
         finally:
             self._streams.discard(caller)
             self._by_caller.pop(caller.remote_address, None)
+            if caller.is_unanswered:
+                cause = caller.close_cause or ("failed" if failure else "closed")
+                self._counters.add(
+                    "connections_unanswered", cause=cause, phase=caller.phase
+                )
             await trio.aclose_forcefully(accepted.stream)
 
+    def _record_failure(self, name: str, phase: str, now: float) -> None:
+        self._counters.add("connection_failures", error=name, phase=phase)
+        if now - self._logged_at < LOG_INTERVAL_SECONDS:
+            self._unlogged_failures += 1
+            return
+        _LOG.warning(
+            "connection of a caller failed",
+            exc_info=True,
+            extra={"phase": phase, "skipped": self._unlogged_failures},
+        )
+        self._logged_at, self._unlogged_failures = now, 0
+
 
 class _NoIdleTask:
     """Replaces hypercorn's task that closes an idle connection.
@@ -224,6 +247,13 @@
         """Ignore; the server closes idle connections itself."""
 
 
+def _name_of_error(exc: BaseException) -> str:
+    """Return the class of an error, of the first one in a group."""
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return type(exc).__name__
+
+
 def _config() -> hypercorn.config.Config:
     config = hypercorn.config.Config()
     config.accesslog = None
--- a/tests/caller/test_fast_path.py
+++ b/tests/caller/test_fast_path.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 import trio.testing
+from hypercorn.trio import tcp_server
 
 from rattanlug.caller import application, caller_stream, reply, server
 from rattanlug.daemon import clock
@@ -413,3 +414,60 @@
         await stream.send_all(_PLAIN[:10])
         with trio.fail_after(2.0), contextlib.suppress(trio.BrokenResourceError):
             assert await stream.receive_some(1) == b""
+
+
+def unanswered(served):
+    """Return the counted connections with an unanswered request, by their labels."""
+    return {
+        tuple(dict(labels).values()): value
+        for name, labels, value in served.counters.items()
+        if name == "connections_unanswered"
+    }
+
+
+# Guards against errors that close a connection and leave no trace.
+@pytest.mark.parametrize("by_library", [False, True])
+@caller.in_trio
+async def test_a_connection_that_ends_by_an_error_is_counted_and_logged(
+    monkeypatch, caplog, by_library
+):
+    async def fail(self, *args):
+        raise LookupError("no such thing")
+
+    monkeypatch.setattr(application.Application, "serve_parsed", fail)
+    monkeypatch.setattr(tcp_server.TCPServer, "run", fail)
+    async with serving() as served:
+        for _ in range(2):
+            stream = await connect(served)
+            await stream.send_all(_PLAIN[:10] if by_library else _PLAIN)
+            assert await stream.receive_some(1) == b""
+        phase = "reading"
+        value = served.counters.value(
+            "connection_failures", error="LookupError", phase=phase
+        )
+        assert value == 2
+        assert unanswered(served) == {("failed", phase): 2}
+        lines = [each for each in caplog.records if "connection" in each.message]
+        assert [each.phase for each in lines] == [phase]
+
+
+@pytest.mark.parametrize(
+    ("ends_by", "labels"),
+    [("caller", ("disconnected", "serving")), ("stop", ("shutdown", "serving"))],
+)
+@caller.in_trio
+async def test_an_unanswered_request_is_counted_by_its_cause(ends_by, labels):
+    async with serving() as served:
+        stream = await connect(served)
+        await stream.send_all(_PLAIN)
+        await read_response(stream)
+        served.hold_requests()
+        await stream.send_all(_PLAIN)
+        await served.entered.wait()
+        if ends_by == "caller":
+            await stream.aclose()
+        else:
+            served.stop.set()
+            await stream.receive_some(1)
+        await trio.sleep(0.1)
+        assert unanswered(served) == {labels: 1}
