Reject CONNECT, which was passed on and never answered

Callers would see: no answer to a CONNECT whose upstream answered with a success, and the connection stayed in the list of open connections after they had closed it.

Cause: the HTTP library takes a success for CONNECT as the beginning of a tunnel. Ruled out: the stream that holds back a head until its body comes; a 404 is answered.

Change: 400, not run, before the handler is called.

Test: test_connect_is_rejected_and_its_connection_is_released, two targets, both failed before (the connection ended without a byte).

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -213,6 +213,11 @@
             kind.ErrorKind.REQUEST_MALFORMED,
             "unsupported HTTP version; accepted: HTTP/1.0 and HTTP/1.1",
         )
+    if scope["method"] == "CONNECT":
+        # The HTTP library would take a success as the beginning of a tunnel.
+        raise error.RefusedError(
+            kind.ErrorKind.REQUEST_MALFORMED, "the method CONNECT is not supported"
+        )
     headers = [(name.lower(), value) for name, value in scope["headers"]]
     _check_headers(headers)
     body = bytearray()
--- a/tests/caller/test_fast_path.py
+++ b/tests/caller/test_fast_path.py
@@ -471,3 +471,19 @@
             await stream.receive_some(1)
         await trio.sleep(0.1)
         assert unanswered(served) == {labels: 1}
+
+
+# Guards against a request that is passed on and never answered, and whose connection
+# counts as open for ever: the library takes a success as the beginning of a tunnel.
+@pytest.mark.parametrize("target", [b"/a", b"x:80"])
+@caller.in_trio
+async def test_connect_is_rejected_and_its_connection_is_released(target):
+    async with serving() as served:
+        stream = await connect(served)
+        await stream.send_all(b"CONNECT " + target + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+        head, _ = await read_response(stream)
+        assert head.startswith(b"HTTP/1.1 400")
+        assert not served.requests
+        await stream.aclose()
+        await trio.sleep(0.1)
+        assert served.server.connections == 0
