Finish the requests of a shutdown whatever the store answers

Callers would see: all connections of a VM cut right after its SIGTERM, orders that run at an upstream included, if the store answered 412 to the removal of the VM's address.

Cause: of the store's errors, the removal expects StoreError only, and the error for 412 is none. It ended the daemon. The call has no condition, so a correct store does not answer so; the shutdown does not depend on that any more. Ruled out: a store that is away, whose error is expected.

Open: the same answer to a read or to the first registration still ends the daemon (ConditionFailedError from follow_table, seen in a test in one process).

Test: test_a_shutdown_finishes_its_requests_if_the_store_fails; the case of 412 failed before (ConditionFailedError from stop), the case of the store away passed.

--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -198,7 +198,7 @@
         grace = node.settings.bounds.stop - EXIT_MARGIN_SECONDS
         node.leave(started_at + grace)
         state_log.log_change("process", "running", "stopping")
-        await self._digest_exchange.leave()
+        await self._leave_look_ups()
         finish_seconds = min(
             node.longest_timeout() + FINISH_MARGIN_SECONDS, MAX_FINISH_FRACTION * grace
         )
@@ -219,6 +219,13 @@
             ],
         )
 
+    async def _leave_look_ups(self) -> None:
+        """Announce the shutdown; an error must not end the requests in flight."""
+        try:
+            await self._digest_exchange.leave()
+        except error.RattanlugError as exc:
+            state_log.log_change("address", "registered", "kept", reason=exc.detail)
+
     def _max_body_bytes(self) -> int:
         state = self._node.desired.state
         limit = state.limits.body_bytes if state else MAX_BODY_BYTES
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -5,11 +5,13 @@
 import time
 
 import httpcore
+import pytest
 import trio
 
 from rattanlug.daemon import clock
 from rattanlug.fleet import digest, digest_codec
 from rattanlug.gateway import node as node_module
+from rattanlug.platform import store_client, store_error
 from tests.gateway import caller
 from trial.shared_platform import fleet
 
@@ -210,3 +212,35 @@
         now = clock.now()
         assert [each.vm for each in node.peers.recent_digests(3.0, now)] == ["vm-9"]
         assert node.peers.recent_digests(0.9, now) == []
+
+
+# Guards against a shutdown that ends at once, with its requests, because of what the
+# store answers to the removal of the VM's address.
+@pytest.mark.parametrize(
+    "failure",
+    [store_error.ConditionFailedError("conflict"), store_error.StoreError("away")],
+)
+@caller.in_trio
+async def test_a_shutdown_finishes_its_requests_if_the_store_fails(
+    monkeypatch, failure
+):
+    async with fleet.open_fleet() as deployment:
+        upstream = await deployment.add_upstream("u1")
+        upstream.cold_seconds = 0.4
+        vm = await deployment.add_vm(bounds={"grace_s": 2})
+        await deployment.settle()
+
+        async def fail(self, writes):
+            raise failure
+
+        monkeypatch.setattr(store_client.StoreClient, "commit", fail)
+        found = []
+
+        async def ask():
+            found.append((await caller.send(vm, "/view/x"))[1].status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            await vm.stop()
+            assert found == [200]
