Play the soak on sites, with processes that overlap and cold upstreams

Callers would see lost, refused or flooded requests only on machines of their own: the soak had one small deployment, upstreams without queue or cold start, and judged no request that a running VM drops.

New faults: a process started while the one before it still serves, stops in turn with overlapping signals, kills of all VMs and in series, starts without the store, settings that come late, late scheduling, upstreams that turn cold, crash, refuse again, answer late, cut or lose answers. New guarantees: every request is answered, cold upstreams are not flooded, started VMs get ready, processes stay within their memory. A process that ends by itself is now found also when a later one has replaced it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from soak import run
+from soak import run, sites
 
 
 def main() -> int:
@@ -30,12 +30,20 @@
         default=0.0,
         help="CPU share (0 to 1) of the first VM, which receives all bursts",
     )
+    parser.add_argument(
+        "--site", choices=sorted(sites.SITES), default="", help="deployment to play"
+    )
     parser.add_argument("--list", action="store_true", help="print the injected faults")
     options = parser.parse_args()
     failed_runs = 0
     for seed in range(options.seed, options.seed + options.runs):
         run_options = run.Options(
-            seed, options.seconds, options.vms, options.upstreams, options.small
+            seed,
+            options.seconds,
+            options.vms,
+            options.upstreams,
+            options.small,
+            options.site,
         )
         outcome = trio.run(run.execute, run_options)
         failed_runs += bool(outcome.broken)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from typing import NamedTuple
 
 import trio
 
@@ -38,7 +39,7 @@
         self._deployed = deployed
         self._rng = rng
         self._rate = requests_per_second
-        self._data_centre, self._region = rng.choice(deployment_module.DATA_CENTRES)
+        self._data_centre, self._region = rng.choice(deployed.site.data_centres)
         self._hosts: list[str] = []
         self._looked_up_at = float("-inf")
         self._stream: trio.SocketStream | None = None
@@ -92,18 +93,23 @@
             await self._close()
             return
         sent_at = trio.current_time()
-        head, response, timed_out = b"", b"", False
+        data = self._encode(request_id, path, key, body)
+        received = await self._exchange(data, RESPONSE_TIMEOUT_SECONDS)
+        self._record(request_id, path, key, sent_at, received)
+        if not received.head or b"connection: close" in received.head.lower():
+            await self._close()
+
+    async def _exchange(self, data: bytes, timeout: float) -> "_Received":
+        head, body, timed_out, reset = b"", b"", False, False
         try:
-            with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
-                await self._stream.send_all(self._encode(request_id, path, key, body))
-                head, response = await self._read()
+            with trio.fail_after(timeout):
+                await self._stream.send_all(data)
+                head, body = await self._read()
         except trio.TooSlowError:
             timed_out = True
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
-        self._record(request_id, path, key, sent_at, head, response, timed_out)
-        if not head or b"connection: close" in head.lower():
-            await self._close()
+            reset = True
+        return _Received(head, body, timed_out, reset)
 
     async def _connect(self) -> None:
         if self._stream is not None and self._host in self._hosts:
@@ -142,7 +148,7 @@
                 return b"", b""
             data += chunk
         head, _, body = data.partition(_HEAD_END)
-        length = int(_header(head, b"content-length") or 0)
+        length = int(header(head, b"content-length") or 0)
         while len(body) < length:
             chunk = await self._stream.receive_some(65536)
             if not chunk:
@@ -156,10 +162,9 @@
         path: str,
         key: str,
         sent_at: float,
-        head: bytes,
-        body: bytes,
-        timed_out: bool,
+        received: "_Received",
     ) -> None:
+        head = received.head
         by_host = {each.host: each.name for each in self._deployed.vms}
         exchange = history.Exchange(
             request_id,
@@ -169,14 +174,26 @@
             sent_at,
             trio.current_time(),
             int(head[9:12]) if head else None,
-            not head and not timed_out,
-            _header(head, b"rattanlug-server-stamp").decode("latin-1"),
-            body,
+            not head and not received.timed_out,
+            header(head, b"rattanlug-server-stamp").decode("latin-1"),
+            received.body,
+            received.reset,
+            self._data_centre,
         )
         self._deployed.observations.exchanges.append(exchange)
 
 
-def _header(head: bytes, name: bytes) -> bytes:
+class _Received(NamedTuple):
+    """The response to one request; without a head, there was none in full."""
+
+    head: bytes
+    body: bytes
+    timed_out: bool
+    reset: bool
+
+
+def header(head: bytes, name: bytes) -> bytes:
+    """Return the value of a header, or nothing if there is none."""
     for line in head.split(b"\r\n")[1:]:
         field, _, value = line.partition(b":")
         if field.strip().lower() == name:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -1,25 +1,22 @@
 """Gateway daemons in separate processes, with a stand-in store and upstreams."""
 
+import contextlib
 import functools
 import os
 import pathlib
+import random
 import signal
+import time
 
 import trio
 
-from soak import history, proxy
-from trial import http_server, processes
+from soak import history, proxy, site_upstream
+from trial import http_client, http_server, processes
 from trial.shared_platform import boot_file, fleet, store, upstream
 
 FIRST_PORT = 9100
-DATA_CENTRES = (("north-a", "north"), ("north-b", "north"), ("south-a", "south"))
-# Time limits that the guarantees check: until every VM rejects a withdrawn key, until a
-# new desired state is in force, until no request is sent to a leaving upstream, and
-# until a gracefully stopped VM exits.
+# Time until every VM rejects a withdrawn key.
 REVOKE_SECONDS = 5.0
-APPLY_SECONDS = 2.5
-DRAIN_SECONDS = 2.5
-GRACE_SECONDS = 4.0
 # Time before an event in which a disturbance of a VM still excuses it.
 CONTACT_SECONDS = 4.0
 # In any window, executions may exceed an organisation's rate and burst by this share
@@ -27,10 +24,10 @@
 RATE_WINDOW_SECONDS = 5.0
 RATE_OVERAGE = 0.1
 RATE_SLACK = 20.0
-_READY_SECONDS = 20.0
+READY_SECONDS = 20.0
+_ORGANISATIONS = 4
 # Number of distinct /24 networks, 127.64.0.0 to 127.127.255.0, one for each run.
 _NETWORKS = 64 * 256
-_BOUNDS = {"grace_s": int(GRACE_SECONDS)}
 
 
 class Vm:
@@ -39,14 +36,15 @@
     Parameters
     ----------
     index : int
+    data_centre, region : str
     """
 
-    def __init__(self, index: int) -> None:
+    def __init__(self, index: int, data_centre: str, region: str) -> None:
         self.name = f"vm-{index}"
         # Concurrent runs use different loopback networks.
         network = os.getpid() % _NETWORKS
         self.host = f"127.{64 + network // 256}.{network % 256}.{index + 1}"
-        self.data_centre, self.region = DATA_CENTRES[index % len(DATA_CENTRES)]
+        self.data_centre, self.region = data_centre, region
         self.store_proxy: proxy.Proxy | None = None
         self.is_up = False
         self.is_paused = False
@@ -63,13 +61,24 @@
 
     Parameters
     ----------
-    stand_in : upstream.Upstream
+    stand_in : upstream.Upstream or site_upstream.SiteUpstream
     tcp_proxy : proxy.Proxy
+    service, data_centre : str
     """
 
-    def __init__(self, stand_in: upstream.Upstream, tcp_proxy: proxy.Proxy) -> None:
+    def __init__(
+        self,
+        stand_in: upstream.Upstream | site_upstream.SiteUpstream,
+        tcp_proxy: proxy.Proxy,
+        service: str,
+        data_centre: str,
+    ) -> None:
         self.stand_in = stand_in
         self.tcp_proxy = tcp_proxy
+        self.service = service
+        self.data_centre = data_centre
+        self.sequence = 1
+        self.born = 1
 
 
 class Deployment:
@@ -82,6 +91,9 @@
         Directory for settings files and logs.
     observations : history.History
     vms : int
+        Number of VMs if the site does not decide it.
+    rng : random.Random
+        For the upstreams of a site.
     """
 
     def __init__(
@@ -90,19 +102,29 @@
         directory: pathlib.Path,
         observations: history.History,
         vms: int,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._nursery = nursery
         self._directory = directory
         self._processes = processes.Processes(directory)
         self._store_port = 0
         self._version = 2
+        self._started_upstreams = 0
         self.observations = observations
+        self._stopped: set[str] = set()
+        self.site = observations.site
         self.store = store.Store()
-        self.vms = [Vm(index) for index in range(vms)]
+        centres = self.site.data_centres
+        places = [centres[index % len(centres)] for index in range(vms)]
+        if self.site.vms:
+            counts = zip(centres, self.site.vms, strict=True)
+            places = [place for place, count in counts for _ in range(count)]
+        self.vms = [Vm(index, *place) for index, place in enumerate(places)]
         # VMs that receive bursts of callers.
         self.burst_targets = self.vms
         self.upstreams: dict[str, ProxiedUpstream] = {}
-        self.retired: list[upstream.Upstream] = []
+        self.retired: list[ProxiedUpstream] = []
         self.organisations = {
             f"organisation-{index}": {
                 "name": f"organisation-{index}",
@@ -110,7 +132,7 @@
                 "rate_per_s": 0,
                 "burst": 0,
             }
-            for index in range(4)
+            for index in range(_ORGANISATIONS)
         }
         self.added_routes: list[str] = []
 
@@ -121,44 +143,81 @@
             functools.partial(http_server.serve, "127.0.0.1", 0, self.store.handle)
         )
         self._store_port = listeners[0].socket.getsockname()[1]
-        for index in range(upstreams):
-            await self.add_upstream(DATA_CENTRES[index % len(DATA_CENTRES)][0])
+        centres = [each for each, _ in self.site.data_centres]
+        if not self.site.services:
+            for index in range(upstreams):
+                await self.add_upstream(centres[index % len(centres)])
+        for service in self.site.services:
+            for centre, count in zip(centres, service.upstreams, strict=True):
+                for _ in range(count):
+                    await self.add_upstream(centre, service.name)
         for vm in self.vms:
             vm.store_proxy = proxy.Proxy(self._store_port)
             await self._nursery.start(vm.store_proxy.run)
             self.start_vm(vm)
-        with trio.fail_after(_READY_SECONDS):
+        with trio.fail_after(READY_SECONDS):
             for vm in self.vms:
                 await self.wait_ready(vm)
 
     def write_state(self) -> None:
         """Write a new version of the desired state to the store."""
         self._version += 1
-        state = fleet.desired_state(
-            self._version, tenants=list(self.organisations.values())
-        )
-        paths = state["virtual_hosts"][0]["paths"]
-        for name in self.added_routes:
-            paths.append({**paths[0], "name": name, "prefix": f"/{name}/"})
+        organisations = list(self.organisations.values())
+        state = self.site.desired_state(self._version, organisations, self.added_routes)
         self.store.put("op", "config", state)
 
-    async def add_upstream(self, data_centre: str) -> str:
+    async def add_upstream(
+        self, data_centre: str, service: str = fleet.SERVICE, cold: bool = False
+    ) -> str:
         """Start an upstream and register it; return its id."""
-        name = f"u{len(self.upstreams) + len(self.retired)}"
-        stand_in = upstream.Upstream(name, slots=8)
-        listeners = await self._nursery.start(
-            functools.partial(http_server.serve, "127.0.0.1", 0, stand_in.handle)
-        )
-        tcp_proxy = proxy.Proxy(listeners[0].socket.getsockname()[1])
+        self._started_upstreams += 1
+        name = f"u{self._started_upstreams - 1}"
+        await self._start_upstream(name, data_centre, service, cold)
+        return name
+
+    async def restart_upstream(self, name: str) -> None:
+        """Start a crashed upstream again, cold, under the id that it had."""
+        crashed = self.upstreams[name]
+        self.retired.append(crashed)
+        await self._start_upstream(name, crashed.data_centre, crashed.service, True)
+
+    async def _start_upstream(
+        self, name: str, data_centre: str, service: str, cold: bool
+    ) -> None:
+        if self.site.services:
+            found = next(each for each in self.site.services if each.name == service)
+            routes = self.site.routes
+            rng = random.Random(self._rng.random())
+            stand_in = site_upstream.SiteUpstream(name, found, routes, rng)
+            port = await self._nursery.start(stand_in.run)
+            if cold:
+                stand_in.turn_cold()
+        else:
+            stand_in = upstream.Upstream(name, slots=8)
+            listeners = await self._nursery.start(
+                functools.partial(http_server.serve, "127.0.0.1", 0, stand_in.handle)
+            )
+            port = listeners[0].socket.getsockname()[1]
+        tcp_proxy = proxy.Proxy(port)
         await self._nursery.start(tcp_proxy.run)
-        self.upstreams[name] = ProxiedUpstream(stand_in, tcp_proxy)
+        started = ProxiedUpstream(stand_in, tcp_proxy, service, data_centre)
+        if self.site.services:
+            started.born = time.time_ns() // 1_000_000
+        self.upstreams[name] = started
         self.register(name, data_centre)
-        return name
 
     def register(self, name: str, data_centre: str, **row: object) -> None:
         """Write the registration of an upstream."""
         registered = self.upstreams[name]
-        values = {"service": fleet.SERVICE, "data_centre": data_centre, **row}
+        values = {
+            "service": registered.service,
+            "data_centre": data_centre,
+            "born": registered.born,
+            "sequence": registered.sequence,
+            **row,
+        }
+        if self.site.services:
+            values["cold_seconds"] = round(registered.stand_in.cold_left(), 3)
         address = f"127.0.0.1:{registered.tcp_proxy.port}"
         row_value = upstream.registration(registered.stand_in, address, **values)
         self.store.put("servers", name, row_value)
@@ -166,28 +225,40 @@
     def retire(self, name: str) -> None:
         """Remove the registration of an upstream, but keep its executions."""
         self.store.remove("servers", name)
-        self.retired.append(self.upstreams.pop(name).stand_in)
+        self.retired.append(self.upstreams.pop(name))
 
     def start_vm(self, vm: Vm) -> None:
-        """Start the process of a VM."""
-        vm.incarnation += 1
-        path = self._directory / f"{vm.name}.toml"
-        path.write_text(
-            boot_file.render(
-                vm.name,
-                vm.host,
-                FIRST_PORT,
-                vm.store_proxy.port,
-                vm.data_centre,
-                vm.region,
-                seeds=[each.host for each in self.vms[:3]],
-                bounds=_BOUNDS,
-            )
+        """Write the settings of a VM and start its process."""
+        self.write_settings(vm, self.vms[:3])
+        self.start_process(vm)
+
+    def settings_path(self, vm: Vm) -> pathlib.Path:
+        """Return the path of a VM's settings file."""
+        return self._directory / f"{vm.name}.toml"
+
+    def write_settings(self, vm: Vm, seeds: list[Vm]) -> None:
+        """Write the settings file of a VM."""
+        text = boot_file.render(
+            vm.name,
+            vm.host,
+            FIRST_PORT,
+            vm.store_proxy.port,
+            vm.data_centre,
+            vm.region,
+            seeds=[each.host for each in seeds],
+            bounds=self.site.bounds,
+            limits=self.site.limits,
+            data_centres=self.site.data_centres,
         )
+        self.settings_path(vm).write_text(text)
+
+    def start_process(self, vm: Vm) -> None:
+        """Start a process of a VM, whose settings file may come later."""
+        vm.incarnation += 1
         self._processes.start(
             vm.process,
             ["-m", "rattanlug.gateway"],
-            environment={"RATTANLUG_BOOT": str(path)},
+            environment={"RATTANLUG_BOOT": str(self.settings_path(vm))},
         )
         vm.is_up = True
 
@@ -202,26 +273,75 @@
             await stream.aclose()
             return
 
+    async def wait_served(self, vm: Vm) -> None:
+        """Wait until a VM accepts connections of callers and says that it is ready."""
+        await self.wait_ready(vm)
+        while True:
+            with contextlib.suppress(*http_client.FAILURES):
+                answer = await http_client.request(
+                    vm.host, FIRST_PORT + 1, "GET", "/readyz", timeout=1.0
+                )
+                if answer.status == 200:
+                    return
+            await trio.sleep(0.05)
+
+    def reload(self, name: str) -> None:
+        """Send SIGHUP to a process, unless it is not yet prepared for the signal."""
+        if self._processes.exit_code(name) is not None:
+            return
+        status = pathlib.Path(f"/proc/{self._processes.pid(name)}/status").read_text()
+        masks = dict(line.partition(":")[::2] for line in status.splitlines())
+        handled = int(masks["SigCgt"], 16) | int(masks["SigIgn"], 16)
+        if handled & 1 << signal.SIGHUP - 1:
+            self._processes.signal(name, signal.SIGHUP)
+        else:
+            now = trio.current_time()
+            self.observations.record_event(now, "reload before preparation", name)
+
+    def signal_process(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process, also one that a later one has replaced."""
+        if self._processes.exit_code(name) is None:
+            if number in (signal.SIGTERM, signal.SIGKILL):
+                self._stopped.add(name)
+            self._processes.signal(name, number)
+
     def signal(self, vm: Vm, number: signal.Signals) -> None:
         """Send a signal to the process of a VM."""
-        self._processes.signal(vm.process, number)
+        self.signal_process(vm.process, number)
 
     async def wait_end(self, vm: Vm, seconds: float) -> int | None:
         """Return the exit code of a VM's process, or None if it is still running."""
-        return await self._processes.wait(vm.process, seconds)
+        return await self.wait_process(vm.process, seconds)
+
+    async def wait_process(self, name: str, seconds: float) -> int | None:
+        """Return the exit code of a process, or None if it is still running."""
+        return await self._processes.wait(name, seconds)
+
+    def running(self) -> dict[str, int]:
+        """Return the ids of all running processes, by name."""
+        return {
+            each: self._processes.pid(each)
+            for each in self._processes.names
+            if self._processes.exit_code(each) is None
+        }
 
     def unexpected_ends(self) -> list[str]:
-        """Return the VMs whose process exited without having been stopped or killed."""
+        """Return the processes that exited without having been stopped or killed."""
         return [
-            f"{each.name} ended with {self._processes.exit_code(each.process)}"
-            for each in self.vms
-            if each.is_up and self._processes.exit_code(each.process) is not None
+            f"{each} ended with {self._processes.exit_code(each)}"
+            for each in self._processes.names
+            if each not in self._stopped and self._processes.exit_code(each) is not None
         ]
 
+    def all_upstreams(self) -> list[ProxiedUpstream]:
+        """Return all upstreams that were ever started."""
+        return [*self.upstreams.values(), *self.retired]
+
     def executions(self) -> list[upstream.Execution]:
         """Return the requests that any upstream executed."""
-        stand_ins = [each.stand_in for each in self.upstreams.values()] + self.retired
-        return [run for each in stand_ins for run in each.executions]
+        return [
+            run for each in self.all_upstreams() for run in each.stand_in.executions
+        ]
 
     def end(self) -> None:
         """Stop all processes."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 import trio
 
 from soak import deployment as deployment_module
-from soak import proxy
+from soak import history, proxy
 from trial.shared_platform import fleet
 
 Fault = Callable[[deployment_module.Deployment, random.Random], Awaitable[None]]
@@ -91,12 +91,12 @@
     ):
         vm.is_up = False
         started_at = trio.current_time()
-        interval = deployed.observations.begin_disturbance(vm.name, started_at)
+        interval = deployed.observations.begin_stop(vm.name, started_at)
         deployed.signal(vm, signal.SIGTERM)
         if rng.random() < 0.3:
             await trio.sleep(rng.uniform(0.0, 1.0))
             deployed.signal(vm, signal.SIGHUP)
-        code = await deployed.wait_end(vm, deployment_module.GRACE_SECONDS)
+        code = await deployed.wait_end(vm, deployed.site.bounds["grace_s"])
         now = trio.current_time()
         deployed.observations.record_event(
             started_at, "vm stopping", f"{vm.name} {now}"
@@ -160,7 +160,8 @@
 ) -> None:
     now = trio.current_time()
     intervals = [
-        deployed.observations.begin_disturbance(each.name, now) for each in vms
+        deployed.observations.begin_disturbance(history.store_of(each.name), now)
+        for each in vms
     ]
     delay = rng.uniform(0.05, 0.6)
     for each in vms:
@@ -228,11 +229,11 @@
 ) -> None:
     """Add an upstream, then drain and remove an old one."""
     old = rng.choice(sorted(deployed.upstreams))
-    data_centre = rng.choice(deployment_module.DATA_CENTRES)[0]
-    await deployed.add_upstream(data_centre)
+    data_centre = rng.choice(deployed.site.data_centres)[0]
+    await deployed.add_upstream(data_centre, deployed.upstreams[old].service)
     deployed.register(old, data_centre, state="draining", sequence=9)
     deployed.observations.record_event(trio.current_time(), "upstream leaving", old)
-    await trio.sleep(deployment_module.DRAIN_SECONDS + 1.0)
+    await trio.sleep(deployed.site.bounds["drain_timeout_s"] + 1.0)
     if old in deployed.upstreams:
         deployed.upstreams[old].tcp_proxy.set_mode(proxy.Mode.RESET)
         deployed.retire(old)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -44,7 +44,7 @@
 ) -> Iterable[str]:
     """Check that no at-most-once request is executed twice."""
     for request_id, runs in executions.items():
-        if runs[0].path.startswith("/claim/") and len(runs) > 1:
+        if runs[0].path.startswith(history.AT_MOST_ONCE) and len(runs) > 1:
             where = [each.upstream for each in runs]
             yield f"{request_id} was executed {len(runs)} times, at {where}"
 
@@ -127,7 +127,7 @@
         limit = (float(rate) * window + float(burst)) * (1 + deployment.RATE_OVERAGE)
         limit += deployment.RATE_SLACK
         # A lower rate applies in full one window after all VMs have activated it.
-        begin = event.at + deployment.APPLY_SECONDS + window
+        begin = event.at + observations.site.bounds["config_apply_s"] + window
         times = sorted(
             each.at
             for request_id, runs in executions.items()
@@ -155,7 +155,7 @@
     for event in observations.events:
         if event.kind != "upstream leaving":
             continue
-        limit = event.at + deployment.DRAIN_SECONDS
+        limit = event.at + observations.site.bounds["drain_timeout_s"]
         for request_id, runs in executions.items():
             for each in runs:
                 if each.upstream != event.subject or each.at <= limit:
@@ -203,7 +203,7 @@
     for event in observations.events:
         if event.kind != "route added":
             continue
-        limit = event.at + deployment.APPLY_SECONDS
+        limit = event.at + observations.site.bounds["config_apply_s"]
         for each in observations.exchanges:
             if each.path != f"/{event.subject}/x" or each.status != 404:
                 continue
--- a/soak/history.py
+++ b/soak/history.py
@@ -3,6 +3,11 @@
 import collections
 from typing import NamedTuple
 
+from soak import site_upstream, sites
+
+# Prefixes of the routes whose requests must be executed at most once.
+AT_MOST_ONCE = ("/claim/", "/settle/")
+
 
 class Exchange(NamedTuple):
     """One request of a caller and its response.
@@ -18,6 +23,10 @@
         Whether the connection closed without a response before the time-out.
     stamp : str
     body : bytes
+    reset : bool
+        Whether the connection was reset and not closed.
+    data_centre : str
+        Of the caller.
     """
 
     request_id: str
@@ -30,11 +39,13 @@
     closed_by_vm: bool
     stamp: str
     body: bytes
+    reset: bool = False
+    data_centre: str = ""
 
     @property
     def at_most_once(self) -> bool:
         """Whether the request must be executed at most once."""
-        return self.path.startswith("/claim/")
+        return self.path.startswith(AT_MOST_ONCE)
 
 
 class Event(NamedTuple):
@@ -55,9 +66,15 @@
 
 
 class History:
-    """Collects the observations of one run."""
+    """Collects the observations of one run.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    site : sites.Site
+    """
+
+    def __init__(self, site: sites.Site = sites.DEFAULT) -> None:
+        self.site = site
         self.exchanges: list[Exchange] = []
         self.events: list[Event] = []
         # For each request whose caller disconnected without waiting for the response:
@@ -66,6 +83,17 @@
         # Intervals in which a VM, or "store", was disturbed. The end is infinite until
         # the disturbance is over.
         self.disturbances: dict[str, list[list[float]]] = collections.defaultdict(list)
+        # Like `disturbances`, by VM: from SIGTERM until the next process is ready.
+        self.stops: dict[str, list[list[float]]] = collections.defaultdict(list)
+        # By upstream: what reached it while it was cold, what it tolerates, and the
+        # requests whose response it broke off.
+        self.cold_arrivals: dict[str, list[site_upstream.Arrival]] = {}
+        self.cold_limits: dict[str, float] = {}
+        self.broken_off: set[str] = set()
+        # Intervals in which the run itself did not get a processor.
+        self.stalls: list[tuple[float, float]] = []
+        # Peak memory of each process.
+        self.memory_mb: dict[str, float] = {}
 
     def record_event(self, at: float, kind: str, subject: str = "") -> None:
         """Append an event."""
@@ -77,10 +105,27 @@
         self.disturbances[subject].append(interval)
         return interval
 
+    def begin_stop(self, vm: str, now: float) -> list[float]:
+        """Record a SIGTERM; the caller sets the interval's end."""
+        interval = [now, float("inf")]
+        self.stops[vm].append(interval)
+        return interval
+
     def undisturbed(self, vm: str, since: float, until: float) -> bool:
-        """Return whether neither the VM nor the store was disturbed in an interval."""
-        return not any(
-            begin <= until and end >= since
-            for subject in (vm, "store")
-            for begin, end in self.disturbances[subject]
-        )
+        """Return whether neither the VM nor the store was disturbed in an interval.
+
+        A stop, and a disturbed way to the store, count as a disturbance of the VM.
+        """
+        subjects = (vm, store_of(vm), "store")
+        intervals = [each for name in subjects for each in self.disturbances[name]]
+        return not overlap([*intervals, *self.stops[vm]], since, until)
+
+
+def store_of(vm: str) -> str:
+    """Return the subject of disturbances between a VM and the store."""
+    return f"{vm} store"
+
+
+def overlap(intervals: list[list[float]], since: float, until: float) -> bool:
+    """Return whether any interval has a part in another one."""
+    return any(begin <= until and end >= since for begin, end in intervals)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -40,6 +40,8 @@
         self._mode = Mode.OPEN
         self._delay = 0.0
         self._changed = trio.Event()
+        # Intervals in which connections were not forwarded as usual.
+        self.disturbances: list[list[float]] = []
         self._open: set[trio.SocketStream] = set()
         self.port = 0
 
@@ -50,6 +52,11 @@
 
     def set_mode(self, mode: Mode, delay: float = 0.0) -> None:
         """Set the mode; ``delay``, in seconds, is used by `Mode.DELAYED` only."""
+        now = trio.current_time()
+        if self._mode is not Mode.OPEN:
+            self.disturbances[-1][1] = now
+        if mode is not Mode.OPEN:
+            self.disturbances.append([now, float("inf")])
         self._mode, self._delay = mode, delay
         self._changed.set()
         self._changed = trio.Event()
@@ -58,6 +65,9 @@
 
     def reset_connections(self) -> None:
         """Reset all open connections."""
+        now = trio.current_time()
+        if self._mode is Mode.OPEN:
+            self.disturbances.append([now, now])
         for stream in list(self._open):
             with contextlib.suppress(OSError):
                 stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,5 +1,6 @@
 """One run of the soak test."""
 
+import collections
 import pathlib
 import random
 import tempfile
@@ -7,7 +8,20 @@
 
 import trio
 
-from soak import callers, deployment, faults, guarantees, history, small_vm
+from soak import (
+    callers,
+    deployment,
+    faults,
+    guarantees,
+    history,
+    monitor,
+    site_callers,
+    site_faults,
+    site_guarantees,
+    site_upstream,
+    sites,
+    small_vm,
+)
 
 FAULT_FREE_SECONDS = 8.0
 # Time from the end of the faults until nearly all requests succeed again; part of the
@@ -17,8 +31,8 @@
 MEAN_FAULT_INTERVAL_SECONDS = 0.9
 
 MEAN_BURST_INTERVAL_SECONDS = 3.0
-_CALLERS = 24
-_REQUESTS_PER_SECOND = 5.0
+# Faults that no site plays: rates far below a site's load would leave little of it.
+_NOT_OF_SITES = frozenset({"rate_lowered"})
 
 
 class Options(NamedTuple):
@@ -33,6 +47,8 @@
     first_vm_cpu_share : float
         CPU share of the first VM, which then receives all bursts of callers; 0 means
         no limit.
+    site : str
+        Name of a site, which decides the numbers; empty for none.
     """
 
     seed: int
@@ -40,6 +56,7 @@
     vms: int = 6
     upstreams: int = 9
     first_vm_cpu_share: float = 0.0
+    site: str = ""
 
 
 class Outcome(NamedTuple):
@@ -54,6 +71,8 @@
         Violations by guarantee.
     logs : str
         Directory with the logs of the daemons.
+    counts : dict of str to int
+        What was played, and what was not judged, by name.
     """
 
     requests: int
@@ -61,29 +80,43 @@
     injected: tuple[str, ...]
     broken: dict[str, list[str]]
     logs: str
+    counts: dict[str, int]
 
 
 async def execute(options: Options) -> Outcome:
     """Execute one run and check its guarantees."""
     rng = random.Random(options.seed)
-    observations = history.History()
+    site = sites.SITES[options.site] if options.site else sites.DEFAULT
+    observations = history.History(site)
+    playable = _faults(options)
+    caller_class = site_callers.SiteCaller if options.site else callers.Caller
     directory = tempfile.mkdtemp(prefix=f"rattanlug-soak-{options.seed}-")
     injected: list[str] = []
     async with trio.open_nursery() as nursery:
         deployed = deployment.Deployment(
-            nursery, pathlib.Path(directory), observations, options.vms
+            nursery,
+            pathlib.Path(directory),
+            observations,
+            options.vms,
+            # A separate generator: upstreams must not change the faults of a seed.
+            random.Random(f"{options.seed} upstreams"),
         )
         try:
             await deployed.start(options.upstreams)
+            nursery.start_soon(monitor.watch_memory, deployed)
+            nursery.start_soon(monitor.watch_stalls, deployed)
             if options.first_vm_cpu_share:
                 first = deployed.vms[0]
                 deployed.burst_targets = [first]
                 nursery.start_soon(
                     small_vm.limit_cpu, deployed, first, options.first_vm_cpu_share
                 )
-            for index in range(_CALLERS):
-                caller = callers.Caller(
-                    index, deployed, random.Random(rng.random()), _REQUESTS_PER_SECOND
+            for index in range(site.callers):
+                caller = caller_class(
+                    index,
+                    deployed,
+                    random.Random(rng.random()),
+                    site.requests_per_second,
                 )
                 nursery.start_soon(caller.run)
             await trio.sleep(2.0)
@@ -91,7 +124,23 @@
                 # A separate generator: bursts must not change the faults of a seed.
                 burst_rng = random.Random(f"{options.seed} bursts")
                 bursts.start_soon(_send_bursts, deployed, burst_rng)
-                await _inject(deployed, rng, options.seconds, injected)
+                if options.site:
+                    # Beside the faults of VMs, so that cold periods and restarts meet.
+                    upstream_rng = random.Random(f"{options.seed} upstream faults")
+                    names = {
+                        name: each
+                        for name, each in playable.items()
+                        if name.startswith("upstream")
+                    }
+                    bursts.start_soon(
+                        _inject,
+                        deployed,
+                        upstream_rng,
+                        options.seconds,
+                        names,
+                        injected,
+                    )
+                await _inject(deployed, rng, options.seconds, playable, injected)
                 bursts.cancel_scope.cancel()
             await trio.sleep(RECOVERY_SECONDS)
             observations.record_event(trio.current_time(), "calm")
@@ -103,15 +152,63 @@
     executions: dict[str, list] = {}
     for each in deployed.executions():
         executions.setdefault(each.request_id, []).append(each)
+    for each in deployed.all_upstreams():
+        _observe(observations, each)
     broken = guarantees.broken(observations, executions)
     if unexpected:
         broken["processes_do_not_end_by_themselves"] = unexpected
     served = sum(each.status == 200 for each in observations.exchanges)
+    counts = collections.Counter(each.kind for each in observations.events)
+    counts.update(f"status {each.status}" for each in observations.exchanges)
+    counts.update(site_guarantees.unjudged_closes(observations, executions))
+    counts["stalls"] = len(observations.stalls)
+    counts["peak MB"] = round(max(observations.memory_mb.values(), default=0))
+    if options.site:
+        _count_upstreams(deployed, counts)
+        share = site_guarantees.most_cold_share(observations)
+        counts["percent of a cold limit"] = round(100 * share)
     return Outcome(
-        len(observations.exchanges), served, tuple(injected), broken, directory
+        len(observations.exchanges),
+        served,
+        tuple(injected),
+        broken,
+        directory,
+        dict(sorted(counts.items())),
     )
 
 
+def _faults(options: Options) -> dict[str, faults.Fault]:
+    if not options.site:
+        return faults.FAULTS
+    playable = {**faults.FAULTS, **site_faults.FAULTS}
+    return {name: each for name, each in playable.items() if name not in _NOT_OF_SITES}
+
+
+def _observe(
+    observations: history.History, registered: deployment.ProxiedUpstream
+) -> None:
+    """Add what an upstream recorded to the observations."""
+    stand_in = registered.stand_in
+    intervals = registered.tcp_proxy.disturbances
+    observations.disturbances[stand_in.name].extend(intervals)
+    if isinstance(stand_in, site_upstream.SiteUpstream):
+        name = f"{stand_in.name}, born {registered.born}"
+        cold = [each for each in stand_in.arrivals if each.cold_for is not None]
+        observations.cold_arrivals[name] = cold
+        observations.cold_limits[name] = stand_in.cold_limit
+        observations.broken_off.update(stand_in.broken_off)
+
+
+def _count_upstreams(
+    deployed: deployment.Deployment, counts: collections.Counter[str]
+) -> None:
+    for each in deployed.all_upstreams():
+        counts["arrivals"] += len(each.stand_in.arrivals)
+        counts["refused by upstreams"] += each.stand_in.refused
+        counts["cold periods"] += each.stand_in.cold_periods
+        counts["broken off"] += len(each.stand_in.broken_off)
+
+
 async def _send_bursts(deployed: deployment.Deployment, rng: random.Random) -> None:
     while True:
         await trio.sleep(rng.expovariate(1.0 / MEAN_BURST_INTERVAL_SECONDS))
@@ -122,14 +219,13 @@
     deployed: deployment.Deployment,
     rng: random.Random,
     seconds: float,
+    playable: dict[str, faults.Fault],
     injected: list[str],
 ) -> None:
     started_at = trio.current_time()
     async with trio.open_nursery() as nursery:
         while trio.current_time() - started_at < seconds:
-            name = rng.choice(sorted(faults.FAULTS))
+            name = rng.choice(sorted(playable))
             injected.append(f"{trio.current_time() - started_at:.2f} {name}")
-            nursery.start_soon(
-                faults.FAULTS[name], deployed, random.Random(rng.random())
-            )
+            nursery.start_soon(playable[name], deployed, random.Random(rng.random()))
             await trio.sleep(rng.expovariate(1.0 / MEAN_FAULT_INTERVAL_SECONDS))
--- /dev/null
+++ b/soak/site_guarantees.py
@@ -0,0 +1,159 @@
+"""Guarantees of a site's run: no lost request, no flood, starts and memory."""
+
+from collections.abc import Iterable, Iterator
+
+from soak import guarantees, history, site_faults, site_upstream
+
+_WINDOW_SECONDS = 1.0
+# An answer to a question that crosses the close of its connection isn't owed.
+_CROSSING_SECONDS = 0.2
+_MEMORY_MB = 300
+
+
+@guarantees.guarantee
+def every_request_is_answered(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check that no VM that runs, or stops as planned, drops a request.
+
+    Neither a disturbed store nor an earlier disturbance of the VM is an excuse.
+    Requests that a VM did not read, and those whose upstream broke off, are not judged;
+    `unjudged_closes` counts them.
+    """
+    for each, reason in _closes(observations, executions):
+        if not reason:
+            taken = each.ended_at - each.sent_at
+            where = [run.upstream for run in executions.get(each.request_id, ())]
+            stopping = history.overlap(
+                observations.stops[each.vm], each.sent_at, each.ended_at
+            )
+            yield (
+                f"{each.request_id} {each.path} sent to {each.vm} at {each.sent_at:.2f}"
+                f" ran at {where} and was {'reset' if each.reset else 'closed'} after"
+                f" {taken:.2f} s{', during a stop' if stopping else ''}"
+            )
+
+
+def unjudged_closes(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> dict[str, int]:
+    """Count the requests without an answer that break nothing, by reason."""
+    counts: dict[str, int] = {}
+    for _, reason in _closes(observations, executions):
+        if reason:
+            counts[reason] = counts.get(reason, 0) + 1
+    return counts
+
+
+def _closes(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterator[tuple[history.Exchange, str]]:
+    """Yield requests without an answer, and why each is excused, if it is."""
+    for each in observations.exchanges:
+        if not each.closed_by_vm:
+            continue
+        runs = executions.get(each.request_id, ())
+        disturbed = observations.disturbances[each.vm]
+        if history.overlap(disturbed, each.sent_at, each.ended_at):
+            yield each, "vm disturbed"
+        elif each.request_id in observations.broken_off or any(
+            history.overlap(
+                observations.disturbances[run.upstream], run.at, each.ended_at
+            )
+            for run in runs
+        ):
+            yield each, "upstream broke off"
+        elif runs:
+            yield each, ""
+        elif each.ended_at - each.sent_at <= _CROSSING_SECONDS:
+            yield each, "crossed the close"
+        elif each.reset:
+            # A close with unread bytes resets the connection.
+            yield each, "reset, not passed on"
+        else:
+            yield each, ""
+
+
+@guarantees.guarantee
+def cold_upstreams_are_not_flooded(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check the arrivals at cold upstreams in any second, from all VMs together."""
+    sent_at = {each.request_id: each.sent_at for each in observations.exchanges}
+    bounds = observations.site.bounds
+    for name, arrivals in observations.cold_arrivals.items():
+        rate = observations.cold_limits[name]
+        limit = rate * bounds["cold_over"] + bounds["cold_slack"]
+        most = _most_in_window(arrivals)
+        if len(most) > limit:
+            first, last = most[0].at, most[-1].at
+            sent = sum(sent_at.get(each.request_id, first) >= first for each in most)
+            stalled = any(
+                begin <= last and end >= first for begin, end in observations.stalls
+            )
+            yield (
+                f"{name} got {len(most)} requests in {last - first:.2f} s, {limit:g} "
+                f"allowed, {sent} of them sent in that time, cold for "
+                f"{most[0].cold_for:.2f} s at {first:.2f}"
+                f"{', the run stalled' if stalled else ''}"
+            )
+
+
+def most_cold_share(observations: history.History) -> float:
+    """Return the most arrivals in any second at a cold upstream, in limits."""
+    bounds = observations.site.bounds
+    return max(
+        (
+            len(_most_in_window(arrivals))
+            / (
+                observations.cold_limits[name] * bounds["cold_over"]
+                + bounds["cold_slack"]
+            )
+            for name, arrivals in observations.cold_arrivals.items()
+        ),
+        default=0.0,
+    )
+
+
+def _most_in_window(
+    arrivals: list[site_upstream.Arrival],
+) -> list[site_upstream.Arrival]:
+    first, most = 0, []
+    for index, each in enumerate(arrivals):
+        while each.at - arrivals[first].at > _WINDOW_SECONDS:
+            first += 1
+        if index + 1 - first > len(most):
+            most = arrivals[first : index + 1]
+    return most
+
+
+@guarantees.guarantee
+def started_vms_get_ready(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check that a VM is ready in time after a start, while the store answers."""
+    for event in observations.events:
+        if event.kind != "vm started":
+            continue
+        vm, taken = event.subject.split()
+        until = event.at + site_faults.START_SECONDS
+        excuses = [
+            each
+            for name in ("store", history.store_of(vm))
+            for each in observations.disturbances[name]
+        ]
+        if float(taken) > site_faults.START_SECONDS and not history.overlap(
+            excuses, event.at, until
+        ):
+            yield f"{vm} was ready {taken} s after its start at {event.at:.2f}"
+
+
+@guarantees.guarantee
+def processes_stay_within_their_memory(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check the peak memory of each process against its limit."""
+    limit = observations.site.limits.get("memory_mb", _MEMORY_MB)
+    for name, most in observations.memory_mb.items():
+        if most > limit:
+            yield f"{name} used {most:.0f} MB of {limit}"
--- /dev/null
+++ b/soak/site_upstream.py
@@ -0,0 +1,284 @@
+"""An upstream with slots, a bounded queue and a slow, limited start."""
+
+import collections
+import random
+from typing import NamedTuple
+
+import trio
+
+from soak import sites
+from trial.shared_platform import upstream
+
+_HEAD_END = b"\r\n\r\n"
+_READ_BYTES = 65536
+# A slot-time that lies further from the mean is cut.
+_SPREAD = 0.15
+_COLD_FACTOR = 2.0
+_CACHED_FACTOR = 0.7
+_IDLE_SECONDS = 10.0
+# Time after a response at which it is written a second time on an idle connection.
+_REPEAT_SECONDS = 0.05
+
+
+class Arrival(NamedTuple):
+    """A request that reached an upstream, also one that it refused.
+
+    Attributes
+    ----------
+    request_id : str
+    at : float
+        On Trio's clock, seconds.
+    cold_for : float or None
+        Time for which the upstream had been cold; None if it was not.
+    """
+
+    request_id: str
+    at: float
+    cold_for: float | None
+
+
+class SiteUpstream:
+    """Executes requests of a site's service.
+
+    Faults are set by a run: ``fault`` is one of ``short``, ``close``, ``cut`` (which
+    ends a response in its head), ``duplicate``, ``stray``, ``late`` (which repeats a
+    response after a moment) and ``again`` (which repeats each refusal before the next
+    response); ``share`` is the share of the responses with that fault.
+
+    Parameters
+    ----------
+    name : str
+    service : sites.Service
+    routes : tuple of sites.Route
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: sites.Service,
+        routes: tuple[sites.Route, ...],
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.slots = service.slots
+        self.executions: list[upstream.Execution] = []
+        self.arrivals: list[Arrival] = []
+        # Requests whose response it did not send in full.
+        self.broken_off: set[str] = set()
+        self.refused = 0
+        self.cold_periods = 0
+        self.fault = ""
+        self.share = 1.0
+        self.slowness = 1.0
+        self._work = {f"/{each.name}/": each.work_seconds for each in routes}
+        self._rng = rng
+        self._slots = trio.CapacityLimiter(service.slots)
+        self._cached: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._cold_since = float("-inf")
+        self._cold_until = float("-inf")
+        self._scope = trio.CancelScope()
+
+    @property
+    def cold_limit(self) -> float:
+        """Requests per second that it tolerates while it is cold."""
+        return self.service.warmup_rate
+
+    def turn_cold(self) -> None:
+        """Become slow, and limited, for the warm-up time; forget all objects."""
+        self.cold_periods += 1
+        self._cold_since = trio.current_time()
+        self._cold_until = self._cold_since + self.service.warmup_seconds
+        self._cached.clear()
+
+    def cold_left(self) -> float:
+        """Return the time until it is warm, in seconds."""
+        return max(0.0, self._cold_until - trio.current_time())
+
+    def crash(self) -> None:
+        """End all connections and the work on them, and stop listening."""
+        self._scope.cancel()
+
+    async def run(
+        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled or crashed; report the port."""
+        with self._scope:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            task_status.started(listeners[0].socket.getsockname()[1])
+            await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = _Connection(stream)
+        try:
+            while True:
+                with trio.move_on_after(_IDLE_SECONDS) as idle:
+                    request = await connection.read()
+                if idle.cancelled_caught or request is None:
+                    return
+                if not await self._respond(connection, request):
+                    return
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # The VM reset the connection, or the proxy did.
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _respond(self, connection: "_Connection", request: "_Request") -> bool:
+        """Answer one request; return whether the connection stays open."""
+        data = None
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.watch, nursery.cancel_scope)
+                data = await self._answer(request)
+                nursery.cancel_scope.cancel()
+        finally:
+            if self._scope.cancel_called:
+                self.broken_off.add(request.request_id)
+        if data is None:
+            return False
+        fault = self.fault if self._rng.random() < self.share else ""
+        if fault == "again":
+            pending, connection.pending = connection.pending, b""
+            if b"Rattanlug-Not-Executed" in data:
+                connection.pending = data
+            await connection.stream.send_all(pending + data)
+            return True
+        if fault in ("short", "close", "cut"):
+            self.broken_off.add(request.request_id)
+            end = {"short": len(data) - 3, "close": 0, "cut": data.find(_HEAD_END) - 5}
+            await connection.stream.send_all(data[: end[fault]])
+            return False
+        await connection.stream.send_all(
+            data * (2 if fault in ("duplicate", "stray") else 1)
+        )
+        if fault == "late":
+            await trio.sleep(_REPEAT_SECONDS)
+            await connection.stream.send_all(data)
+        return fault != "duplicate"
+
+    async def _answer(self, request: "_Request") -> bytes:
+        headers, request_id = request.headers, request.request_id
+        if headers.get("rattanlug-expect-instance", self.name) != self.name:
+            return self._encode("421 Misdirected Request", request_id, refused=True)
+        if request.path == "/healthz":
+            return self._encode("200 OK", request_id)
+        now = trio.current_time()
+        cold_for = now - self._cold_since if self.cold_left() else None
+        self.arrivals.append(Arrival(request_id, now, cold_for))
+        statistics = self._slots.statistics()
+        if statistics.tasks_waiting >= self.service.queue:
+            return self._encode("503 Full", request_id, refused=True)
+        left = int(headers.get("rattanlug-deadline-ms", "60000")) / 1000.0
+        async with self._slots:
+            if trio.current_time() >= now + left:
+                return self._encode("503 Late", request_id, refused=True)
+            self.executions.append(
+                upstream.Execution(
+                    request_id,
+                    request.method,
+                    request.path,
+                    headers.get("rattanlug-tenant"),
+                    request.body,
+                    headers,
+                    trio.current_time(),
+                    self.name,
+                )
+            )
+            with trio.move_on_at(now + left) as deadline:
+                await trio.sleep(self._service_time(request))
+        if deadline.cancelled_caught:
+            return self._encode("504 Gateway Timeout", request_id, stamped=True)
+        return self._encode("200 OK", request_id, stamped=True)
+
+    def _service_time(self, request: "_Request") -> float:
+        default = next(iter(self._work.values()))
+        prefix = request.path[: request.path.find("/", 1) + 1]
+        seconds = self._work.get(prefix, default) * self.slowness
+        seconds *= min(max(self._rng.gauss(1.0, _SPREAD), 0.5), 3.0)
+        if self.cold_left():
+            seconds *= _COLD_FACTOR
+        cookie = request.headers.get("cookie", "")
+        if cookie in self._cached:
+            seconds *= _CACHED_FACTOR
+        self._cached[cookie] = None
+        self._cached.move_to_end(cookie)
+        if len(self._cached) > self.service.cached_objects:
+            self._cached.popitem(last=False)
+        return seconds
+
+    def _encode(
+        self, status: str, request_id: str, stamped: bool = False, refused: bool = False
+    ) -> bytes:
+        statistics = self._slots.statistics()
+        body = f"{self.name} {request_id}".encode()
+        lines = [
+            f"HTTP/1.1 {status}",
+            f"Rattanlug-Request-Id: {request_id}",
+            f"Rattanlug-Backend-Id: {self.name}",
+            f"Rattanlug-Backend-Load: {statistics.borrowed_tokens},"
+            f"{statistics.tasks_waiting},{self.slots}",
+            f"Content-Length: {len(body)}",
+            f"Keep-Alive: timeout={_IDLE_SECONDS:.0f}",
+        ]
+        if self.cold_left():
+            lines.append(f"Rattanlug-Cold-Ms: {self.cold_left() * 1000.0:.0f}")
+        if stamped:
+            lines.append(f"Rattanlug-Server-Stamp: stamp-{self.name}-{request_id}")
+        if refused:
+            self.refused += 1
+            lines.append("Rattanlug-Not-Executed: 1")
+        return "\r\n".join(lines).encode() + _HEAD_END + body
+
+
+class _Request(NamedTuple):
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.get("rattanlug-request-id", "")
+
+
+class _Connection:
+    """Reads requests with a length, and notices when the peer closes."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        # Bytes that are sent before the next response.
+        self.pending = b""
+        self._data = b""
+
+    async def read(self) -> _Request | None:
+        """Return the next request, or None if the peer closed the connection."""
+        while _HEAD_END not in self._data:
+            if not await self._receive():
+                return None
+        head, _, self._data = self._data.partition(_HEAD_END)
+        first, *lines = head.decode("latin-1").split("\r\n")
+        pairs = (line.partition(":") for line in lines)
+        headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+        length = int(headers.get("content-length", "0"))
+        while len(self._data) < length:
+            if not await self._receive():
+                return None
+        body, self._data = self._data[:length], self._data[length:]
+        method, path, _ = first.split(" ")
+        return _Request(method, path, headers, body)
+
+    async def watch(self, scope: trio.CancelScope) -> None:
+        """Cancel the work on a request when the peer closes the connection."""
+        try:
+            while await self._receive():
+                pass
+        except trio.BrokenResourceError:
+            pass
+        scope.cancel()
+
+    async def _receive(self) -> bool:
+        data = await self.stream.receive_some(_READ_BYTES)
+        self._data += data
+        return bool(data)
--- /dev/null
+++ b/tests/soak/test_site_guarantees.py
@@ -0,0 +1,85 @@
+"""Checks that each guarantee of a site's run detects its violation."""
+
+import pytest
+
+from soak import guarantees, history, site_guarantees, site_upstream, sites
+from trial.shared_platform import upstream
+
+CUT = history.Exchange(
+    "r1", "vm-1", "/claim/x", "key-0-a", 100.0, 100.5, None, True, "", b""
+)
+RUN = upstream.Execution(
+    "r1", "POST", "/claim/x", "organisation-0", b"", {}, 100.1, "u1"
+)
+
+
+def site_history():
+    return history.History(sites.SITES["txiki-swap"])
+
+
+def violated(observations, *runs):
+    executions = {each.request_id: [each] for each in runs}
+    return set(guarantees.broken(observations, executions))
+
+
+@pytest.mark.parametrize(
+    ("exchange", "runs", "broken"),
+    [
+        # Passed on, then closed or reset.
+        (CUT, [RUN], True),
+        (CUT._replace(reset=True, ended_at=100.12), [RUN], True),
+        # Read and not passed on; crossed the close; not read.
+        (CUT, [], True),
+        (CUT._replace(ended_at=100.1), [], False),
+        (CUT._replace(reset=True), [], False),
+    ],
+)
+def test_requests_without_an_answer_are_found(exchange, runs, broken):
+    observations = site_history()
+    observations.exchanges.append(exchange)
+    assert ("every_request_is_answered" in violated(observations, *runs)) is broken
+    by_request = {each.request_id: [each] for each in runs}
+    counts = site_guarantees.unjudged_closes(observations, by_request)
+    assert sum(counts.values()) == (not broken)
+
+
+@pytest.mark.parametrize("subject", ["vm-1", "u1"])
+def test_killed_vms_and_crashed_upstreams_excuse_a_close(subject):
+    observations = site_history()
+    observations.exchanges.append(CUT)
+    observations.disturbances[subject].append([100.3, 101.0])
+    assert violated(observations, RUN) == set()
+
+
+def test_neither_a_stop_nor_the_store_excuses_a_close():
+    observations = site_history()
+    observations.exchanges.append(CUT)
+    observations.stops["vm-1"].append([99.0, 105.0])
+    for subject in ("store", history.store_of("vm-1")):
+        observations.disturbances[subject].append([99.0, 105.0])
+    assert violated(observations, RUN) == {"every_request_is_answered"}
+
+
+@pytest.mark.parametrize(("count", "broken"), [(16, False), (17, True)])
+def test_floods_of_a_cold_upstream_are_found(count, broken):
+    observations = site_history()
+    observations.cold_limits["u1"] = 7.4
+    observations.cold_arrivals["u1"] = [
+        site_upstream.Arrival(f"r{index}", 100.0 + index / 20.0, 0.5)
+        for index in range(count)
+    ]
+    assert ("cold_upstreams_are_not_flooded" in violated(observations)) is broken
+
+
+def test_late_starts_are_found_while_the_store_answers():
+    observations = site_history()
+    observations.record_event(100.0, "vm started", "vm-1 12.00")
+    assert violated(observations) == {"started_vms_get_ready"}
+    observations.disturbances["store"].append([101.0, 102.0])
+    assert violated(observations) == set()
+
+
+def test_processes_beyond_their_memory_are_found():
+    observations = site_history()
+    observations.memory_mb = {"vm-1-1": 301.0}
+    assert violated(observations) == {"processes_stay_within_their_memory"}
