Give the VMs of each test process addresses of their own

Cause: the daemons of a test listened on 127.0.1.x with fixed ports.

Change: each process takes a loopback network by its id, as the soak does.

--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -17,7 +17,7 @@
 from rattanlug.settings import address
 from rattanlug.upstream import upstream_socket
 from tests.gateway import caller
-from trial.shared_platform import fleet
+from trial.shared_platform import fleet, loopback
 
 
 def hosts_in(response):
@@ -201,7 +201,7 @@
 async def test_a_vm_that_waited_for_its_ports_spares_cold_upstreams_at_first():
     async with fleet.open_fleet() as deployment:
         upstream = await deployment.add_upstream("u1", cold_seconds=20.0)
-        local = address.Address("127.0.1.1", fleet.FIRST_VM_PORT)
+        local = address.Address(loopback.host(1), fleet.FIRST_VM_PORT)
         earlier = await local_endpoint.open_when_available(
             lambda: socket.create_server((local.host, local.port)), local
         )
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -10,7 +10,7 @@
 import pytest
 
 from rattanlug.gateway import run
-from trial.shared_platform import boot_file
+from trial.shared_platform import boot_file, loopback
 
 STOP = {"grace_s": 1}
 
@@ -67,7 +67,7 @@
     tmp_path, signals, code, pause
 ):
     path = tmp_path / "local.toml"
-    path.write_text(boot_file.render("vm-1", "127.0.4.1", 9200, 9, bounds=STOP))
+    path.write_text(boot_file.render("vm-1", loopback.host(200), 9200, 9, bounds=STOP))
     process = subprocess.Popen(
         [sys.executable, "-m", "rattanlug.gateway"],
         env={**os.environ, "RATTANLUG_BOOT": str(path)},
@@ -184,7 +184,7 @@
 @pytest.mark.parametrize("at", [0.2, 0.45, 0.7])
 def test_a_reload_during_a_shutdown_is_ignored(tmp_path, at):
     path = tmp_path / "local.toml"
-    path.write_text(boot_file.render("vm-1", "127.0.4.1", 9200, 9, bounds=STOP))
+    path.write_text(boot_file.render("vm-1", loopback.host(200), 9200, 9, bounds=STOP))
     process = subprocess.Popen(
         [sys.executable, "-m", "rattanlug.gateway"],
         env={**os.environ, "RATTANLUG_BOOT": str(path)},
--- a/trial/shared_platform/fleet.py
+++ b/trial/shared_platform/fleet.py
@@ -11,7 +11,7 @@
 from rattanlug.gateway import run
 from rattanlug.platform import boot_settings
 from trial import http_server
-from trial.shared_platform import boot_file, store, upstream
+from trial.shared_platform import boot_file, loopback, store, upstream
 
 FIRST_VM_PORT = 9100
 HOST = "host.example"
@@ -126,7 +126,7 @@
     async def add_vm(self, **settings: Any) -> run.GatewayDaemon:
         """Start a daemon; wait until it is ready, unless the store fails its calls."""
         self._vms += 1
-        host = f"127.0.1.{self._vms}"
+        host = loopback.host(self._vms)
         text = boot_file.render(
             f"vm-{self._vms}", host, FIRST_VM_PORT, self._store_port, **settings
         )
