Ignore signals while the process exits

A SIGINT during a start gave -2 or a KeyboardInterrupt.

Cause: the interpreter restores the default action of handled signals when it exits, which takes some 20 ms. SIGINT had no handler before the daemon's own.

Ruled out: moments between handlers while the daemon starts, serves and stops; no error in 180 runs with a signal every millisecond.

Change: both signals are ignored after the daemon has stopped, and SIGINT is handled like SIGTERM from the start of the process.

Tests: tests/gateway/test_main.py; 4 of 15 cases of the new test and 10 of the 15 new cases of the test of a start failed before.

--- a/src/rattanlug/gateway/__main__.py
+++ b/src/rattanlug/gateway/__main__.py
@@ -15,8 +15,9 @@
     """Run with the settings file named by the platform; return the exit code."""
     # These handlers apply before the daemon installs its own and after it removes
     # them, when there are no settings to reload and no requests to finish.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, _exit)
+    signal.signal(signal.SIGINT, _exit)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     import_patches.disable_find_library()
     # Imported after the call above, because these modules import trio.
     from rattanlug.errors import error
@@ -31,7 +32,12 @@
         print(exc.detail, file=sys.stderr)
         return 2
     setup.configure("INFO", settings.vm, to_standard_output=True)
-    return run.run(settings, path)
+    code = run.run(settings, path)
+    # The interpreter restores the default action of handled signals when it exits, but
+    # leaves ignored ones.
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, signal.SIG_IGN)
+    return code
 
 
 def _exit(signal_number: int, frame: object) -> None:
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -60,6 +60,10 @@
         ([signal.SIGHUP, signal.SIGTERM], 0),
         ([signal.SIGTERM, signal.SIGHUP], 0),
         ([signal.SIGTERM, signal.SIGTERM], 0),
+        # Guards against a SIGINT that ends the process with an error.
+        ([signal.SIGINT], 0),
+        ([signal.SIGINT, signal.SIGINT], 0),
+        ([signal.SIGTERM, signal.SIGINT], 0),
     ],
 )
 @pytest.mark.parametrize("pause", [0.0, 0.1, 0.2, 0.4, 0.8])
@@ -85,6 +89,21 @@
     assert process.wait(10) == code, process.stderr.read()
 
 
+# Guards against a process whose end, after an orderly stop, is a signal: the
+# interpreter restores the default action of handled signals while it exits.
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+@pytest.mark.parametrize("pause", [0.0, 0.005, 0.01, 0.015, 0.02])
+def test_a_signal_after_the_last_log_line_is_ignored(tmp_path, number, pause):
+    process = start_in_background(tmp_path)
+    wait_until_serving()
+    process.terminate()
+    while "stopped" not in (line := process.stdout.readline()):
+        assert line, "the daemon did not log its end"
+    time.sleep(pause)
+    process.send_signal(number)
+    assert process.wait(10) == 0
+
+
 # Test runs at the same time have addresses of their own.
 HOST, FIRST_PORT = f"127.5.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}", 9220
 
@@ -113,7 +132,7 @@
         time.sleep(0.02)
 
 
-def start_in_background(tmp_path):
+def start_in_background(tmp_path, **options):
     path = tmp_path / "local.toml"
     path.write_text(boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds=STOP))
     return subprocess.Popen(
@@ -122,6 +141,7 @@
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         text=True,
+        **options,
     )
 
 
