Start without standard streams

With standard output closed, a daemon ended before it served, code 1.

Cause: Python has no object for a stream that is closed at the start, and the log asked it for its descriptor. With another stream closed, a descriptor of the daemon takes its number.

Ruled out: HOME, LANG and PATH missing or with other values, an output whose reader left, a full output device; the daemon served in each, one run each.

Change: closed streams are connected to the null device first.

Tests: tests/gateway/test_main.py, four cases, all failed before.

--- a/src/rattanlug/gateway/__main__.py
+++ b/src/rattanlug/gateway/__main__.py
@@ -9,6 +9,7 @@
 import sys
 
 from rattanlug.commands import import_patches
+from rattanlug.logs import standard_streams
 
 
 def main() -> int:
@@ -18,6 +19,7 @@
     signal.signal(signal.SIGTERM, _exit)
     signal.signal(signal.SIGINT, _exit)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    standard_streams.open_missing()
     import_patches.disable_find_library()
     # Imported after the call above, because these modules import trio.
     from rattanlug.errors import error
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -145,6 +145,24 @@
     )
 
 
+# Guards against a daemon that ends at its start, or writes its log lines to a socket,
+# because it was started without the standard streams.
+@pytest.mark.parametrize("closed", [(0,), (1,), (2,), (0, 1, 2)])
+def test_a_daemon_serves_without_the_standard_streams(tmp_path, closed):
+    def close():
+        for descriptor in closed:
+            os.close(descriptor)
+
+    process = start_in_background(tmp_path, preexec_fn=close)
+    try:
+        wait_until_serving()
+        targets = [os.readlink(f"/proc/{process.pid}/fd/{each}") for each in closed]
+        assert targets == ["/dev/null"] * len(closed)
+    finally:
+        process.terminate()
+    assert process.wait(10) == 0
+
+
 # Guards against a daemon that ends at its start because its previous process has not
 # ended yet, or because another program has one of its ports.
 @pytest.mark.parametrize(
