Take 410 and 412 of the store as failures where they have no meaning

Here, a daemon whose store answers 412 to a read ended at once; with 410 it called the store 214 times a second, and with pages that bring nothing new about 500 times.

Cause: both statuses became errors of their own in every response. ConditionFailedError is no StoreError, and only writers with a condition expect it. A lost history was answered by a read at once, again and again.

Ruled out: 36 other kinds of faulty responses for 12 s from the start; no daemon ended, and all whose versions the store had reached got ready afterwards.

Change: each kind of call names the statuses that mean something to it. After a lost history the reader waits for its interval. A page without a new row is a failure.

Tests: tests/platform/test_store_client.py (7 cases failed before) and tests/gateway/test_store_reader.py (2 failed before, with 1,168 calls in 1.5 s and with an ended daemon).

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -117,6 +117,7 @@
                     )
             except store_error.HistoryLostError:
                 read_whole = True
+                await _wait_until(started_at + FEED_INTERVAL_SECONDS)
                 continue
             except store_error.StoreError as exc:
                 self._record_store_failure(table, str(exc))
@@ -131,7 +132,7 @@
             if not self.apply_read(table, read, read_whole):
                 await trio.sleep(MIN_BACKOFF_SECONDS)
             read_whole = False
-            await trio.sleep(max(0.0, started_at + FEED_INTERVAL_SECONDS - clock.now()))
+            await _wait_until(started_at + FEED_INTERVAL_SECONDS)
 
     async def _follow_rollout_records(self) -> None:
         """Follow the rollout records while a rollout is running."""
@@ -282,6 +283,10 @@
         node.versions.set_records(records, copy.confirmed_at)
 
 
+async def _wait_until(end: float) -> None:
+    await trio.sleep(max(0.0, end - clock.now()))
+
+
 def feed_waits(limits: bounds.Bounds) -> dict[str, float]:
     """Return the longest wait of a feed call for each table, seconds."""
     key_wait = min(MAX_WAIT_SECONDS, KEY_WAIT_FRACTION * limits.key_withdrawal)
--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -3,7 +3,7 @@
 import base64
 import json
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 from urllib import parse
 
@@ -31,6 +31,20 @@
 _MILLISECONDS = 1000.0
 _LOG = logging.getLogger(__name__)
 
+# Errors for the statuses that have a meaning for one kind of call. In the response to
+# any other call, they are failures of the store.
+_StatusErrors = Mapping[int, Callable[[], Exception]]
+_FEED_ERRORS: _StatusErrors = {
+    410: lambda: store_error.HistoryLostError(
+        "the store no longer has the requested changes"
+    )
+}
+_CONDITION_ERRORS: _StatusErrors = {
+    412: lambda: store_error.ConditionFailedError(
+        "a row does not have the expected version"
+    )
+}
+
 
 class StoreClient:
     """Reads tables, follows their changes and commits conditional writes.
@@ -83,10 +97,15 @@
             query = {"table": table, "part": "", "limit": str(_ROWS_PER_CALL)}
             if rows:
                 query["from"] = rows[-1].key + "\0"
-            found = await self._get("rows-get", query, CALL_TIMEOUT_SECONDS)
-            rows.extend(_decode_rows(found))
+            found = await self._get("rows-get", query, CALL_TIMEOUT_SECONDS, {})
+            page = _decode_rows(found)
+            if page and rows and page[0].key <= rows[-1].key:
+                raise store_error.StoreError("the store repeated rows of a page")
+            rows.extend(page)
             if not found.get("has_more"):
                 break
+            if not page:
+                raise store_error.StoreError("a page of the store has no usable rows")
         return _store_read(found, rows, sent_at)
 
     async def follow_table(
@@ -114,7 +133,9 @@
             "wait_ms": str(int(wait * _MILLISECONDS)),
         }
         sent_at = self._clock()
-        found = await self._get("rows-feed", query, wait + FEED_MARGIN_SECONDS)
+        found = await self._get(
+            "rows-feed", query, wait + FEED_MARGIN_SECONDS, _FEED_ERRORS
+        )
         return _store_read(found, _decode_rows(found), sent_at)
 
     async def commit(self, writes: Sequence[store_write.StoreWrite]) -> int:
@@ -128,6 +149,7 @@
         Raises
         ------
         store_error.ConditionFailedError
+            Only if a write has an expected version.
         store_error.StoreError
         """
         body = {
@@ -144,7 +166,10 @@
             "remove": [_row_identity(each) for each in writes if each.value is None],
         }
         content = json.dumps(body, separators=(",", ":")).encode()
-        found = await self._call("POST", "/rows-tx", content, CALL_TIMEOUT_SECONDS)
+        errors = _CONDITION_ERRORS if body["expect"] else {}
+        found = await self._call(
+            "POST", "/rows-tx", content, CALL_TIMEOUT_SECONDS, errors
+        )
         try:
             return _row_version(found)
         except decoding.MalformedValueError as exc:
@@ -152,17 +177,25 @@
                 f"the store's response: {exc}", maybe_applied=True
             ) from exc
 
-    async def _get(self, call: str, query: dict[str, str], timeout: float) -> dict:
+    async def _get(
+        self, call: str, query: dict[str, str], timeout: float, errors: _StatusErrors
+    ) -> dict:
         target = f"/{call}?{parse.urlencode(query)}"
-        return await self._call("GET", target, None, timeout)
+        return await self._call("GET", target, None, timeout, errors)
 
     async def _call(
-        self, method: str, target: str, content: bytes | None, timeout: float
+        self,
+        method: str,
+        target: str,
+        content: bytes | None,
+        timeout: float,
+        errors: _StatusErrors,
     ) -> dict[str, Any]:
         call = target.partition("?")[0][1:]
         started_at = self._clock()
         try:
-            found = await self._exchange(method, target, content, timeout)
+            status, body = await self._exchange(method, target, content, timeout)
+            found = _parse(status, body, content is not None, errors)
         except store_error.ConditionFailedError:
             self._counters.add("store_calls", call=call, outcome="conflict")
             raise
@@ -175,7 +208,7 @@
 
     async def _exchange(
         self, method: str, target: str, content: bytes | None, timeout: float
-    ) -> dict[str, Any]:
+    ) -> tuple[int, bytes]:
         url = httpcore.URL(
             scheme="http",
             host=self._target.host,
@@ -210,7 +243,7 @@
             raise store_error.StoreError(
                 f"the connection to the store broke: {type(exc).__name__}", is_write
             ) from exc
-        return _parse(response.status, body, is_write)
+        return response.status, body
 
 
 async def _read_body(response: httpcore.Response, is_write: bool) -> bytes:
@@ -222,15 +255,11 @@
     return bytes(body)
 
 
-def _parse(status: int, content: bytes, is_write: bool) -> dict[str, Any]:
-    if status == 412:
-        raise store_error.ConditionFailedError(
-            "a row does not have the expected version"
-        )
-    if status == 410:
-        raise store_error.HistoryLostError(
-            "the store no longer has the requested changes"
-        )
+def _parse(
+    status: int, content: bytes, is_write: bool, errors: _StatusErrors
+) -> dict[str, Any]:
+    if status in errors:
+        raise errors[status]()
     if status != 200:
         raise store_error.StoreError(f"the store responded with status {status}")
     try:
--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -183,3 +183,38 @@
         deployment.store.remove("servers", "u2")
         await trio.sleep(2.1)
         assert [each.node.registry.size for each in vms[1:]] == [1, 1]
+
+
+# Guards against daemons that end, or call the store without a pause, because a faulty
+# store responds with a status that only has a meaning for other calls.
+@pytest.mark.parametrize("status", [410, 412, 500])
+@caller.in_trio
+async def test_a_store_that_always_fails_is_called_at_a_limited_rate(status):
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        vm = await deployment.add_vm()
+        deployment.store.status = status
+        await trio.sleep(0.5)
+        deployment.store.calls.clear()
+        await trio.sleep(1.5)
+        # Two tables, at the shortest backoff.
+        most = 2 * 1.5 / store_reader.MIN_BACKOFF_SECONDS
+        assert len(deployment.store.calls) <= most
+        _, response = await caller.send(vm, "/view/x")
+        assert response.status == 200
+
+
+# Guards against two calls at once, again and again, while a feed's history is lost.
+@caller.in_trio
+async def test_a_feed_whose_history_is_lost_is_read_at_a_limited_rate():
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        await deployment.add_vm()
+        deployment.store.calls.clear()
+        started_at = trio.current_time()
+        while trio.current_time() < started_at + 1.0:
+            deployment.store.drop_history()
+            await trio.sleep(0.001)
+        # A read and a feed of two tables in each interval.
+        most = 4 * 1.0 / store_reader.FEED_INTERVAL_SECONDS
+        assert len(deployment.store.calls) <= most + 4
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -5,8 +5,9 @@
 import pytest
 import trio
 
+from rattanlug.errors import error
 from rattanlug.metrics import counters, histograms
-from rattanlug.platform import store_client, store_error
+from rattanlug.platform import store_client, store_error, store_write
 from rattanlug.settings import address
 
 HOST = "127.0.0.1"
@@ -67,11 +68,11 @@
     trio.run(main)
 
 
-async def respond_with(body, stream):
+async def respond_with(body, status, stream):
     async with stream:
-        await stream.receive_some(65536)
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-        await stream.send_all(head.encode() + body)
+        while await stream.receive_some(65536):
+            head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+            await stream.send_all(head.encode() + body)
 
 
 def read_from(body):
@@ -79,10 +80,15 @@
 
     Returns the read, or the error that it raised.
     """
+    return call_store(lambda client: client.read_table("op"), body)
+
+
+def call_store(call, body, status=200):
+    """Call a store that always gives one response; return the result or the error."""
 
     async def main():
         async with trio.open_nursery() as nursery:
-            serve = functools.partial(respond_with, body)
+            serve = functools.partial(respond_with, body, status)
             listeners = await nursery.start(
                 functools.partial(trio.serve_tcp, serve, 0, host=HOST)
             )
@@ -94,8 +100,9 @@
                 histograms.Histograms(),
             )
             try:
-                found = await client.read_table("op")
-            except store_error.StoreError as exc:
+                with trio.fail_after(10):
+                    found = await call(client)
+            except error.RattanlugError as exc:
                 found = exc
             await client.aclose()
             nursery.cancel_scope.cancel()
@@ -128,3 +135,42 @@
 def test_a_row_with_a_key_that_is_not_valid_unicode_is_left_out():
     body = b'{"rows": [{"key": "\\ud800"}, {"key": "a", "row_version": 3}]}'
     assert [(each.key, each.version) for each in read_from(body).rows] == [("a", 3)]
+
+
+def read_table(client):
+    return client.read_table("op")
+
+
+def follow_table(client):
+    return client.follow_table("op", 1, 0.1)
+
+
+def commit(client):
+    return client.commit([store_write.StoreWrite("t", "k", b"", None)])
+
+
+def commit_if_unchanged(client):
+    return client.commit([store_write.StoreWrite("t", "k", b"", 3)])
+
+
+# Guards against daemons that end because a faulty store responds with a status that
+# only has a meaning for other calls.
+@pytest.mark.parametrize("status", [410, 412])
+@pytest.mark.parametrize("call", [read_table, follow_table, commit])
+def test_a_status_of_another_call_is_a_store_error(call, status):
+    expected = store_error.StoreError
+    if (call, status) == (follow_table, 410):
+        expected = store_error.HistoryLostError
+    assert type(call_store(call, b"{}", status)) is expected
+
+
+def test_a_failed_condition_is_no_store_error():
+    found = call_store(commit_if_unchanged, b"{}", 412)
+    assert type(found) is store_error.ConditionFailedError
+
+
+# Guards against a read that never ends and takes more and more memory.
+@pytest.mark.parametrize("rows", [b"", b'{"key": "a", "row_version": 1}'])
+def test_pages_without_progress_are_a_store_error(rows):
+    body = b'{"rows": [' + rows + b'], "has_more": true}'
+    assert isinstance(read_from(body), store_error.StoreError)
