Accept no address with a zone from another writer

Cause: the codecs checked hosts by a type that takes nearly any text as a zone.

Change: one function reads the hosts of datagrams, VM rows, registrations, seeds and settings, and accepts no zone.

--- a/src/rattanlug/fleet/digest_codec.py
+++ b/src/rattanlug/fleet/digest_codec.py
@@ -1,6 +1,5 @@
 """Encodes and decodes the digests that VMs exchange as datagrams."""
 
-import ipaddress
 import math
 
 from thrift import Thrift
@@ -113,7 +112,7 @@
 
 
 def _host(text: str) -> str:
-    return str(ipaddress.ip_address(text))
+    return address.parse_host(text)
 
 
 def _port(number: int) -> int:
--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -5,7 +5,6 @@
 other data centres.
 """
 
-import ipaddress
 import json
 import socket
 
@@ -276,7 +275,7 @@
         try:
             found = json_text.decode(data)
             host, data_centre = str(found["host"]), str(found["data_centre"])
-            ipaddress.ip_address(host)
+            host = address.parse_host(host)
         except (KeyError, TypeError, ValueError) as exc:
             self._node.counters.add("vm_rows_unreadable")
             state_log.log_change(
--- a/src/rattanlug/platform/boot_settings.py
+++ b/src/rattanlug/platform/boot_settings.py
@@ -1,6 +1,5 @@
 """Reads the settings file that the platform writes for each process."""
 
-import ipaddress
 import logging
 import os
 import tomllib
@@ -176,7 +175,7 @@
 
 def _host(found: dict[str, Any]) -> str:
     try:
-        return str(ipaddress.ip_address(_field(found, "ip", str)))
+        return address.parse_host(_field(found, "ip", str))
     except ValueError as exc:
         raise _invalid(f"ip is not an IP address: {exc}") from exc
 
--- a/src/rattanlug/settings/address.py
+++ b/src/rattanlug/settings/address.py
@@ -32,7 +32,21 @@
         When the host is not an IP address or the port is out of range.
     """
     host, _, port = text.rpartition(":")
-    return Address(str(ipaddress.ip_address(host)), parse_port(port))
+    return Address(parse_host(host), parse_port(port))
+
+
+def parse_host(text: str) -> str:
+    """Parse an IP address; return its usual spelling.
+
+    Raises
+    ------
+    ValueError
+        When the text is not an IP address, or has a zone, which may be any text and
+        only has a meaning on the VM that wrote it.
+    """
+    if "%" in text:
+        raise ValueError("the IP address has a zone")
+    return str(ipaddress.ip_address(text))
 
 
 def parse_port(text: str) -> int:
--- a/tests/fleet/test_digest_codec.py
+++ b/tests/fleet/test_digest_codec.py
@@ -62,6 +62,7 @@
     [
         {"host": "vm.example"},
         {"host": "10.0.0.1\0"},
+        {"host": "fe80::1%a\0"},
         {"port": 0},
         {"port": 65536},
         {"port": -1},
@@ -72,6 +73,7 @@
         {"outcomes": [ttypes.OutcomeCount("s", "r", -1, 0, 0, 0)]},
         {"members": [ttypes.Member(None, 1, 1, "10.0.0.2", 80, False, False, 1)]},
         {"members": [ttypes.Member("b", 1, 1, "b", 80, False, False, 1)]},
+        {"members": [ttypes.Member("b", 1, 1, "::1%..", 80, False, False, 1)]},
         {"members": [ttypes.Member("b", 1, 1, "10.0.0.2", 0, False, False, 1)]},
         {"members": [ttypes.Member("b", 1, 1, "10.0.0.2", 80, False, False, -1)]},
         {"members": [ttypes.Member("b", None, 1, "10.0.0.2", 80, False, False, 1)]},
--- a/tests/gateway/test_foreign_rows.py
+++ b/tests/gateway/test_foreign_rows.py
@@ -48,6 +48,7 @@
         {"address": "127.0.0.1:²"},
         {"address": f"127.0.0.1:{'9' * 5000}"},
         {"address": "upstream.example\0:80"},
+        {"address": "fe80::1%a\0b:80"},
         {"capacity": 10**400},
         {"sequence": 10**400},
         {"zone": "\ud800"},
@@ -85,6 +86,8 @@
     [
         {"host": "\ud800", "data_centre": "north-a"},
         {"host": "a\0b", "data_centre": "north-a"},
+        {"host": "fe80::1%é", "data_centre": "north-a"},
+        {"host": "fe80::1%a\0b", "data_centre": "north-b"},
         {"host": "vm.example", "data_centre": "north-b"},
         [],
         {"host": "127.0.1.9"},
