Count the grace period of a shutdown from the sending of the signal

Callers would see: connections that end without an answer when the platform kills a VM whose process was stalled at its SIGTERM.

Cause: the grace period counted from when the loop received the signal.

Change: the signal's handler records the last poll before it, a lower bound of the sending. The listener closes and admission decides by that bound; requests in flight are not cut earlier. The removal of the VM's address no longer delays the listener's end.

--- a/src/rattanlug/gateway/loop_utilisation.py
+++ b/src/rattanlug/gateway/loop_utilisation.py
@@ -64,6 +64,15 @@
         """
         return self._earliest_ready_at
 
+    @property
+    def polled_at(self) -> float:
+        """Time at which the last poll of the sockets began or ended, seconds.
+
+        A signal whose handler runs now was sent after it: the handlers of earlier
+        signals have run by then, even if the process was not scheduled since.
+        """
+        return max(self._waiting_since, self._running_since)
+
     @property
     def iterations(self) -> int:
         """Number of iterations so far."""
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -80,6 +80,7 @@
     with trio.open_signal_receiver(*handled) as signals:
         async with trio.open_nursery() as nursery:
             daemon = GatewayDaemon(settings)
+            stop_times = _record_stop_signals(daemon.node)
             # Signals are handled while the daemon waits for its ports.
             nursery.start_soon(_serve, daemon)
             async for signal_number in signals:
@@ -87,13 +88,37 @@
                     break
                 reload(daemon.node, settings_path)
             if daemon.is_serving:
-                await daemon.stop()
+                await daemon.stop(stop_times[0])
             nursery.cancel_scope.cancel()
         await daemon.node.pools.aclose()
         await daemon.node.store.aclose()
     state_log.log_change("process", "finished", "stopped")
 
 
+def _record_stop_signals(node: node_module.Node) -> list[float]:
+    """Record the earliest times at which signals to stop can have been sent.
+
+    The platform counts the grace period from the sending. A process that is not
+    scheduled, or whose loop is busy, receives the signal later.
+
+    Returns
+    -------
+    list of float
+        Seconds on ``clock.now``; one more for each signal that is handled.
+    """
+    times: list[float] = []
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        receive = signal.getsignal(number)
+
+        def record(signal_number, frame, receive=receive) -> None:
+            times.append(node.utilisation.polled_at)
+            receive(signal_number, frame)
+
+        signal.signal(number, record)
+    return times
+
+
 async def _serve(daemon: GatewayDaemon) -> None:
     async with trio.open_nursery() as nursery:
         await nursery.start(daemon.serve)
@@ -191,23 +216,36 @@
         listening = await server.open(local, math.inf)
         await server.run(listening, trio.Event(), 0.0)
 
-    async def stop(self) -> None:
-        """Leave the look-ups, serve late arrivals and finish the requests in flight."""
+    async def stop(self, signalled_at: float | None = None) -> None:
+        """Leave the look-ups, serve late arrivals and finish the requests in flight.
+
+        Parameters
+        ----------
+        signalled_at : float, optional
+            Earliest time at which the signal can have been sent, from which the grace
+            period counts; seconds on ``clock.now``, now by default.
+        """
         node = self._node
         started_at = clock.now()
         grace = node.settings.bounds.stop - EXIT_MARGIN_SECONDS
-        node.leave(started_at + grace)
+        earliest_end = grace + (started_at if signalled_at is None else signalled_at)
+        node.leave(earliest_end)
         state_log.log_change("process", "running", "stopping")
-        await self._leave_look_ups()
         finish_seconds = min(
             node.longest_timeout() + FINISH_MARGIN_SECONDS, MAX_FINISH_FRACTION * grace
         )
-        await trio.sleep(max(0.0, started_at + grace - finish_seconds - clock.now()))
-        # From here on, no connection is accepted, and each one is closed after its next
-        # response.
-        self._stop_caller_server.set()
-        while self._caller_server.connections and clock.now() - started_at < grace:
-            await trio.sleep(0.02)
+        async with trio.open_nursery() as nursery:
+            # A slow store must not delay the end of the listener.
+            nursery.start_soon(self._leave_look_ups)
+            await trio.sleep(max(0.0, earliest_end - finish_seconds - clock.now()))
+            # From here on, no connection is accepted, and each one is closed after its
+            # next response.
+            self._stop_caller_server.set()
+            # The signal may have been sent later; nothing is gained by cutting requests
+            # before the platform does.
+            while self._caller_server.connections and clock.now() - started_at < grace:
+                await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
         state_log.log_change(
             "process",
             "stopping",
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -113,9 +113,9 @@
         time.sleep(0.02)
 
 
-def start_in_background(tmp_path):
+def start_in_background(tmp_path, bounds=STOP):
     path = tmp_path / "local.toml"
-    path.write_text(boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds=STOP))
+    path.write_text(boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds=bounds))
     return subprocess.Popen(
         [sys.executable, "-m", "rattanlug.gateway"],
         env={**os.environ, "RATTANLUG_BOOT": str(path)},
@@ -238,3 +238,27 @@
     assert is_serving()
     process.terminate()
     assert process.wait(10) == 0
+
+
+# Guards against requests that are accepted too late to be finished before the platform
+# kills the daemon: the grace period counts from the sending of the signal.
+@pytest.mark.parametrize("stall", [0.0, 1.0])
+def test_the_grace_period_counts_from_the_signal_of_a_stalled_daemon(tmp_path, stall):
+    process = start_in_background(tmp_path, {"grace_s": 4})
+    try:
+        wait_until_serving()
+        time.sleep(0.5)
+        if stall:
+            process.send_signal(signal.SIGSTOP)
+        sent_at = time.monotonic()
+        process.terminate()
+        time.sleep(stall)
+        process.send_signal(signal.SIGCONT)
+        while is_serving():
+            time.sleep(0.02)
+        # Without a state, 1 s is reserved for the longest timeout.
+        expected = 3.0 - run.EXIT_MARGIN_SECONDS - run.FINISH_MARGIN_SECONDS
+        assert expected - 0.2 < time.monotonic() - sent_at < expected + 0.3
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
