Do not close a connection as idle while a request waits to be read

Callers would see: a reset for a request on a kept connection, after the process of the VM was not scheduled for long enough that the connection counted as idle.

Ruled out: a connection that broke, as the test runs on loopback.

--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -178,7 +178,9 @@
             await trio.sleep(SWEEP_SECONDS)
             now = trio.current_time()
             for stream in list(self._streams):
-                if stream.idle_seconds(now) > KEEP_ALIVE_SECONDS:
+                is_idle = stream.idle_seconds(now) > KEEP_ALIVE_SECONDS
+                # After a stall of the process, a request may wait to be read.
+                if is_idle and not stream.has_unread_bytes:
                     stream.abort("idle")
 
     async def _serve_connection(self, accepted: listener.AcceptedConnection) -> None:
--- a/tests/caller/test_fast_path.py
+++ b/tests/caller/test_fast_path.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import time
 
 import pytest
 import trio
@@ -487,3 +488,24 @@
         await stream.aclose()
         await trio.sleep(0.1)
         assert served.server.connections == 0
+
+
+# Guards against a reset for a request that waits in the socket, after the process was
+# not scheduled for longer than a caller may be idle.
+@caller.in_trio
+async def test_a_request_that_waits_to_be_read_is_not_idle(monkeypatch):
+    monkeypatch.setattr(server, "KEEP_ALIVE_SECONDS", 0.2)
+    monkeypatch.setattr(server, "SWEEP_SECONDS", 0.1)
+    async with serving() as served:
+        streams = [await connect(served) for _ in range(8)]
+        for stream in streams:
+            await stream.send_all(_PLAIN)
+            await read_response(stream)
+        # The order in which the event loop runs the tasks that are ready is random.
+        for _ in range(8):
+            for stream in streams:
+                stream.socket._sock.send(_PLAIN)
+            time.sleep(0.3)
+            for stream in streams:
+                head, _ = await read_response(stream)
+                assert head.startswith(b"HTTP/1.1 200")
