Count a pipelined request as begun when the response before it is sent

Callers would see: a request sent ahead is passed on and runs, and its connection ends without an answer, when the VM closes its idle connections at a shutdown.

Cause: between a response and the next request in the library's buffer, the connection counted as idle until two tasks had run. Ruled out: responses lost by a reset at the caller, since the change ends the failures.

Change: if the library holds bytes when a response is handed over, the next request has begun.

--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -73,6 +73,7 @@
         # Pipelined bytes, and the lower bound of the arrival time of the first.
         self._pending = b""
         self._earliest_pending_at = accepted.earliest_opened_at
+        self._has_buffered_bytes: Callable[[], bool] = lambda: False
         # Whether a request has begun whose response has not been handed to the socket.
         self._in_request = False
         # Whether bytes are being sent. The caller may receive a response, and send its
@@ -159,6 +160,13 @@
             # Nothing to read, or the connection is broken or closed.
             return False
 
+    def set_buffer(self, has_bytes: Callable[[], bool]) -> None:
+        """Set the callable that tells whether the library holds further bytes.
+
+        They are the beginning of the next request once a response is sent.
+        """
+        self._has_buffered_bytes = has_bytes
+
     def on_disconnect(self, action: Callable[[], None] | None) -> None:
         """Set the disconnect callback; call it now if the caller has disconnected."""
         self._on_disconnect = action
@@ -299,6 +307,8 @@
             # while they are being sent.
             self._is_unanswered = False
             self._in_request = _CLOSE in data[: data.find(_HEAD_END)].lower()
+            if not self._in_request and self._has_buffered_bytes():
+                self._begin_request()
         await self._send_with_timeout(data)
 
     async def _receive(self, max_bytes: int) -> bytes:
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -8,6 +8,7 @@
 import trio
 from hypercorn import typing as hypercorn_typing
 from hypercorn import utils
+from hypercorn.protocol import h11
 from hypercorn.trio import tcp_server, worker_context
 
 from rattanlug.caller import (
@@ -165,6 +166,7 @@
             caller,
         )
         connection.idle_task = _NoIdleTask()
+        caller.set_buffer(lambda: _has_buffered_bytes(connection))
         await connection.run()
 
     async def _serve_scope(self, scope: dict, receive: Callable, send: Callable):
@@ -249,6 +251,14 @@
         """Ignore; the server closes idle connections itself."""
 
 
+def _has_buffered_bytes(connection: tcp_server.TCPServer) -> bool:
+    """Tell whether the library holds bytes of a caller beyond the current request."""
+    protocol = connection.protocol.protocol
+    if not isinstance(protocol, h11.H11Protocol):
+        return False
+    return bool(protocol.connection.trailing_data[0])
+
+
 def _name_of_error(exc: BaseException) -> str:
     """Return the class of an error, of the first one in a group."""
     while isinstance(exc, BaseExceptionGroup):
--- a/tests/caller/test_fast_path.py
+++ b/tests/caller/test_fast_path.py
@@ -509,3 +509,22 @@
             for stream in streams:
                 head, _ = await read_response(stream)
                 assert head.startswith(b"HTTP/1.1 200")
+
+
+# Guards against a shutdown that closes a connection while the next request, which the
+# library holds, has not begun to be served.
+@caller.in_trio
+async def test_a_request_in_the_buffer_of_the_library_has_begun(monkeypatch):
+    send, seen = caller_stream.CallerStream._send_with_timeout, []
+
+    async def recorded(self, data):
+        await send(self, data)
+        seen.append(self.between_requests)
+
+    async with serving() as served:
+        stream = await connect_to_library(served)
+        monkeypatch.setattr(caller_stream.CallerStream, "_send_with_timeout", recorded)
+        await stream.send_all(_PLAIN + _WITH_BODY + _PLAIN)
+        for _ in range(3):
+            await read_response(stream)
+        assert seen == [False, False, True]
