Record what a soak run observed, and let it play chosen faults

--only plays faults by parts of their names; soak.jsonl in the run's directory holds events, disturbances, requests, runs and arrivals by time.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,6 +33,9 @@
     parser.add_argument(
         "--site", choices=sorted(sites.SITES), default="", help="deployment to play"
     )
+    parser.add_argument(
+        "--only", default="", help="parts of the names of the faults that are played"
+    )
     parser.add_argument("--list", action="store_true", help="print the injected faults")
     options = parser.parse_args()
     failed_runs = 0
@@ -44,6 +47,7 @@
             options.upstreams,
             options.small,
             options.site,
+            options.only,
         )
         outcome = trio.run(run.execute, run_options)
         failed_runs += bool(outcome.broken)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -111,6 +111,8 @@
         self._store_port = 0
         self._version = 2
         self._started_upstreams = 0
+        # Number of callers so far; their indices are part of the ids of requests.
+        self.callers = 0
         self.observations = observations
         self._stopped: set[str] = set()
         self.site = observations.site
@@ -191,7 +193,7 @@
             stand_in = site_upstream.SiteUpstream(name, found, routes, rng)
             port = await self._nursery.start(stand_in.run)
             if cold:
-                stand_in.turn_cold()
+                stand_in.turn_cold(reported=True)
         else:
             stand_in = upstream.Upstream(name, slots=8)
             listeners = await self._nursery.start(
@@ -218,6 +220,7 @@
         }
         if self.site.services:
             values["cold_seconds"] = round(registered.stand_in.cold_left(), 3)
+            registered.stand_in.cold_reported = True
         address = f"127.0.0.1:{registered.tcp_proxy.port}"
         row_value = upstream.registration(registered.stand_in, address, **values)
         self.store.put("servers", name, row_value)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -152,6 +152,7 @@
 ) -> Iterable[str]:
     """Check that undisturbed VMs send nothing to a leaving upstream."""
     vm_of = {each.request_id: each.vm for each in observations.exchanges}
+    vm_of.update({name: vm for name, (_, vm) in observations.disconnects.items()})
     for event in observations.events:
         if event.kind != "upstream leaving":
             continue
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
     guarantees,
     history,
     monitor,
+    record,
     site_callers,
     site_faults,
     site_guarantees,
@@ -49,6 +50,8 @@
         no limit.
     site : str
         Name of a site, which decides the numbers; empty for none.
+    only : str
+        Parts of names, separated by commas; faults whose name contains one are played.
     """
 
     seed: int
@@ -57,6 +60,7 @@
     upstreams: int = 9
     first_vm_cpu_share: float = 0.0
     site: str = ""
+    only: str = ""
 
 
 class Outcome(NamedTuple):
@@ -111,6 +115,7 @@
                 nursery.start_soon(
                     small_vm.limit_cpu, deployed, first, options.first_vm_cpu_share
                 )
+            deployed.callers = site.callers
             for index in range(site.callers):
                 caller = caller_class(
                     index,
@@ -132,14 +137,15 @@
                         for name, each in playable.items()
                         if name.startswith("upstream")
                     }
-                    bursts.start_soon(
-                        _inject,
-                        deployed,
-                        upstream_rng,
-                        options.seconds,
-                        names,
-                        injected,
-                    )
+                    if names:
+                        bursts.start_soon(
+                            _inject,
+                            deployed,
+                            upstream_rng,
+                            options.seconds,
+                            names,
+                            injected,
+                        )
                 await _inject(deployed, rng, options.seconds, playable, injected)
                 bursts.cancel_scope.cancel()
             await trio.sleep(RECOVERY_SECONDS)
@@ -158,6 +164,7 @@
     if unexpected:
         broken["processes_do_not_end_by_themselves"] = unexpected
     served = sum(each.status == 200 for each in observations.exchanges)
+    record.write(pathlib.Path(directory) / "soak.jsonl", observations, deployed)
     counts = collections.Counter(each.kind for each in observations.events)
     counts.update(f"status {each.status}" for each in observations.exchanges)
     counts.update(site_guarantees.unjudged_closes(observations, executions))
@@ -178,10 +185,17 @@
 
 
 def _faults(options: Options) -> dict[str, faults.Fault]:
-    if not options.site:
-        return faults.FAULTS
-    playable = {**faults.FAULTS, **site_faults.FAULTS}
-    return {name: each for name, each in playable.items() if name not in _NOT_OF_SITES}
+    playable = dict(faults.FAULTS)
+    if options.site:
+        playable.update(site_faults.FAULTS)
+        for each in _NOT_OF_SITES:
+            del playable[each]
+    chosen = options.only.split(",")
+    return {
+        name: each
+        for name, each in playable.items()
+        if any(part in name for part in chosen)
+    }
 
 
 def _observe(
--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -6,12 +6,14 @@
 import trio
 
 from soak import deployment as deployment_module
-from soak import faults, proxy, site_upstream
+from soak import faults, proxy, site_callers, site_upstream
 
 FAULTS: dict[str, faults.Fault] = {}
 # A start takes this long at most, while the store answers.
 START_SECONDS = 10.0
 _GIVE_UP_SECONDS = 40.0
+# A pressing caller sends this many times as often as others.
+_PRESSING = 3.0
 _AWAY = (proxy.Mode.SILENT, proxy.Mode.RESET, proxy.Mode.DELAYED)
 
 
@@ -21,6 +23,12 @@
     return function
 
 
+def _claim(vm: deployment_module.Vm) -> bool:
+    """Return whether a fault may stop the VM; no other may until it is up again."""
+    was_up, vm.is_up = vm.is_up, False
+    return was_up
+
+
 def _choose(
     deployed: deployment_module.Deployment, rng: random.Random, most: int
 ) -> list[deployment_module.Vm]:
@@ -59,7 +67,6 @@
 async def _kill(
     deployed: deployment_module.Deployment, vm: deployment_module.Vm
 ) -> list[float]:
-    vm.is_up = False
     interval = deployed.observations.begin_disturbance(vm.name, trio.current_time())
     deployed.observations.record_event(trio.current_time(), "vm killed", vm.name)
     deployed.signal(vm, signal.SIGKILL)
@@ -82,9 +89,8 @@
     vm: deployment_module.Vm,
     rng: random.Random,
 ) -> None:
-    if not vm.is_up:
+    if not _claim(vm):
         return
-    vm.is_up = False
     old = vm.process
     interval = deployed.observations.begin_stop(vm.name, trio.current_time())
     deployed.signal(vm, signal.SIGTERM)
@@ -111,7 +117,7 @@
     gap = rng.uniform(0.3, 1.5)
     async with trio.open_nursery() as nursery:
         for vm in rng.sample(deployed.vms, len(deployed.vms)):
-            if vm.is_up:
+            if _claim(vm):
                 nursery.start_soon(_stop_and_start, deployed, vm, rng)
                 await trio.sleep(gap)
 
@@ -121,7 +127,6 @@
     vm: deployment_module.Vm,
     rng: random.Random,
 ) -> None:
-    vm.is_up = False
     interval = deployed.observations.begin_stop(vm.name, trio.current_time())
     deployed.signal(vm, signal.SIGTERM)
     async with trio.open_nursery() as nursery:
@@ -143,7 +148,7 @@
     """Kill all VMs at the same moment and restart them at once."""
     async with trio.open_nursery() as nursery:
         for vm in deployed.vms:
-            if vm.is_up:
+            if _claim(vm):
                 nursery.start_soon(_kill_and_start, deployed, vm, 1)
 
 
@@ -155,6 +160,7 @@
     async with trio.open_nursery() as nursery:
         for vm in _choose(deployed, rng, 2):
             times = rng.randint(2, 3)
+            _claim(vm)
             nursery.start_soon(_kill_and_start, deployed, vm, times)
 
 
@@ -178,6 +184,7 @@
     async with trio.open_nursery() as nursery:
         for vm in _choose(deployed, rng, 3):
             seconds, mode = rng.uniform(1.0, 5.0), rng.choice(_AWAY)
+            _claim(vm)
             nursery.start_soon(_start_without_store, deployed, vm, mode, seconds)
 
 
@@ -208,6 +215,7 @@
         if rng.random() < 0.5:
             deployed.write_settings(vm, seeds)
             return
+        _claim(vm)
         interval = await _kill(deployed, vm)
         text = deployed.settings_path(vm).read_text()
         if rng.random() < 0.5:
@@ -249,7 +257,7 @@
     """Make some upstreams cold again; they report it a moment later."""
     names = rng.sample(sorted(deployed.upstreams), rng.randint(1, 4))
     for name in names:
-        deployed.upstreams[name].stand_in.turn_cold()
+        deployed.upstreams[name].stand_in.turn_cold(reported=False)
     await trio.sleep(rng.uniform(0.0, 0.8))
     for name in names:
         if name in deployed.upstreams:
@@ -324,6 +332,25 @@
     _faulty_answers(_kind, _shares)
 
 
+@fault
+async def callers_press(
+    deployed: deployment_module.Deployment, rng: random.Random
+) -> None:
+    """Let as many callers again come for some seconds, on new connections."""
+    first = deployed.callers
+    deployed.callers += deployed.site.callers
+    with trio.move_on_after(rng.uniform(1.0, 4.0)):
+        async with trio.open_nursery() as nursery:
+            for index in range(first, first + deployed.site.callers):
+                caller = site_callers.SiteCaller(
+                    index,
+                    deployed,
+                    random.Random(rng.random()),
+                    _PRESSING * deployed.site.requests_per_second,
+                )
+                nursery.start_soon(caller.run)
+
+
 @fault
 async def upstreams_slow(
     deployed: deployment_module.Deployment, rng: random.Random
--- a/soak/site_guarantees.py
+++ b/soak/site_guarantees.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Iterable, Iterator
 
-from soak import guarantees, history, site_faults, site_upstream
+from soak import deployment, guarantees, history, site_faults, site_upstream
 
 _WINDOW_SECONDS = 1.0
 # An answer to a question that crosses the close of its connection isn't owed.
 _CROSSING_SECONDS = 0.2
 _MEMORY_MB = 300
+# Time within which a request ends after its route's time limit, and the number of
+# later ones from which on they are a violation.
+_END_SECONDS = 0.5
+_FEW_LATE = 8
 
 
 @guarantees.guarantee
@@ -74,17 +78,44 @@
             yield each, ""
 
 
+@guarantees.guarantee
+def requests_end_by_their_time_limit(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check that most requests that reach their route's time limit end soon after it.
+
+    Judged for VMs in touch, if callers still waited then.
+    """
+    limits = {f"/{each.name}/": each for each in observations.site.routes}
+    reached, late = 0, []
+    for each in observations.exchanges:
+        route = limits.get(each.path[: each.path.find("/", 1) + 1])
+        since = each.sent_at - deployment.CONTACT_SECONDS
+        if route is None or not observations.undisturbed(each.vm, since, each.ended_at):
+            continue
+        taken = each.ended_at - each.sent_at
+        reached += taken >= route.timeout_seconds
+        if taken > route.timeout_seconds + _END_SECONDS:
+            late.append(f"{each.request_id} at {each.vm} took {taken:.2f} s")
+    if len(late) >= _FEW_LATE and len(late) > reached / 4:
+        yield from late
+
+
 @guarantees.guarantee
 def cold_upstreams_are_not_flooded(
     observations: history.History, executions: guarantees.ExecutionsById
 ) -> Iterable[str]:
-    """Check the arrivals at cold upstreams in any second, from all VMs together."""
+    """Check the arrivals at cold upstreams in any second, from all VMs together.
+
+    Arrivals before an upstream has reported that it turned cold are not judged; the
+    shares that `most_cold_share` returns contain them.
+    """
     sent_at = {each.request_id: each.sent_at for each in observations.exchanges}
     bounds = observations.site.bounds
     for name, arrivals in observations.cold_arrivals.items():
         rate = observations.cold_limits[name]
         limit = rate * bounds["cold_over"] + bounds["cold_slack"]
-        most = _most_in_window(arrivals)
+        most = _most_in_window([each for each in arrivals if each.reported])
         if len(most) > limit:
             first, last = most[0].at, most[-1].at
             sent = sum(sent_at.get(each.request_id, first) >= first for each in most)
--- a/soak/site_upstream.py
+++ b/soak/site_upstream.py
@@ -30,11 +30,14 @@
         On Trio's clock, seconds.
     cold_for : float or None
         Time for which the upstream had been cold; None if it was not.
+    reported : bool
+        Whether it had reported that it was cold.
     """
 
     request_id: str
     at: float
     cold_for: float | None
+    reported: bool = True
 
 
 class SiteUpstream:
@@ -69,6 +72,7 @@
         self.broken_off: set[str] = set()
         self.refused = 0
         self.cold_periods = 0
+        self.cold_reported = True
         self.fault = ""
         self.share = 1.0
         self.slowness = 1.0
@@ -85,8 +89,9 @@
         """Requests per second that it tolerates while it is cold."""
         return self.service.warmup_rate
 
-    def turn_cold(self) -> None:
+    def turn_cold(self, reported: bool) -> None:
         """Become slow, and limited, for the warm-up time; forget all objects."""
+        self.cold_reported = reported
         self.cold_periods += 1
         self._cold_since = trio.current_time()
         self._cold_until = self._cold_since + self.service.warmup_seconds
@@ -166,7 +171,7 @@
             return self._encode("200 OK", request_id)
         now = trio.current_time()
         cold_for = now - self._cold_since if self.cold_left() else None
-        self.arrivals.append(Arrival(request_id, now, cold_for))
+        self.arrivals.append(Arrival(request_id, now, cold_for, self.cold_reported))
         statistics = self._slots.statistics()
         if statistics.tasks_waiting >= self.service.queue:
             return self._encode("503 Full", request_id, refused=True)
@@ -182,7 +187,8 @@
                     headers.get("rattanlug-tenant"),
                     request.body,
                     headers,
-                    trio.current_time(),
+                    # The rules on late requests count from when it arrived.
+                    now,
                     self.name,
                 )
             )
--- a/tests/soak/test_site_guarantees.py
+++ b/tests/soak/test_site_guarantees.py
@@ -69,6 +69,18 @@
         for index in range(count)
     ]
     assert ("cold_upstreams_are_not_flooded" in violated(observations)) is broken
+    observations.cold_arrivals["u1"][0] = site_upstream.Arrival("r0", 100.0, 0.5, False)
+    assert "cold_upstreams_are_not_flooded" not in violated(observations)
+    assert site_guarantees.most_cold_share(observations) == pytest.approx(count / 16.1)
+
+
+@pytest.mark.parametrize(("count", "broken"), [(7, False), (8, True)])
+def test_requests_beyond_their_time_limit_are_found(count, broken):
+    observations = site_history()
+    late = CUT._replace(ended_at=101.8, closed_by_vm=False)
+    observations.exchanges.extend([late] * count)
+    found = violated(observations)
+    assert found == ({"requests_end_by_their_time_limit"} if broken else set())
 
 
 def test_late_starts_are_found_while_the_store_answers():
--- a/tests/soak/test_site_upstream.py
+++ b/tests/soak/test_site_upstream.py
@@ -60,7 +60,7 @@
 
 def test_other_instances_are_refused_and_do_not_count():
     async def check(stand_in, port):
-        stand_in.turn_cold()
+        stand_in.turn_cold(reported=True)
         answer = await ask(port, "r1", **{"Rattanlug-Expect-Instance": "u2"})
         assert answer.startswith(b"HTTP/1.1 421")
         assert stand_in.arrivals == []
