--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -338,7 +338,7 @@
 
     def all_upstreams(self) -> list[ProxiedUpstream]:
         """Return all upstreams that were ever started."""
-        return [*self.upstreams.values(), *self.retired]
+        return list(dict.fromkeys([*self.retired, *self.upstreams.values()]))
 
     def executions(self) -> list[upstream.Execution]:
         """Return the requests that any upstream executed."""
--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -292,6 +292,8 @@
     """Crash an upstream; start it again, cold, under its id or a new one."""
     name = rng.choice(sorted(deployed.upstreams))
     crashed = deployed.upstreams[name]
+    if crashed.stand_in.has_crashed:
+        return
     crashed.tcp_proxy.set_mode(proxy.Mode.RESET)
     crashed.stand_in.crash()
     await trio.sleep(rng.uniform(0.2, 4.0))
--- a/soak/site_upstream.py
+++ b/soak/site_upstream.py
@@ -84,6 +84,11 @@
         self._cold_until = float("-inf")
         self._scope = trio.CancelScope()
 
+    @property
+    def has_crashed(self) -> bool:
+        """Whether it has crashed."""
+        return self._scope.cancel_called
+
     @property
     def cold_limit(self) -> float:
         """Requests per second that it tolerates while it is cold."""
