Try to open a port again when descriptors or memory are short

What callers saw: the users' runs had systems that didn't start (FAULT). That their machines were short of either is suspected. With 12, 14 or 16 descriptors for the first 2 s, a daemon ended, code 1.

Cause: only errors of the address were tried again, and the socket for datagrams was created outside of the retries.

Change: EMFILE, ENFILE, ENOBUFS and ENOMEM are tried again for all ports.

Tests: tests/caller/test_local_endpoint.py, four cases failed before.

--- a/src/rattanlug/caller/local_endpoint.py
+++ b/src/rattanlug/caller/local_endpoint.py
@@ -1,4 +1,4 @@
-"""Opens endpoints on local addresses that may not be available yet."""
+"""Opens endpoints that may not be available yet."""
 
 import errno
 from collections.abc import Callable
@@ -13,7 +13,17 @@
 # shutdown, and a VM that boots may get its address after the process starts.
 MAX_WAIT_SECONDS = 30.0
 RETRY_SECONDS = 0.1
-_UNAVAILABLE = frozenset({errno.EADDRINUSE, errno.EADDRNOTAVAIL})
+_UNAVAILABLE = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        # Descriptors or memory that other processes of the machine may release.
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
 
 Endpoint = TypeVar("Endpoint")
 
@@ -23,7 +33,7 @@
     local: address.Address,
     max_wait: float = MAX_WAIT_SECONDS,
 ) -> Endpoint:
-    """Open an endpoint; wait while its address is in use or not assigned.
+    """Open an endpoint; wait while its address or the resources are not available.
 
     Parameters
     ----------
--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -5,6 +5,7 @@
 other data centres.
 """
 
+import functools
 import json
 import socket
 
@@ -42,6 +43,16 @@
 RETRY_BACKOFF_SECONDS = 1.0
 
 
+def _open_socket(local: address.Address) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.bind((local.host, local.port))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 class DigestExchange:
     """Sends this VM's digests and receives those of the others.
 
@@ -62,10 +73,9 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Receive and send until cancelled."""
         local = address.Address(self._node.settings.host, self._port)
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-            await local_endpoint.open_when_available(
-                lambda: sock.bind((local.host, local.port)), local
-            )
+        with await local_endpoint.open_when_available(
+            functools.partial(_open_socket, local), local
+        ) as sock:
             self._socket = trio.socket.from_stdlib_socket(sock)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
--- a/tests/caller/test_local_endpoint.py
+++ b/tests/caller/test_local_endpoint.py
@@ -37,8 +37,21 @@
     return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-@pytest.mark.parametrize("number", [errno.EADDRINUSE, errno.EADDRNOTAVAIL])
-def test_an_unavailable_address_is_tried_again(number):
+# Guards against a daemon that ends at its start because another process has its port,
+# or uses up the machine's descriptors or memory for a moment.
+@pytest.mark.parametrize(
+    "number",
+    [
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    ],
+    ids=lambda number: errno.errorcode[number],
+)
+def test_an_unavailable_endpoint_is_tried_again(number):
     opener = Opener(number, 5)
     assert open_with(opener)[0] == "endpoint"
     assert opener.calls == 6
