--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -41,10 +41,6 @@
 # Table of the store with the addresses of the VMs.
 TABLE = "rattanlug-vms"
 RETRY_BACKOFF_SECONDS = 1.0
-# Waits before the addresses are read again: once, for VMs that start at the same time
-# as this one, and from then on.
-FIRST_REREAD_SECONDS = 5.0
-REREAD_INTERVAL_SECONDS = 30.0
 
 
 class DigestExchange:
@@ -275,21 +271,6 @@
         await trio.sleep(INTRODUCTION_WAIT_SECONDS)
         now = clock.now()
         await self._send_data_centre_digest(node.make_digest(now), now, to_silent=True)
-        await self._reread_addresses()
-
-    async def _reread_addresses(self) -> None:
-        """Read the VMs' addresses periodically, for VMs whose digests are lost."""
-        node, wait = self._node, FIRST_REREAD_SECONDS
-        while True:
-            await trio.sleep(wait * (0.5 + node.rng.random()))
-            wait = REREAD_INTERVAL_SECONDS
-            try:
-                read = await node.store.read_table(TABLE)
-            except store_error.StoreError:
-                node.counters.add("vm_reads_failed")
-                continue
-            for row in read.rows:
-                self._record_row(row.key, row.value)
 
     def _record_row(self, vm: str, data: bytes) -> None:
         try:
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -300,11 +300,8 @@
 
     def record_registered_vm(self, data_centre: str, vm: str) -> None:
         """Record a VM that registered in the store."""
-        known = self._registered_vms.setdefault(data_centre, set())
-        if vm not in known:
-            known.add(vm)
-            # Not repeated, since the row of a VM that crashed is never removed.
-            self._peers.record_registration(vm, data_centre, clock.now())
+        self._registered_vms.setdefault(data_centre, set()).add(vm)
+        self._peers.record_registration(vm, data_centre, clock.now())
 
     def keys_usable(self, now: float) -> bool:
         """Tell whether the known keys are fresh enough to accept requests."""
