--- a/soak/site_callers.py
+++ b/soak/site_callers.py
@@ -125,7 +125,15 @@
         if left <= 0:
             return None
         data = self._encode_route(request_id, route, path, key, left)
-        received = await self._exchange(data, left)
+        try:
+            received = await self._exchange(data, left)
+        except trio.Cancelled:
+            # A pressing caller leaves without waiting for its response.
+            vm = next(x.name for x in self._deployed.vms if x.host == self._host)
+            left_at = trio.current_time()
+            self._deployed.observations.disconnects[request_id] = (left_at, vm)
+            self._stream.socket.close()
+            raise
         self._record(request_id, path, key, sent_at, received)
         head = received.head
         if not head or b"connection: close" in head.lower():
