Send a request elsewhere when its upstream has become cold meanwhile

What callers would see: a 503 although another upstream is idle, for a request whose first choice became cold, or used up its limit, while the connection was opened.

Cause: the check before the first byte raised the error of a request that no upstream can serve.

Change: an error of its own, NotSentError, which records no failure of the upstream and lets the request go to another one, as after a refused connection.

Test: test_a_request_held_back_from_a_cold_upstream_runs_elsewhere fails before with 503 no_capacity, and passes now.

--- a/src/rattanlug/errors/error.py
+++ b/src/rattanlug/errors/error.py
@@ -60,6 +60,10 @@
     """An upstream failed after it may have received the request."""
 
 
+class NotSentError(UpstreamError):
+    """Nothing was sent to an upstream, which did not fail; another one may serve."""
+
+
 class PlatformError(RattanlugError):
     """The platform could not be reached or did not answer in time."""
 
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -56,6 +56,8 @@
         ------
         error.UpstreamError
             The upstream failed.
+        error.NotSentError
+            Nothing was sent, but another upstream may serve the request.
         error.RefusedError
             Nothing was sent, for a reason other than a failure of the upstream.
         """
@@ -66,6 +68,8 @@
         busy = chosen.busy
         try:
             exchange = await self._exchange(admitted, record, started_at)
+        except error.NotSentError:
+            raise
         except error.UpstreamError as exc:
             now = clock.now()
             self._record_failure(admitted, record, exc, now)
@@ -137,10 +141,10 @@
             self._check_sendable(admitted, now)
             if not node.placer.may_send(record, begun_at, now):
                 node.counters.add("sends_held_back")
-                raise error.RefusedError(
-                    kind.ErrorKind.NO_CAPACITY,
+                raise error.NotSentError(
+                    kind.ErrorKind.UPSTREAM_FAILED,
                     "the upstream has become cold, or its limit is used up",
-                    retry_after=rejections.retry_after_seconds(node.rng),
+                    executed.Executed.NO,
                 )
             node.histograms.record("request_unsent", now - admitted.admitted_at)
 
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -115,6 +115,25 @@
             assert len(caller.executions(deployment, request_id)) == 1
 
 
+# Guards against a rejection, while another upstream is idle, of a request whose first
+# choice became cold before the first byte was sent.
+@pytest.mark.usefixtures("no_overload")
+@caller.in_trio
+async def test_a_request_held_back_from_a_cold_upstream_runs_elsewhere():
+    async with open_vm("u1", "u2") as (deployment, vm):
+        allows = vm.node.placer.may_send
+
+        def hold_back_from_u1(record, begun_at, now):
+            return record.id != "u1" and allows(record, begun_at, now)
+
+        vm.node.placer.may_send = hold_back_from_u1
+        for _ in range(6):
+            request_id, response = await caller.send(vm, "/claim/x", "POST", b"body")
+            assert response.status == 200, response.body
+            runs = caller.executions(deployment, request_id)
+            assert [each.upstream for each in runs] == ["u2"]
+
+
 @caller.in_trio
 async def test_only_requests_that_did_not_run_are_reported_as_not_run():
     async with open_vm("u1") as (deployment, vm):
