--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -25,6 +25,8 @@
 RATE_OVERAGE = 0.1
 RATE_SLACK = 20.0
 READY_SECONDS = 20.0
+# Many VMs that start are asked together; more often, the run would starve its store.
+_READINESS_POLL_SECONDS = 0.5
 _ORGANISATIONS = 4
 # Number of distinct /24 networks, 127.64.0.0 to 127.127.255.0, one for each run.
 _NETWORKS = 64 * 256
@@ -286,7 +288,7 @@
                 )
                 if answer.status == 200:
                     return
-            await trio.sleep(0.05)
+            await trio.sleep(_READINESS_POLL_SECONDS)
 
     def reload(self, name: str) -> None:
         """Send SIGHUP to a process, unless it is not yet prepared for the signal."""
