--- a/src/rattanlug/gateway/__main__.py
+++ b/src/rattanlug/gateway/__main__.py
@@ -34,12 +34,7 @@
         print(exc.detail, file=sys.stderr)
         return 2
     setup.configure("INFO", settings.vm, to_standard_output=True)
-    code = run.run(settings, path)
-    # The interpreter restores the default action of handled signals when it exits, but
-    # leaves ignored ones.
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, signal.SIG_IGN)
-    return code
+    return run.run(settings, path)
 
 
 def _exit(signal_number: int, frame: object) -> None:
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -54,8 +54,10 @@
     """
     gc.set_threshold(*_GC_THRESHOLDS)
     trio.run(_run, settings, settings_path)
-    # The interpreter resets handlers when it ends, and a second signal would kill it.
-    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    # The interpreter restores the default action of handled signals when it exits, but
+    # leaves ignored ones.
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, signal.SIG_IGN)
     return 0
 
 
