Let no lasting error of accept block the event loop

Cause: after such an error the listener accepts again without a checkpoint. An error of the wait for connections also escaped, as it was raised in a handler.

Change: a checkpoint after each error, and one guarded step for accept and wait.

--- a/src/rattanlug/caller/listener.py
+++ b/src/rattanlug/caller/listener.py
@@ -1,5 +1,7 @@
 """Accepts connections and tells how long each may have been in the accept queue."""
 
+from __future__ import annotations
+
 import errno
 import socket
 from collections.abc import Callable
@@ -100,14 +102,12 @@
             await trio.lowlevel.checkpoint()
         while True:
             try:
-                raw, _ = self._socket.accept()
-            except BlockingIOError:
-                await trio.lowlevel.wait_readable(self._socket)
-                self._earliest_opened_at = self._earliest_ready_at()
-                continue
+                raw = await self._accept_or_wait()
             except OSError as exc:
                 await self._handle_error(exc)
                 continue
+            if raw is None:
+                continue
             self._record_outcome(None)
             stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
             return AcceptedConnection(stream, raw, self._earliest_opened_at)
@@ -117,9 +117,26 @@
         trio.lowlevel.notify_closing(self._socket)
         self._socket.close()
 
+    async def _accept_or_wait(self) -> socket.socket | None:
+        """Return the next connection, or None after waiting for one.
+
+        Raises
+        ------
+        OSError
+        """
+        try:
+            raw, _ = self._socket.accept()
+        except BlockingIOError:
+            await trio.lowlevel.wait_readable(self._socket)
+            self._earliest_opened_at = self._earliest_ready_at()
+            return None
+        return raw
+
     async def _handle_error(self, exc: OSError) -> None:
         if exc.errno in _PEER_ERRORS:
             self._counters.add("connections_broken")
+            # Without this checkpoint, an error that lasts blocks the event loop.
+            await trio.lowlevel.checkpoint()
             return
         # The process must not end because of one listener, whatever the error: the
         # next connection may be accepted again.
--- a/tests/caller/test_listener.py
+++ b/tests/caller/test_listener.py
@@ -137,3 +137,56 @@
         tested.close()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+# Guards against an error that lasts and is repeated without a checkpoint, so that the
+# event loop stands still.
+@pytest.mark.parametrize("number", [errno.EPERM, errno.ENETDOWN, errno.EMFILE])
+def test_an_error_that_lasts_does_not_block_the_loop(monkeypatch, number):
+    async def main():
+        tested = listener.Listener(
+            address.Address(HOST, 0), lambda: 0.0, counters.Counters()
+        )
+        calls = []
+
+        def fail(sock):
+            calls.append(number)
+            assert len(calls) < 1000, "the loop stands still"
+            raise OSError(number, os.strerror(number))
+
+        monkeypatch.setattr(socket.socket, "accept", fail)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(tested.accept)
+            for _ in range(3):
+                await trio.lowlevel.checkpoint()
+            nursery.cancel_scope.cancel()
+        tested.close()
+
+    trio.run(main)
+
+
+# Guards against an error of the wait for connections that ends the process.
+def test_an_error_of_the_wait_does_not_end_the_listener(monkeypatch):
+    async def main():
+        tested = listener.Listener(
+            address.Address(HOST, 0), lambda: 0.0, counters.Counters()
+        )
+        port = tested.socket.getsockname()[1]
+        wait = trio.lowlevel.wait_readable
+        errors = [OSError(errno.ENOMEM, "no memory")]
+        callers = []
+
+        async def fail_once(sock):
+            if errors:
+                callers.append(socket.create_connection((HOST, port)))
+                raise errors.pop()
+            await wait(sock)
+
+        monkeypatch.setattr(trio.lowlevel, "wait_readable", fail_once)
+        with trio.fail_after(5):
+            accepted = await tested.accept()
+        await trio.aclose_forcefully(accepted.stream)
+        callers[0].close()
+        tested.close()
+
+    trio.run(main)
