Keep the limit of a cold upstream where one VM is unknown to the others

Cause: shares are rounded up to one as long as the VMs are no more than the limit, which leaves no room for a VM that isn't known yet.

Change: they are rounded up only if one more VM fits as well.

Tests: test_one_unknown_vm_does_not_exceed_the_limit_of_a_cold_upstream fails before in its three cases (9 of 8.5, 12 of 11, 6 of 5).

--- a/src/rattanlug/placement/cold_budget.py
+++ b/src/rattanlug/placement/cold_budget.py
@@ -38,7 +38,8 @@
         """
         self._expire(now)
         share = math.floor(SAFETY_FACTOR * bound / max(1, vms))
-        if vms <= bound:
+        if vms + 1 <= bound:
+            # Stays within the limit even if there is one VM more than is known.
             share = max(1, share)
         return len(self._sends) < share
 
