Read the addresses of the VMs also while the store rejects writes

Cause: the addresses were read only after the VM's own had been written, and without them the number of possible senders is infinite.

Change: each attempt reads them whether or not the write succeeded; a VM counts itself as soon as it has read them. The calls of a normal start stay the same.

Test: test_the_vms_are_known_while_the_store_rejects_writes fails before with a time-out of 5 s. test_fleet, test_digest_exchange and test_node: 23 passed.

--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -264,15 +264,10 @@
             TABLE, settings.vm, json.dumps(value).encode(), None
         )
         while True:
-            try:
-                await node.store.commit([write])
-                read = await node.store.read_table(TABLE)
-            except store_error.StoreError:
-                await trio.sleep(RETRY_BACKOFF_SECONDS * (1.0 + node.rng.random()))
-                continue
-            break
-        for row in read.rows:
-            self._record_row(row.key, row.value)
+            is_registered = await self._try_to_register(write)
+            if await self._try_to_read_vms() and is_registered:
+                break
+            await trio.sleep(RETRY_BACKOFF_SECONDS * (1.0 + node.rng.random()))
         data = digest_codec.encode(node.make_digest(clock.now()))
         local_hosts = self._addresses.get(settings.data_centre, {})
         for host in set(local_hosts.values()) - {settings.host}:
@@ -281,6 +276,25 @@
         now = clock.now()
         await self._send_data_centre_digest(node.make_digest(now), now, to_silent=True)
 
+    async def _try_to_register(self, write: store_write.StoreWrite) -> bool:
+        try:
+            await self._node.store.commit([write])
+        except store_error.StoreError:
+            return False
+        return True
+
+    async def _try_to_read_vms(self) -> bool:
+        """Read the addresses of the VMs, which share the limits of cold upstreams."""
+        try:
+            read = await self._node.store.read_table(TABLE)
+        except store_error.StoreError:
+            return False
+        settings = self._node.settings
+        self._node.record_registered_vm(settings.data_centre, settings.vm)
+        for row in read.rows:
+            self._record_row(row.key, row.value)
+        return True
+
     def _record_row(self, vm: str, data: bytes) -> None:
         try:
             found = json_text.decode(data)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -17,6 +17,7 @@
 from rattanlug.settings import address
 from rattanlug.upstream import upstream_socket
 from tests.gateway import caller
+from trial import http_server
 from trial.shared_platform import fleet, loopback
 
 
@@ -309,3 +310,16 @@
             await trio.sleep(0.1)
             await vm.stop()
             assert found == [200]
+
+
+# Guards against cold upstreams that get no requests while the store serves reads only.
+@caller.in_trio
+async def test_the_vms_are_known_while_the_store_rejects_writes(monkeypatch):
+    async with fleet.open_fleet() as deployment:
+        rejection = http_server.json_response({}, 503)
+        monkeypatch.setattr(deployment.store, "_transact", lambda body: rejection)
+        await deployment.add_upstream("u1")
+        vm = await deployment.add_vm()
+        with trio.fail_after(5):
+            while vm.node.possible_senders("north-a", clock.now()) != 1:
+                await trio.sleep(0.05)
