Drop the compiled file of a changed source at a build

Cause: Python compares size and whole seconds only, and compileall as well.

Change: the build removes the compiled file of each file that it replaces.

Test: test_a_changed_source_drops_its_compiled_file fails before; 5 of 5 pass.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -8,6 +8,7 @@
 import compileall
 import fcntl
 import filecmp
+import importlib.util
 import os
 import pathlib
 import platform
@@ -55,6 +56,10 @@
     incomplete = target.with_name(f".{target.name}.new")
     shutil.copyfile(source, incomplete)
     os.replace(incomplete, target)
+    # Python takes a compiled file for current if size and time match, the time in whole
+    # seconds.
+    compiled = pathlib.Path(importlib.util.cache_from_source(str(target)))
+    compiled.unlink(missing_ok=True)
 
 
 def install_libraries(requirements: pathlib.Path, target: pathlib.Path) -> None:
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -107,3 +107,17 @@
     monkeypatch.setattr(build.platform, "machine", lambda: "another")
     build.install_libraries(requirements, tmp_path)
     assert len(commands) == 2
+
+
+# Guards against an old compiled file that is taken for that of a source of equal size,
+# if two builds follow each other within a second.
+def test_a_changed_source_drops_its_compiled_file(build, tree, tmp_path):
+    target = tmp_path / "target"
+    build.sync(tree, target)
+    build.compileall.compile_dir(str(target), quiet=1)
+    (tree / "inner" / "changed.py").write_text("B = 2\n")
+
+    build.sync(tree, target)
+
+    assert (target / "__pycache__").exists()
+    assert not list((target / "inner" / "__pycache__").glob("changed.*"))
