Wait for the removal of the VM's address at a late shutdown

What callers would see: a VM that handled its stop signal late, with no open connection, ended before its address was removed from the store.

Cause: the task that removes the row was cancelled as soon as no connection was open.

Change: the end waits for that task, at most for the grace period.

Test: test_a_late_shutdown_removes_the_address_of_its_vm fails before.

--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -239,14 +239,17 @@
         )
         async with trio.open_nursery() as nursery:
             # A slow store must not delay the end of the listener.
-            nursery.start_soon(self._leave_look_ups)
+            has_left = trio.Event()
+            nursery.start_soon(self._leave_look_ups, has_left)
             await trio.sleep(max(0.0, earliest_end - finish_seconds - clock.now()))
             # From here on, no connection is accepted, and each one is closed after its
             # next response.
             self._stop_caller_server.set()
             # The signal may have been sent later; nothing is gained by cutting requests
             # before the platform does.
-            while self._caller_server.connections and clock.now() - started_at < grace:
+            while clock.now() - started_at < grace and not (
+                has_left.is_set() and not self._caller_server.connections
+            ):
                 await trio.sleep(0.02)
             nursery.cancel_scope.cancel()
         state_log.log_change(
@@ -260,12 +263,13 @@
             ],
         )
 
-    async def _leave_look_ups(self) -> None:
+    async def _leave_look_ups(self, has_left: trio.Event) -> None:
         """Announce the shutdown; an error must not end the requests in flight."""
         try:
             await self._digest_exchange.leave()
         except error.RattanlugError as exc:
             state_log.log_change("address", "registered", "kept", reason=exc.detail)
+        has_left.set()
 
     def _max_body_bytes(self) -> int:
         state = self._node.desired.state
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -11,6 +11,7 @@
 from rattanlug.caller import local_endpoint
 from rattanlug.daemon import clock
 from rattanlug.fleet import digest, digest_codec
+from rattanlug.gateway import digest_exchange
 from rattanlug.gateway import node as node_module
 from rattanlug.placement import cold_budget
 from rattanlug.platform import store_client, store_error
@@ -323,3 +324,17 @@
         with trio.fail_after(5):
             while vm.node.possible_senders("north-a", clock.now()) != 1:
                 await trio.sleep(0.05)
+
+
+# Guards against a row of a VM that never returns: it stays if the shutdown, handled
+# late and without connections, does not wait for its removal.
+@caller.in_trio
+async def test_a_late_shutdown_removes_the_address_of_its_vm():
+    async with fleet.open_fleet() as deployment:
+        vm = await deployment.add_vm(bounds={"grace_s": 2})
+        name = vm.node.settings.vm
+        with trio.fail_after(5):
+            while deployment.store.value(digest_exchange.TABLE, name) is None:
+                await trio.sleep(0.01)
+        await vm.stop(signalled_at=clock.now() - 5.0)
+        assert deployment.store.value(digest_exchange.TABLE, name) is None
