--- a/src/rattanlug/caller/reply.py
+++ b/src/rattanlug/caller/reply.py
@@ -10,6 +10,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 RAN_HEADER = b"rattanlug-ran"
+_MIN_ERROR_STATUS = 400
 _PHRASES = {each.value: each.phrase.encode() for each in http.HTTPStatus}
 
 
@@ -85,11 +86,16 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + response.body
 
 
-def states_not_run(headers: Headers) -> bool:
-    """Tell whether response headers state that the request was not executed."""
+def states_not_run(status: int, headers: Headers) -> bool:
+    """Tell whether a response states that the request was not executed.
+
+    A success contradicts the statement, so that it doesn't count there.
+    """
     values = [value for name, value in headers if name.lower() == RAN_HEADER]
     # A header with several values is ambiguous and doesn't count.
-    return values == [executed.Executed.NO.value.encode()]
+    return status >= _MIN_ERROR_STATUS and values == [
+        executed.Executed.NO.value.encode()
+    ]
 
 
 def _headers(content_type: bytes, body: bytes, extra: Mapping[str, str]) -> Headers:
--- a/src/rattanlug/daemon/proxy.py
+++ b/src/rattanlug/daemon/proxy.py
@@ -289,7 +289,7 @@
         for attempt in range(1, _MAX_ATTEMPTS + 1):
             try:
                 answer = await self._attempt(admitted, tried)
-                if not reply.states_not_run(answer.headers):
+                if not reply.states_not_run(answer.status, answer.headers):
                     return self._to_caller(admitted, answer)
                 failure = error.UpstreamError(
                     kind.ErrorKind.UPSTREAM_FAILED,
@@ -399,7 +399,7 @@
             try:
                 slot = reserved.pop() if reserved else None
                 answer = await self._attempt(admitted, tried, slot)
-                if not reply.states_not_run(answer.headers):
+                if not reply.states_not_run(answer.status, answer.headers):
                     return _answered(answer)
                 failed_kind = kind.ErrorKind.UPSTREAM_FAILED
             except error.RefusedError as exc:
--- a/tests/daemon/test_proxy_path.py
+++ b/tests/daemon/test_proxy_path.py
@@ -163,6 +163,21 @@
         assert sum(len(item.requests) for item in daemon.upstreams) == 1
 
 
+# Guards against a second run of a request whose success states that it did not run.
+@harness.in_trio
+async def test_a_success_that_states_not_run_counts_as_run():
+    async with harness.running(upstreams=2) as daemon:
+
+        async def serve(request):
+            return http_server.Response(200, (("Rattanlug-Ran", "no"),), b"done")
+
+        for item in daemon.upstreams:
+            item.behave = serve
+        answer = await daemon.ask("POST", "/c/1", claim_headers(), b"x")
+        assert answer.status == 200
+        assert sum(len(item.requests) for item in daemon.upstreams) == 1
+
+
 @harness.in_trio
 async def test_operation_is_replayed_and_another_body_is_rejected():
     async with harness.running() as daemon:
