Read a table at once after its history was lost

What callers would see: changes of the operators take up to 0.2 s longer than needed after the store has dropped its history.

Cause: added a wait before the whole table is read. The wait after each read keeps the calls rare already, and a read no longer raises the error of a lost history, so that nothing repeats without a pause.

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -116,8 +116,9 @@
                         table, copy.version, self._waits[table]
                     )
             except store_error.HistoryLostError:
+                # The calls stay rare, since each read of the whole table is followed by
+                # a wait.
                 read_whole = True
-                await _wait_until(started_at + FEED_INTERVAL_SECONDS)
                 continue
             except store_error.StoreError as exc:
                 self._record_store_failure(table, str(exc))
