--- a/src/rattanlug/gateway/__main__.py
+++ b/src/rattanlug/gateway/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import time
 
 from rattanlug.commands import import_patches
 from rattanlug.logs import standard_streams
@@ -19,6 +20,7 @@
     signal.signal(signal.SIGTERM, _exit)
     signal.signal(signal.SIGINT, _exit)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    prepared_at = time.clock_gettime(time.CLOCK_BOOTTIME)
     standard_streams.open_missing()
     import_patches.disable_find_library()
     # Imported after the call above, because these modules import trio.
@@ -34,7 +36,7 @@
         print(exc.detail, file=sys.stderr)
         return 2
     setup.configure("INFO", settings.vm, to_standard_output=True)
-    return run.run(settings, path)
+    return run.run(settings, path, prepared_at)
 
 
 def _exit(signal_number: int, frame: object) -> None:
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -4,6 +4,7 @@
 
 import functools
 import gc
+import logging
 import math
 import signal
 
@@ -11,7 +12,7 @@
 
 from rattanlug.caller import application
 from rattanlug.caller import server as caller_server
-from rattanlug.daemon import clock
+from rattanlug.daemon import clock, process_age
 from rattanlug.errors import error
 from rattanlug.gateway import (
     digest_exchange,
@@ -41,9 +42,14 @@
 _GC_THRESHOLDS = (20_000, 20, 50)
 # Largest request body that is kept in memory, whatever the limit in the desired state.
 MAX_BODY_BYTES = 16 << 20
+_LOG = logging.getLogger(__name__)
 
 
-def run(settings: gateway_settings.GatewaySettings, settings_path: str) -> int:
+def run(
+    settings: gateway_settings.GatewaySettings,
+    settings_path: str,
+    prepared_at: float | None = None,
+) -> int:
     """Run the daemon until SIGTERM; return the exit code.
 
     Parameters
@@ -51,9 +57,25 @@
     settings : gateway_settings.GatewaySettings
     settings_path : str
         File from which the settings are reloaded on SIGHUP.
+    prepared_at : float, optional
+        When the process was prepared for signals, seconds on ``clock.now``.
     """
     gc.set_threshold(*_GC_THRESHOLDS)
-    trio.run(_run, settings, settings_path)
+    prepared_at = clock.now() if prepared_at is None else prepared_at
+    state_log.log_change(
+        "process",
+        None,
+        "started",
+        vm=settings.vm,
+        data_centre=settings.data_centre,
+        unprepared_seconds=process_age.process_age(prepared_at),
+    )
+    try:
+        trio.run(_run, settings, settings_path)
+    except Exception:
+        # The interpreter prints the traceback too, but not as a log line.
+        _LOG.critical("an unexpected error ends the daemon", exc_info=True)
+        raise
     # The interpreter restores the default action of handled signals when it exits, but
     # leaves ignored ones.
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -75,9 +97,6 @@
 
 
 async def _run(settings: gateway_settings.GatewaySettings, settings_path: str) -> None:
-    state_log.log_change(
-        "process", None, "started", vm=settings.vm, data_centre=settings.data_centre
-    )
     handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*handled) as signals:
         async with trio.open_nursery() as nursery:
