Keep the daemon running when a background task raises

Callers would see all their requests at a VM end without an answer, and the platform a process that ended by itself, whenever any background task raised an error that nobody had thought of. Cause: the tasks shared a nursery with the listeners and had no boundary.

That the users met such an error is not known.

--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -1,5 +1,6 @@
 """HTTP server with limits on the connections of callers."""
 
+import functools
 import logging
 import math
 from collections.abc import Callable
@@ -18,7 +19,7 @@
     listener,
     local_endpoint,
 )
-from rattanlug.daemon import clock
+from rattanlug.daemon import background_tasks, clock
 from rattanlug.metrics import counters
 from rattanlug.settings import address
 
@@ -130,8 +131,13 @@
         async with trio.open_nursery() as serving:
             try:
                 async with trio.open_nursery() as accepting:
-                    accepting.start_soon(self._accept, listening, serving)
-                    accepting.start_soon(self._close_idle)
+                    for name, task in {
+                        "listener": functools.partial(self._accept, listening, serving),
+                        "idle_sweeps": self._close_idle,
+                    }.items():
+                        accepting.start_soon(
+                            background_tasks.keep_running, name, task, self._counters
+                        )
                     task_status.started([listening])
                     await stop.wait()
                     accepting.cancel_scope.cancel()
--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -12,7 +12,7 @@
 import trio
 
 from rattanlug.caller import local_endpoint
-from rattanlug.daemon import clock
+from rattanlug.daemon import background_tasks, clock
 from rattanlug.encoding import json_text
 from rattanlug.fleet import digest, digest_codec
 from rattanlug.gateway import node as node_module
@@ -77,11 +77,17 @@
             functools.partial(_open_socket, local), local
         ) as sock:
             self._socket = trio.socket.from_stdlib_socket(sock)
+            tasks = {
+                "digest_receiver": functools.partial(self._receive, sock),
+                "registration": self._register,
+                "digest_sender": self._send_periodically,
+            }
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive, sock)
-                nursery.start_soon(self._register)
+                for name, task in tasks.items():
+                    nursery.start_soon(
+                        background_tasks.keep_running, name, task, self._node.counters
+                    )
                 task_status.started()
-                await self._send_periodically()
 
     async def send_digest(self) -> None:
         """Send a digest to all VMs that need one in this round."""
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -7,12 +7,13 @@
 import logging
 import math
 import signal
+from collections.abc import Awaitable, Callable
 
 import trio
 
 from rattanlug.caller import application
 from rattanlug.caller import server as caller_server
-from rattanlug.daemon import clock, process_age
+from rattanlug.daemon import background_tasks, clock, process_age
 from rattanlug.errors import error
 from rattanlug.gateway import (
     digest_exchange,
@@ -107,7 +108,10 @@
             async for signal_number in signals:
                 if signal_number != signal.SIGHUP:
                     break
-                reload(daemon.node, settings_path)
+                try:
+                    reload(daemon.node, settings_path)
+                except Exception:
+                    background_tasks.record_failure("reload", daemon.node.counters)
             if daemon.is_serving:
                 await daemon.stop(stop_times[0])
             nursery.cancel_scope.cancel()
@@ -199,15 +203,17 @@
         async with trio.open_nursery() as nursery:
             reader = store_reader.StoreReader(node)
             nursery.start_soon(reader.run)
-            nursery.start_soon(rollouts.run, node, reader)
+            self._start_task(
+                nursery, "rollouts", functools.partial(rollouts.run, node, reader)
+            )
             await nursery.start(table_server.run, node)
             # Opened after the port for other VMs, which the previous process releases
             # last, since callers would wait meanwhile; and before the first digest,
             # after which the look-ups of other VMs name this one.
             callers_listener = await self._caller_server.open(settings.callers)
             node.placer.start(clock.now())
-            nursery.start_soon(node.lag.run)
-            nursery.start_soon(node.pools.run_sweeps)
+            self._start_task(nursery, "loop_lag", node.lag.run)
+            self._start_task(nursery, "upstream_sweeps", node.pools.run_sweeps)
             await nursery.start(self._digest_exchange.run)
             for handler, local, local_reply in (
                 (handlers.serve_readiness, settings.readiness, None),
@@ -219,7 +225,8 @@
                 )
                 start = functools.partial(internal_server.run, local, trio.Event(), 0.0)
                 await nursery.start(start)
-            nursery.start_soon(self._serve_metrics, handlers)
+            serve_metrics = functools.partial(self._serve_metrics, handlers)
+            self._start_task(nursery, "metrics", serve_metrics)
             await nursery.start(
                 self._caller_server.run,
                 callers_listener,
@@ -229,6 +236,13 @@
             self._is_serving = True
             task_status.started()
 
+    def _start_task(
+        self, nursery: trio.Nursery, name: str, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        nursery.start_soon(
+            background_tasks.keep_running, name, run, self._node.counters
+        )
+
     async def _serve_metrics(self, handlers: endpoints.Endpoints) -> None:
         """Serve the metrics, as soon as their port is free."""
         node = self._node
@@ -288,6 +302,8 @@
             await self._digest_exchange.leave()
         except error.RattanlugError as exc:
             state_log.log_change("address", "registered", "kept", reason=exc.detail)
+        except Exception:
+            background_tasks.record_failure("leave_look_ups", self._node.counters)
         has_left.set()
 
     def _max_body_bytes(self) -> int:
--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -4,13 +4,14 @@
 or follows the copies of another VM of its region, its source.
 """
 
+import functools
 import math
 from collections.abc import Callable
 
 import trio
 
 from rattanlug.canary import record_codec
-from rattanlug.daemon import clock
+from rattanlug.daemon import background_tasks, clock
 from rattanlug.desired import bounds, state
 from rattanlug.discovery import upstream_record
 from rattanlug.gateway import node as node_module
@@ -82,11 +83,17 @@
 
     async def run(self) -> None:
         """Keep all table copies up to date until cancelled."""
+        tasks = {
+            f"store_reader_{table}": functools.partial(self._read_store, table)
+            for table in _FOLLOWED
+        }
+        tasks["store_reader_rollouts"] = self._follow_rollout_records
+        tasks["table_follower"] = self._follow
         async with trio.open_nursery() as nursery:
-            for table in _FOLLOWED:
-                nursery.start_soon(self._read_store, table)
-            nursery.start_soon(self._follow_rollout_records)
-            nursery.start_soon(self._follow)
+            for name, task in tasks.items():
+                nursery.start_soon(
+                    background_tasks.keep_running, name, task, self._node.counters
+                )
 
     def apply_read(self, table: str, read: store_read.StoreRead, whole: bool) -> bool:
         """Apply a read; return False if it was outdated."""
--- a/src/rattanlug/gateway/table_server.py
+++ b/src/rattanlug/gateway/table_server.py
@@ -3,7 +3,7 @@
 import trio
 
 from rattanlug.caller import listener, local_endpoint
-from rattanlug.daemon import clock
+from rattanlug.daemon import background_tasks, clock
 from rattanlug.gateway import node as node_module
 from rattanlug.peer import error, framing
 from rattanlug.settings import address
@@ -28,9 +28,13 @@
     try:
         async with trio.open_nursery() as nursery:
             task_status.started()
-            while True:
-                accepted = await listening.accept()
-                nursery.start_soon(_serve, node, accepted.stream)
+
+            async def accept() -> None:
+                while True:
+                    accepted = await listening.accept()
+                    nursery.start_soon(_serve, node, accepted.stream)
+
+            await background_tasks.keep_running("table_listener", accept, node.counters)
     finally:
         listening.close()
 
@@ -61,5 +65,7 @@
         ValueError,
     ):
         node.counters.add("table_followers_lost")
+    except Exception:
+        background_tasks.record_failure("table_follower_connection", node.counters)
     finally:
         await trio.aclose_forcefully(stream)
