Limit what a VM holds of the bodies of all requests and responses

Callers would see their small orders end without an answer when uploads of other callers, each within the limit of the desired state, used up the VM's memory and the platform ended the process. Cause: a limit for each body and none for all together; bodies were held as a whole until their request ended.

One budget now covers the bodies of requests and responses until the response is sent. The limit of the desired state holds for each size (it was capped at 16 MiB).

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -6,9 +6,16 @@
 
 import trio
 
-from rattanlug.caller import caller_stream, reply, request
+from rattanlug.caller import (
+    body_reservation,
+    body_stream,
+    caller_stream,
+    reply,
+    request,
+)
 from rattanlug.errors import error, executed, kind
 from rattanlug.metrics import counters
+from rattanlug.upstream import memory_budget
 
 Handler = Callable[[request.Request], Awaitable[reply.Reply]]
 
@@ -49,6 +56,11 @@
         such a request needs no task that watches the connection.
     max_body_bytes : callable, optional
         Returns the size of the largest accepted body.
+    memory : memory_budget.MemoryBudget, optional
+        Limits what is held of all bodies together.
+    streams_bodies : bool
+        Whether the handler takes the `rest` of a large body; otherwise, each body is
+        held as a whole.
     """
 
     def __init__(
@@ -58,12 +70,16 @@
         closing: Callable[[], bool] = lambda: False,
         ignores_disconnect: Callable[[request.Request], bool] = lambda incoming: False,
         max_body_bytes: Callable[[], int] = lambda: MAX_BODY_BYTES,
+        memory: memory_budget.MemoryBudget | None = None,
+        streams_bodies: bool = False,
     ) -> None:
         self._handler = handler
         self._counters = all_counters
         self._closing = closing
         self._ignores_disconnect = ignores_disconnect
         self._max_body_bytes = max_body_bytes
+        self._memory = memory
+        self._streams_bodies = streams_bodies
         self._in_flight = 0
 
     @property
@@ -85,11 +101,25 @@
             finally:
                 self._in_flight -= 1
 
+    def reserve_body(self) -> body_reservation.BodyReservation:
+        """Return the reservation for a request and its response."""
+        return body_reservation.BodyReservation(self._memory)
+
     async def serve_parsed(
-        self, incoming: request.Request, stream: caller_stream.CallerStream
+        self,
+        incoming: request.Request,
+        stream: caller_stream.CallerStream,
+        reservation: body_reservation.BodyReservation,
     ) -> reply.Reply | None:
         """Serve a request that the fast path parsed, without hypercorn.
 
+        Parameters
+        ----------
+        incoming : request.Request
+        stream : caller_stream.CallerStream
+        reservation : body_reservation.BodyReservation
+            For the bodies of the request and of its response.
+
         Returns
         -------
         reply.Reply or None
@@ -100,6 +130,8 @@
             _check_headers(incoming.headers)
             if len(incoming.body) > self._max_body_bytes():
                 raise _too_large(self._max_body_bytes())
+            size = len(incoming.body)
+            reservation.add(size, size)
             with stream.serving():
                 response = await self._respond(incoming, stream)
         except error.RattanlugError as exc:
@@ -108,6 +140,8 @@
             self._in_flight -= 1
         if response is None:
             self._counters.add("requests_abandoned")
+        else:
+            reservation.hold(len(response.body))
         return response
 
     def ignores_disconnect(self, incoming: request.Request) -> bool:
@@ -134,10 +168,26 @@
 
     async def _serve_request(
         self, scope: dict, receive: Callable, send: Callable
+    ) -> None:
+        with self.reserve_body() as reservation:
+            await self._serve_reserved(scope, receive, send, reservation)
+
+    async def _serve_reserved(
+        self,
+        scope: dict,
+        receive: Callable,
+        send: Callable,
+        reservation: body_reservation.BodyReservation,
     ) -> None:
         incoming, response = None, None
         try:
-            incoming = await _read_request(scope, receive, self._max_body_bytes())
+            incoming = await _read_request(
+                scope,
+                receive,
+                self._max_body_bytes(),
+                reservation,
+                self._streams_bodies,
+            )
         except error.RattanlugError as exc:
             response = self._close_if_stopping(self._from_error(exc))
         else:
@@ -148,7 +198,10 @@
         if response is None:
             self._counters.add("requests_abandoned")
             return
-        if incoming is not None:
+        reservation.hold(len(response.body))
+        if incoming is not None and (
+            incoming.rest is None or incoming.rest.is_complete
+        ):
             await _send_reply(response, send)
             return
         await _discard_body(receive)
@@ -206,8 +259,18 @@
 
 
 async def _read_request(
-    scope: dict, receive: Callable, max_body_bytes: int
+    scope: dict,
+    receive: Callable,
+    max_body_bytes: int,
+    reservation: body_reservation.BodyReservation,
+    streams_bodies: bool,
 ) -> request.Request | None:
+    """Return the request; None if the caller disconnected.
+
+    Raises
+    ------
+    error.RefusedError
+    """
     if scope["http_version"] not in _HTTP_1:
         raise error.RefusedError(
             kind.ErrorKind.REQUEST_MALFORMED,
@@ -220,17 +283,30 @@
         )
     headers = [(name.lower(), value) for name, value in scope["headers"]]
     _check_headers(headers)
-    body = bytearray()
+    length = _content_length(headers)
+    if length is not None and length > max_body_bytes:
+        raise _too_large(max_body_bytes)
+    body, rest = bytearray(), None
+    is_large = length is not None and length > memory_budget.SMALL_BODY_BYTES
     with trio.move_on_after(_BODY_TIMEOUT_SECONDS) as timeout:
         while True:
+            if is_large and streams_bodies:
+                reservation.add(body_stream.WINDOW_BYTES, length or len(body))
+                rest = body_stream.BodyStream(
+                    receive, length, len(body), max_body_bytes
+                )
+                break
             message = await receive()
             if message["type"] == "http.disconnect":
                 return None
-            body += message.get("body", b"")
+            piece = message.get("body", b"")
+            reservation.add(len(piece), max(length or 0, len(body) + len(piece)))
+            body += piece
             if len(body) > max_body_bytes:
                 raise _too_large(max_body_bytes)
             if not message.get("more_body", False):
                 break
+            is_large = is_large or len(body) > memory_budget.SMALL_BODY_BYTES
     if timeout.cancelled_caught:
         raise error.RefusedError(
             kind.ErrorKind.REQUEST_MALFORMED,
@@ -248,9 +324,18 @@
         client[0],
         None if stream is None else stream.arrived_at,
         lambda: stream is not None and stream.has_disconnected,
+        rest,
     )
 
 
+def _content_length(headers: request.Headers) -> int | None:
+    """Return the length of the body that the caller states, which h11 has checked."""
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return None
+
+
 def _too_large(max_body_bytes: int) -> error.RefusedError:
     return error.RefusedError(
         kind.ErrorKind.REQUEST_TOO_LARGE,
--- a/src/rattanlug/caller/fast_path.py
+++ b/src/rattanlug/caller/fast_path.py
@@ -12,6 +12,7 @@
 
 from rattanlug.caller import (
     application,
+    body_reservation,
     caller_stream,
     reply,
     request,
@@ -63,19 +64,24 @@
             if local_reply is not None:
                 await self._stream.send_response(local_reply)
                 continue
-            response = await self._respond(_to_request(head, data, self._stream))
-            if response is None:
-                return False
-            await self._stream.send_response(reply.to_bytes(response))
+            with self._app.reserve_body() as reservation:
+                response = await self._respond(
+                    _to_request(head, data, self._stream), reservation
+                )
+                if response is None:
+                    return False
+                await self._stream.send_response(reply.to_bytes(response))
             if stopping() or (b"connection", b"close") in response.headers:
                 return False
 
-    async def _respond(self, incoming: request.Request) -> reply.Reply | None:
+    async def _respond(
+        self, incoming: request.Request, reservation: body_reservation.BodyReservation
+    ) -> reply.Reply | None:
         if self._app.ignores_disconnect(incoming):
-            return await self._app.serve_parsed(incoming, self._stream)
+            return await self._app.serve_parsed(incoming, self._stream, reservation)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._stream.read_ahead)
-            response = await self._app.serve_parsed(incoming, self._stream)
+            response = await self._app.serve_parsed(incoming, self._stream, reservation)
             nursery.cancel_scope.cancel()
         return response
 
--- a/src/rattanlug/caller/request.py
+++ b/src/rattanlug/caller/request.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 from urllib import parse
 
+from rattanlug.caller import body_stream
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -26,6 +28,7 @@
     headers : list of tuple of bytes
         Names in lower case.
     body : bytes
+        The whole body, or its begin if there is a `rest`.
     client : str
         IP address of the caller.
     arrived_at : float or None
@@ -33,6 +36,8 @@
         None if unknown.
     has_disconnected : callable
         Tells whether the caller closed its connection.
+    rest : body_stream.BodyStream or None
+        Rest of a body that is too large to be held.
     """
 
     method: str
@@ -44,6 +49,7 @@
     client: str
     arrived_at: float | None = None
     has_disconnected: Callable[[], bool] = _has_not_disconnected
+    rest: body_stream.BodyStream | None = None
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header, or None."""
@@ -52,6 +58,16 @@
                 return value.decode("latin-1")
         return None
 
+    @property
+    def body_length(self) -> int | None:
+        """Bytes of the whole body; None if the caller doesn't state it."""
+        return len(self.body) if self.rest is None else self.rest.length
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the whole body can still be sent to another upstream."""
+        return self.rest is None or not self.rest.has_begun
+
     @property
     def target(self) -> bytes:
         """Path with query, as received."""
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -29,6 +29,8 @@
 SWEEP_SECONDS = 2.0
 MAX_CONNECTIONS = 2048
 _MAX_HEADER_BYTES = 32 * 1024
+# Pieces of a body, of at most 64 KiB, that wait for the application.
+_MAX_QUEUED_PIECES = 2
 # Log lines for connections that failed are at least this far apart.
 LOG_INTERVAL_SECONDS = 5.0
 _LOG = logging.getLogger(__name__)
@@ -279,5 +281,6 @@
     config.include_server_header = False
     config.include_date_header = False
     config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.max_app_queue_size = _MAX_QUEUED_PIECES
     config.h11_max_incomplete_size = _MAX_HEADER_BYTES
     return config
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -78,12 +78,13 @@
             self._counters,
             self._histograms,
         )
+        self._memory = memory_budget.MemoryBudget(settings.memory_bytes)
         self._pools = connection_pools.ConnectionPools(
             settings.host,
             names.REQUEST_ID,
             clock.now,
             self._counters,
-            memory_budget.MemoryBudget(settings.memory_bytes),
+            self._memory,
         )
         self._placer = placer.Placer(
             settings.data_centre,
@@ -204,6 +205,11 @@
         """Connection pools of the upstreams."""
         return self._pools
 
+    @property
+    def memory(self) -> memory_budget.MemoryBudget:
+        """Limit on the memory for the bodies of requests and responses."""
+        return self._memory
+
     @property
     def placer(self) -> placer.Placer:
         """Choice of an upstream."""
--- a/src/rattanlug/gateway/request_handler.py
+++ b/src/rattanlug/gateway/request_handler.py
@@ -125,6 +125,8 @@
                     admitted.route.max_attempts,
                     admitted.deadline - clock.now(),
                 )
+                if not admitted.incoming.is_repeatable:
+                    break
                 if not may_retry or unreachable > admitted.route.max_attempts:
                     break
         raise self._final_error(admitted, failure)
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -41,7 +41,7 @@
 # The oldest generation is rarely collected, since most objects live as long as the
 # daemon.
 _GC_THRESHOLDS = (20_000, 20, 50)
-# Largest request body that is kept in memory, whatever the limit in the desired state.
+# Largest request body while no desired state is known.
 MAX_BODY_BYTES = 16 << 20
 _LOG = logging.getLogger(__name__)
 
@@ -168,6 +168,8 @@
             closing=lambda: node.leaving,
             ignores_disconnect=self._request_handler.ignores_disconnect,
             max_body_bytes=self._max_body_bytes,
+            memory=node.memory,
+            streams_bodies=True,
         )
         self._digest_exchange = digest_exchange.DigestExchange(node)
         self._is_serving = False
@@ -219,7 +221,9 @@
                 (handlers.serve_readiness, settings.readiness, None),
                 (handlers.serve_lookup, settings.lookups, handlers.local_lookup_reply),
             ):
-                app = application.Application(handler, node.counters)
+                app = application.Application(
+                    handler, node.counters, memory=node.memory
+                )
                 internal_server = caller_server.Server(
                     app, node.counters, local_reply=local_reply
                 )
@@ -247,7 +251,9 @@
         """Serve the metrics, as soon as their port is free."""
         node = self._node
         local = address.Address(node.settings.host, METRICS_PORT)
-        app = application.Application(handlers.serve_metrics, node.counters)
+        app = application.Application(
+            handlers.serve_metrics, node.counters, memory=node.memory
+        )
         server = caller_server.Server(app, node.counters)
         listening = await server.open(local, math.inf)
         await server.run(listening, trio.Event(), 0.0)
@@ -308,5 +314,4 @@
 
     def _max_body_bytes(self) -> int:
         state = self._node.desired.state
-        limit = state.limits.body_bytes if state else MAX_BODY_BYTES
-        return min(limit, MAX_BODY_BYTES)
+        return state.limits.body_bytes if state else MAX_BODY_BYTES
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -194,6 +194,7 @@
         """Build the request to the upstream, with the time that is left now."""
         incoming = admitted.incoming
         time_left = admitted.deadline - clock.now()
+        rest = incoming.rest
         has_body = bool(incoming.body) or any(
             name in (b"content-length", b"transfer-encoding")
             for name, _ in incoming.headers
@@ -204,11 +205,18 @@
                 incoming.headers,
                 admitted.owner.name if admitted.owner else None,
                 bool(state and state.organisations),
-                len(incoming.body) if has_body else None,
+                incoming.body_length if has_body else None,
             ),
             record.id,
             time_left,
         )
+        content = incoming.body if has_body else None
+        if rest is not None:
+            if rest.length is None:
+                headers.append((b"transfer-encoding", b"chunked"))
+            content = rest.content(
+                incoming.body, lambda: admitted.deadline - clock.now()
+            )
         return httpcore.Request(
             incoming.method,
             httpcore.URL(
@@ -218,7 +226,7 @@
                 target=incoming.target,
             ),
             headers=headers,
-            content=incoming.body if has_body else None,
+            content=content,
         )
 
     def _record_failure(
@@ -343,5 +351,5 @@
         response_size = self._response_kilobytes.get(
             admitted.route.name, INITIAL_RESPONSE_KILOBYTES
         )
-        request_size = len(admitted.incoming.body) / _BYTES_PER_KILOBYTE
+        request_size = (admitted.incoming.body_length or 0) / _BYTES_PER_KILOBYTE
         return HEAD_KILOBYTES + request_size + response_size
--- a/src/rattanlug/upstream/memory_budget.py
+++ b/src/rattanlug/upstream/memory_budget.py
@@ -1,4 +1,4 @@
-"""Limit on the memory for the bodies of all unfinished responses."""
+"""Limit on the memory for the bodies of all requests and responses."""
 
 # Share of the VM's memory for bodies that are being received. It is small because a
 # body is copied twice on its way to the caller.
@@ -12,7 +12,7 @@
 
 
 class MemoryBudget:
-    """Counts the bytes of all response bodies that are being received.
+    """Counts the bytes that are held of all bodies.
 
     Parameters
     ----------
--- a/trial/shared_platform/upstream.py
+++ b/trial/shared_platform/upstream.py
@@ -52,6 +52,8 @@
         self.shed_seconds = 0.0
         self.silent = False
         self.fault = ""
+        # Added to the body of each response.
+        self.padding = b""
         # Bytes that precede each response.
         self.stray_bytes = b""
         self.cold_seconds = cold_seconds
@@ -105,7 +107,7 @@
             ("Rattanlug-Backend-Load", load),
             ("Content-Type", "application/octet-stream"),
         )
-        body = f"{self.name} {request_id}".encode()
+        body = f"{self.name} {request_id}".encode() + self.padding
         return http_server.Response(
             self.status, response_headers, body, self.fault, self.stray_bytes
         )
