Limit callers' connections by the limit of descriptors

With a limit of 60 descriptors and 100 open connections of callers, 8 of 8 readiness checks got no answer within 2 s until callers closed, and callers beyond the limit waited in the accept queue.

The number of callers' connections was limited to 2048 whatever the descriptors; max_fds was read and not used. Now the limits for callers, look-ups and readiness come from max_fds, or from the limit of the process if that is lower, and leave descriptors for upstreams, the store and other VMs. With 4,100 descriptors callers still get 2048.

Before, test_readiness_checks_are_answered_beside_more_callers_than_ descriptors failed with "TimeoutError: timed out".

--- /dev/null
+++ b/src/rattanlug/gateway/connection_limits.py
@@ -0,0 +1,55 @@
+"""Numbers of connections that the limit of open descriptors allows."""
+
+import resource
+from typing import NamedTuple
+
+from rattanlug.caller import server
+
+# Standard streams, the event loop, listeners, connections to the store and to other
+# VMs.
+RESERVED_DESCRIPTORS = 32
+# Descriptors that are left for connections to upstreams at most.
+MAX_UPSTREAM_DESCRIPTORS = 512
+_INTERNAL_FRACTION = 16
+_MIN_INTERNAL_CONNECTIONS = 4
+
+
+class ConnectionLimits(NamedTuple):
+    """Largest numbers of open connections.
+
+    Attributes
+    ----------
+    callers : int
+        Connections for requests of callers.
+    lookups, readiness : int
+        Connections for look-ups, and for readiness checks.
+    """
+
+    callers: int
+    lookups: int
+    readiness: int
+
+
+def connection_limits(max_descriptors: int) -> ConnectionLimits:
+    """Return limits that leave descriptors for everything else.
+
+    Each request of a caller may need a connection to an upstream.
+
+    Parameters
+    ----------
+    max_descriptors : int
+        Limit of open file descriptors.
+    """
+    free = max(0, max_descriptors - RESERVED_DESCRIPTORS)
+    internal = max(_MIN_INTERNAL_CONNECTIONS, free // _INTERNAL_FRACTION)
+    shared = free - 2 * internal
+    callers = max(1, shared // 2, shared - MAX_UPSTREAM_DESCRIPTORS)
+    return ConnectionLimits(
+        *(min(server.MAX_CONNECTIONS, each) for each in (callers, internal, internal))
+    )
+
+
+def descriptor_limit(configured: int) -> int:
+    """Return the configured limit, or that of the process if it is lower."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return configured if soft == resource.RLIM_INFINITY else min(configured, soft)
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -16,6 +16,7 @@
 from rattanlug.daemon import background_tasks, clock, process_age
 from rattanlug.errors import error
 from rattanlug.gateway import (
+    connection_limits,
     digest_exchange,
     endpoints,
     request_handler,
@@ -172,9 +173,13 @@
         self._digest_exchange = digest_exchange.DigestExchange(node)
         self._is_serving = False
         self._stop_caller_server = trio.Event()
+        self._limits = connection_limits.connection_limits(
+            connection_limits.descriptor_limit(settings.max_descriptors)
+        )
         self._caller_server = caller_server.Server(
             self._app,
             node.counters,
+            max_connections=self._limits.callers,
             local_reply=self._request_handler.reject_early,
             earliest_ready_at=lambda: node.utilisation.earliest_ready_at,
         )
@@ -215,13 +220,19 @@
             self._start_task(nursery, "loop_lag", node.lag.run)
             self._start_task(nursery, "upstream_sweeps", node.pools.run_sweeps)
             await nursery.start(self._digest_exchange.run)
-            for handler, local, local_reply in (
-                (handlers.serve_readiness, settings.readiness, None),
-                (handlers.serve_lookup, settings.lookups, handlers.local_lookup_reply),
+            limits = self._limits
+            for handler, local, limit, local_reply in (
+                (handlers.serve_readiness, settings.readiness, limits.readiness, None),
+                (
+                    handlers.serve_lookup,
+                    settings.lookups,
+                    limits.lookups,
+                    handlers.local_lookup_reply,
+                ),
             ):
                 app = application.Application(handler, node.counters)
                 internal_server = caller_server.Server(
-                    app, node.counters, local_reply=local_reply
+                    app, node.counters, max_connections=limit, local_reply=local_reply
                 )
                 start = functools.partial(internal_server.run, local, trio.Event(), 0.0)
                 await nursery.start(start)
