Answer the requests in the accept queue when the daemon stops listening

Callers whose connection was completed by the kernel, but not yet accepted, got a reset when the daemon stopped listening, also if their request had arrived. The request was neither read nor run.

Closing a listening socket resets its accept queue. The accept task empties the queue when it runs, but not what arrives after that in the same loop iteration, which lasts long in a process that is late or was suspended. The daemon also took the server for finished when no connection was accepted, and a connection accepted last that brings no request was never closed.

The server now accepts what is queued right before the close, looks for idle connections until it ends, and tells when no connection is left.

--- a/src/rattanlug/caller/listener.py
+++ b/src/rattanlug/caller/listener.py
@@ -109,14 +109,34 @@
             if raw is None:
                 continue
             self._record_outcome(None)
-            stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
-            return AcceptedConnection(stream, raw, self._earliest_opened_at)
+            return self._to_connection(raw)
+
+    def accept_queued(self) -> list[AcceptedConnection]:
+        """Return the connections in the accept queue, which a close would reset."""
+        queued: list[AcceptedConnection] = []
+        while len(queued) < BACKLOG:
+            try:
+                raw, _ = self._socket.accept()
+            except BlockingIOError:
+                break
+            except OSError as exc:
+                if exc.errno in _PEER_ERRORS:
+                    self._counters.add("connections_broken")
+                    continue
+                self._count_error(exc)
+                break
+            queued.append(self._to_connection(raw))
+        return queued
 
     def close(self) -> None:
         """Stop listening."""
         trio.lowlevel.notify_closing(self._socket)
         self._socket.close()
 
+    def _to_connection(self, raw: socket.socket) -> AcceptedConnection:
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
+        return AcceptedConnection(stream, raw, self._earliest_opened_at)
+
     async def _accept_or_wait(self) -> socket.socket | None:
         """Return the next connection, or None after waiting for one.
 
@@ -140,11 +160,14 @@
             return
         # The process must not end because of one listener, whatever the error: the
         # next connection may be accepted again.
+        self._count_error(exc)
+        await trio.sleep(PAUSE_SECONDS)
+
+    def _count_error(self, exc: OSError) -> None:
         name = errno.errorcode.get(exc.errno, str(exc.errno))
         self._counters.add("connections_refused")
         self._counters.add("accept_errors", error=name)
         self._record_outcome(name)
-        await trio.sleep(PAUSE_SECONDS)
 
     def _record_outcome(self, error: str | None) -> None:
         """Record the outcome of an accept, and log a change."""
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -27,6 +27,10 @@
 KEEP_ALIVE_SECONDS = 30.0
 # Interval between checks for idle connections.
 SWEEP_SECONDS = 2.0
+# Interval between the checks of a server that is stopping.
+STOP_SWEEP_SECONDS = 0.02
+# Time for the first request on a connection that is accepted when the server stops.
+FIRST_REQUEST_SECONDS = 0.2
 MAX_CONNECTIONS = 2048
 _MAX_HEADER_BYTES = 32 * 1024
 # Log lines for connections that failed are at least this far apart.
@@ -74,6 +78,7 @@
         self._context = worker_context.WorkerContext(None)
         self._streams: set[caller_stream.CallerStream] = set()
         self._stopping = False
+        self._has_stopped = False
         self._logged_at = -math.inf
         self._unlogged_failures = 0
 
@@ -82,6 +87,11 @@
         """Number of open connections."""
         return len(self._streams)
 
+    @property
+    def has_stopped(self) -> bool:
+        """Whether it stopped listening and has no connection left."""
+        return self._has_stopped
+
     async def open(
         self,
         local: address.Address,
@@ -141,21 +151,43 @@
                     task_status.started([listening])
                     await stop.wait()
                     accepting.cancel_scope.cancel()
+                # Requests may have arrived on connections in the accept queue, and
+                # closing the listener would reset them.
+                for accepted in listening.accept_queued():
+                    serving.start_soon(self._serve_connection, accepted)
             finally:
                 listening.close()
-            # Idle connections close at once, the others after their response. A request
-            # that waits in the socket is still read and answered.
-            self._stopping = True
-            await self._context.terminated.set()
-            for stream in list(self._streams):
-                if stream.between_requests and not stream.has_unread_bytes:
-                    stream.abort("shutdown")
-            with trio.move_on_after(graceful_timeout_seconds):
-                while self._streams:
-                    await trio.sleep(0.02)
-            for stream in list(self._streams):
-                stream.abort("shutdown")
+            await self._finish(serving, graceful_timeout_seconds)
             serving.cancel_scope.cancel()
+        self._has_stopped = True
+
+    async def _finish(
+        self, serving: trio.Nursery, graceful_timeout_seconds: float
+    ) -> None:
+        """Wait until the connections end; abort the rest at the time limit.
+
+        Idle connections close at once, the others after their response. A request that
+        waits in the socket is still read and answered.
+        """
+        self._stopping = True
+        await self._context.terminated.set()
+        self._abort_idle(0.0)
+        with trio.move_on_after(graceful_timeout_seconds):
+            while serving.child_tasks:
+                await trio.sleep(STOP_SWEEP_SECONDS)
+                self._abort_idle(FIRST_REQUEST_SECONDS)
+        for stream in list(self._streams):
+            stream.abort("shutdown")
+
+    def _abort_idle(self, min_seconds: float) -> None:
+        now = trio.current_time()
+        for stream in list(self._streams):
+            if (
+                stream.between_requests
+                and stream.idle_seconds(now) >= min_seconds
+                and not stream.has_unread_bytes
+            ):
+                stream.abort("shutdown")
 
     async def _accept(
         self, listening: listener.Listener, serving: trio.Nursery
--- a/src/rattanlug/daemon/run.py
+++ b/src/rattanlug/daemon/run.py
@@ -104,7 +104,7 @@
         await _leave(entry, dispatcher, app, leave_seconds)
         stop_http.set()
         with trio.move_on_after(_CLOSE_LIMIT_SECONDS):
-            while web.connections:
+            while not web.has_stopped:
                 await trio.sleep(_POLL_INTERVAL_SECONDS)
         _check_finished(entry, app)
         nursery.cancel_scope.cancel()
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -281,7 +281,7 @@
             # The signal may have been sent later; nothing is gained by cutting requests
             # before the platform does.
             while clock.now() - started_at < grace and not (
-                has_left.is_set() and not self._caller_server.connections
+                has_left.is_set() and self._caller_server.has_stopped
             ):
                 await trio.sleep(0.02)
             nursery.cancel_scope.cancel()
--- a/tests/caller/test_listener.py
+++ b/tests/caller/test_listener.py
@@ -3,6 +3,7 @@
 import errno
 import os
 import socket
+import unittest.mock
 
 import pytest
 import trio
@@ -190,3 +191,18 @@
         tested.close()
 
     trio.run(main)
+
+
+# Guards against a shutdown that ends with an error of accept, or accepts for ever.
+@pytest.mark.parametrize("number", [errno.ECONNABORTED, errno.EMFILE])
+def test_errors_while_the_accept_queue_is_emptied_are_counted(number, monkeypatch):
+    all_counters = counters.Counters()
+    tested = listener.Listener(address.Address(HOST, 0), lambda: 0.0, all_counters)
+    failing = unittest.mock.Mock()
+    failing.accept.side_effect = [OSError(number, ""), BlockingIOError]
+    with tested.socket:
+        monkeypatch.setattr(tested, "_socket", failing)
+        assert tested.accept_queued() == []
+    is_of_caller = number == errno.ECONNABORTED
+    counted = "connections_broken" if is_of_caller else "connections_refused"
+    assert all_counters.value(counted) == 1
