Don't break off a request before its timeout after a stall

Callers got a 504 of the daemon before the timeout of the route, while the upstream was at work. After a SIGTERM this counts as a lost request.

After a stall the daemon only knows that a request came after its previous poll, and counts the deadline from then. A request that wasn't sent yet is rightly rejected by that, but the wait for the upstream ended with the same deadline, too early by the length of the stall.

The wait now ends later by the time in which the arrival isn't known, 0.2 s at most. What an upstream is told doesn't change.

--- a/src/rattanlug/gateway/admitted_request.py
+++ b/src/rattanlug/gateway/admitted_request.py
@@ -6,6 +6,9 @@
 from rattanlug.desired import organisation, route
 from rattanlug.platform import request_headers
 
+# Time that a response may be late if it isn't known when its request arrived.
+MAX_LATE_SECONDS = 0.2
+
 
 class AdmittedRequest(NamedTuple):
     """A request with the results of its admission.
@@ -36,6 +39,15 @@
     deadline: float
     admitted_at: float
 
+    @property
+    def latest_end(self) -> float:
+        """Time until which an upstream may work on the request, monotonic seconds.
+
+        The deadline counts from the earliest possible arrival, so that a request that
+        may be late is not sent. Once it is sent, it must not be broken off too early.
+        """
+        return self.deadline + min(self.admitted_at - self.arrived_at, MAX_LATE_SECONDS)
+
     @property
     def object_id(self) -> str | None:
         """Id of the requested object, or None if the route or request has no affinity.
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -155,7 +155,7 @@
                 build,
                 admitted.headers.request_id.encode("latin-1"),
                 connect_seconds,
-                admitted.deadline,
+                admitted.latest_end,
                 before_send,
             )
         except error.UpstreamError as exc:
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -1,8 +1,11 @@
 """Requests that a daemon accepts or rejects while it shuts down."""
 
+import time
+
 import pytest
 import trio
 
+from rattanlug.gateway import node as node_module
 from rattanlug.gateway import run
 from tests.gateway import caller
 from trial.shared_platform import fleet
@@ -62,3 +65,35 @@
                 statuses.append(response.status)
         assert len(statuses) > 3
         assert set(statuses) == {200}
+
+
+# Guards against a daemon that breaks off a request, at which its upstream is at work,
+# before the timeout of the route: after a stall it doesn't know when the request came,
+# and counts from the earliest possible time.
+@pytest.mark.parametrize("stopping", [False, True])
+@caller.in_trio
+async def test_a_request_is_not_broken_off_before_its_timeout_after_a_stall(
+    stopping, monkeypatch
+):
+    # The result must not depend on the load of the machine that runs the test.
+    monkeypatch.setattr(
+        node_module.Node, "processing_delay", lambda self, arrived_at, now: 0.0
+    )
+    async with fleet.open_fleet() as deployment:
+        added = await deployment.add_upstream("u1")
+        added.silent = True
+        vm = await deployment.add_vm(bounds={"grace_s": 4})
+        await deployment.settle()
+        local = vm.node.settings.callers
+        async with trio.open_nursery() as nursery:
+            if stopping:
+                nursery.start_soon(vm.stop)
+            stream = await trio.open_tcp_stream(local.host, local.port)
+            await trio.sleep(0.2)
+            time.sleep(0.1)
+            sent_at = trio.current_time()
+            data = caller.encode("/claim/x", "after-stall", "POST")
+            assert stream.socket._sock.send(data) == len(data)
+            assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
+            assert 1.0 <= trio.current_time() - sent_at < 1.0 + 0.5
+            nursery.cancel_scope.cancel()
