Apply a read of the store again after an error

Callers would have been served by an older desired state, and sent to a draining upstream, until the rows changed again: a background task that raised while it applied a read was started again, but the copy of the table was already at the new version. Cause: copies, desired state and registry advanced before all that follows from them.

The next read after an error applies the whole copy, rows that raise hide no others, and a VM that cannot follow reads the store.

--- a/src/rattanlug/desired/holder.py
+++ b/src/rattanlug/desired/holder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from rattanlug.desired import key_index, route_index, state
 
@@ -36,13 +37,25 @@
         """Keys in force."""
         return self._keys
 
-    def accept(self, candidate: state.DesiredState) -> bool:
-        """Put a state in force if its version is newer; return whether it is."""
+    def accept(
+        self, candidate: state.DesiredState, prepare: Callable[[], None] | None = None
+    ) -> bool:
+        """Put a state in force if its version is newer; return whether it is.
+
+        Parameters
+        ----------
+        candidate : state.DesiredState
+        prepare : callable, optional
+            Prepares what requests need beside the state; if it raises an error, the
+            state in force remains.
+        """
         if candidate.version <= self.version:
             return False
-        self._state = candidate
-        self._routes = route_index.RouteIndex(candidate.routes)
-        self._keys = key_index.KeyIndex(candidate.organisations)
+        routes = route_index.RouteIndex(candidate.routes)
+        keys = key_index.KeyIndex(candidate.organisations)
+        if prepare is not None:
+            prepare()
+        self._state, self._routes, self._keys = candidate, routes, keys
         return True
 
     def confirm(self, read_at: float) -> None:
--- a/src/rattanlug/discovery/upstream_registry.py
+++ b/src/rattanlug/discovery/upstream_registry.py
@@ -67,14 +67,14 @@
         """
         if read_version < self._read_version:
             return False
-        self._read_version = read_version
         entries = {each.id: self._updated(each, now) for each in records}
         if now < self._removals_from:
             entries = {**self._entries, **entries}
         changed = _comparable(entries) != _comparable(self._entries)
-        self._entries = entries
         if changed:
-            self._index()
+            self._index(entries)
+        self._entries = entries
+        self._read_version = read_version
         return changed
 
     def of_service(self, service: str) -> tuple[upstream_record.UpstreamRecord, ...]:
@@ -129,9 +129,9 @@
             became_cold_at,
         )
 
-    def _index(self) -> None:
+    def _index(self, entries: dict[str, _Entry]) -> None:
         grouped: dict[str, list[upstream_record.UpstreamRecord]] = {}
-        for _, entry in sorted(self._entries.items()):
+        for _, entry in sorted(entries.items()):
             if not entry.record.leaving:
                 grouped.setdefault(entry.record.service, []).append(entry.record)
         self._by_service = {name: tuple(each) for name, each in grouped.items()}
--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -73,6 +73,9 @@
         self._store_reached_at = -math.inf
         self._upstream_table = upstream_table.UpstreamTable(node.counters)
         self._upstreams_applied_at = 0.0
+        # Tables whose copies have rows that raised an error when they were applied.
+        self._unapplied: set[str] = set()
+        self._activated: state.DesiredState | None = None
         # Longest wait of a feed call, seconds, by table.
         self._waits = feed_waits(node.settings.bounds)
         self._apply: dict[str, Callable[[store_read.StoreRead, bool], None]] = {
@@ -96,14 +99,23 @@
                 )
 
     def apply_read(self, table: str, read: store_read.StoreRead, whole: bool) -> bool:
-        """Apply a read; return False if it was outdated."""
+        """Apply a read; return False if it was outdated.
+
+        The copy of the table is newer than what was applied if applying raises an
+        error. Then the next read applies the whole copy.
+        """
         node, now = self._node, clock.now()
         changed = node.tables.apply_read(table, read, whole, now)
         if changed is None:
             node.counters.add("store_reads_outdated", table=table)
             return False
         node.versions.set_store_clock(read.store_now, now)
+        has_failed_rows = table == names.OPERATOR_TABLE and node.operators.failed
+        if table in self._unapplied or has_failed_rows:
+            read, whole = read._replace(rows=node.tables.copy(table).rows), True
+        self._unapplied.add(table)
         self._apply[table](read, whole)
+        self._unapplied.discard(table)
         return True
 
     async def _read_store(self, table: str) -> None:
@@ -113,7 +125,7 @@
         while True:
             await self._reads_store.wait()
             copy = node.tables.copy(table)
-            read_whole = read_whole or copy.version < 0
+            read_whole = read_whole or copy.version < 0 or table in self._unapplied
             started_at = clock.now()
             try:
                 if read_whole:
@@ -176,29 +188,38 @@
 
     async def _follow(self) -> None:
         """Follow another VM; while there is none, let this VM read the store."""
-        node = self._node
         while True:
             now = clock.now()
-            candidates = node.follow_candidates(now)
+            candidates = self._node.follow_candidates(now)
             source = self._source_choice.choose(sorted(candidates), now)
             if source is None:
                 self._set_source(None)
                 await trio.sleep(SOURCE_CHECK_INTERVAL_SECONDS)
                 continue
-            request = self._follow_request()
             try:
-                response = await self._client.follow(candidates[source], request)
-            except table_client.UnreachableError as exc:
-                node.counters.add("table_sources_lost")
-                self._source_choice.record_failure(source, clock.now())
-                state_log.log_change("table_source", source, None, reason=str(exc))
-                continue
-            if self._is_fresh(response):
-                self._source_choice.record_success(source)
-                self._set_source(source)
-            else:
+                await self._follow_once(source, candidates[source], now)
+            except Exception:
+                # The copies must not go stale while following raises errors.
                 self._source_choice.record_failure(source, clock.now())
-            self._apply_response(response, now)
+                self._set_source(None)
+                raise
+
+    async def _follow_once(self, source: str, host: str, now: float) -> None:
+        """Request the changes of a VM, and apply its response."""
+        request = self._follow_request()
+        try:
+            response = await self._client.follow(host, request)
+        except table_client.UnreachableError as exc:
+            self._node.counters.add("table_sources_lost")
+            self._source_choice.record_failure(source, clock.now())
+            state_log.log_change("table_source", source, None, reason=str(exc))
+            return
+        if self._is_fresh(response):
+            self._source_choice.record_success(source)
+            self._set_source(source)
+        else:
+            self._source_choice.record_failure(source, clock.now())
+        self._apply_response(response, now)
 
     def _follow_request(self) -> follow_messages.FollowRequest:
         node = self._node
@@ -266,7 +287,34 @@
             self._node.operators.apply_all(read)
         else:
             self._node.operators.apply_changes(read)
-        _activate(self._node, read)
+        self._activate(read)
+
+    def _activate(self, read: store_read.StoreRead) -> None:
+        """Activate the operators' desired state, rollout orders and evacuations."""
+        node, now = self._node, clock.now()
+        desired, before = node.operators.desired, self._activated
+        if desired is not None:
+            node.desired.accept(
+                desired, lambda: node.limiters.configure(desired.organisations, now)
+            )
+        current = node.desired.state
+        # Compared with what was activated, since an error may follow the acceptance.
+        if current is not None and current is not before:
+            _log_rate_changes(before, current)
+            node.placer.configure(current.services)
+            update_rate_shares(node, now)
+            state_log.log_change(
+                "desired_state",
+                before.version if before else None,
+                current.version,
+                read=read.version,
+            )
+            self._activated = current
+        node.versions.set_orders(node.operators.orders)
+        node.placer.evacuate(node.operators.evacuated)
+        # A desired state that wasn't applied may have withdrawn keys.
+        if desired is not None and names.DESIRED_STATE_KEY not in node.operators.failed:
+            node.desired.confirm(read.sent_at)
 
     def _apply_upstreams(self, read: store_read.StoreRead, whole: bool) -> None:
         now = clock.now()
@@ -275,10 +323,10 @@
             and now - self._upstreams_applied_at < UPSTREAM_APPLY_INTERVAL_SECONDS
         ):
             return
-        self._upstreams_applied_at = now
         rows = self._node.tables.copy(names.UPSTREAM_TABLE).rows
         records = self._upstream_table.decode_all(rows)
-        apply_upstreams(self._node, records, read.version, now)
+        apply_upstreams(self._node, records, read.version, now, whole)
+        self._upstreams_applied_at = now
 
     def _apply_rollout_records(self, read: store_read.StoreRead, whole: bool) -> None:
         node, records = self._node, []
@@ -316,10 +364,17 @@
     records: list[upstream_record.UpstreamRecord],
     version: int,
     now: float,
+    whole: bool = False,
 ) -> None:
-    """Apply all registrations as of a version of the store."""
-    if node.registry.apply(records, version, now):
+    """Apply all registrations as of a version of the store.
+
+    After the read of a whole table, all that depends on them is updated even if
+    none changed, since an error may have prevented that.
+    """
+    changed = node.registry.apply(records, version, now)
+    if changed or whole:
         node.placer.upstreams_changed(now)
+    if changed:
         node.log.write("upstreams changed", now, count=node.registry.size, read=version)
     node.record_upstreams_read()
     versions: dict[str, set[str]] = {}
@@ -330,28 +385,6 @@
         node.versions.update_registered(service, registered, now)
 
 
-def _activate(node: node_module.Node, read: store_read.StoreRead) -> None:
-    """Activate the desired state, rollout orders and evacuations of the operators."""
-    now = clock.now()
-    desired = node.operators.desired
-    before = node.desired.state
-    if desired is not None and node.desired.accept(desired):
-        _log_rate_changes(before, desired)
-        node.limiters.configure(desired.organisations, now)
-        node.placer.configure(desired.services)
-        update_rate_shares(node, now)
-        state_log.log_change(
-            "desired_state",
-            before.version if before else None,
-            desired.version,
-            read=read.version,
-        )
-    if desired is not None:
-        node.desired.confirm(read.sent_at)
-    node.versions.set_orders(node.operators.orders)
-    node.placer.evacuate(node.operators.evacuated)
-
-
 def update_rate_shares(node: node_module.Node, now: float) -> None:
     """Recompute this VM's rate shares from the digests of the other VMs."""
     demands, vms = node.peer_demand(now)
--- a/src/rattanlug/platform/operator_table.py
+++ b/src/rattanlug/platform/operator_table.py
@@ -19,7 +19,8 @@
     """Decodes the operators' rows.
 
     A row that cannot be decoded is logged and ignored, and its previous value stays in
-    effect.
+    effect. One whose decoding raises an unexpected error does not hide other rows, and
+    is decoded again at the next read of the whole table.
     """
 
     def __init__(self) -> None:
@@ -27,6 +28,7 @@
         self._desired: state.DesiredState | None = None
         self._orders: dict[str, rollout_order.RolloutOrder] = {}
         self._evacuated: set[str] = set()
+        self._failed: set[str] = set()
 
     @property
     def desired(self) -> state.DesiredState | None:
@@ -43,6 +45,11 @@
         """Data centres whose upstreams must not receive requests."""
         return frozenset(self._evacuated)
 
+    @property
+    def failed(self) -> frozenset[str]:
+        """Keys of the rows whose latest decoding raised an unexpected error."""
+        return frozenset(self._failed)
+
     def apply_all(self, read: store_read.StoreRead) -> None:
         """Apply a read of the whole table."""
         present = {each.key for each in read.rows}
@@ -66,6 +73,14 @@
                 "ignoring unreadable operator row",
                 extra={"row": row.key, "reason": str(exc)},
             )
+        except Exception:
+            if row.key not in self._failed:
+                _LOG.exception(
+                    "unexpected error in an operator row", extra={"row": row.key}
+                )
+            self._failed.add(row.key)
+            return
+        self._failed.discard(row.key)
 
     def _decode(self, row: store_row.StoreRow) -> None:
         kind, _, name = row.key.partition("/")
--- a/src/rattanlug/platform/upstream_table.py
+++ b/src/rattanlug/platform/upstream_table.py
@@ -8,6 +8,8 @@
 from rattanlug.platform import decoding, upstream_row
 from rattanlug.tables import store_row
 
+# No row has it.
+_UNKNOWN_VERSION = -1
 _LOG = logging.getLogger(__name__)
 
 
@@ -34,11 +36,25 @@
         for each in rows:
             cached = self._decoded.get(each.key)
             if cached is None or cached[0] != each.version:
-                cached = (each.version, self._decode(each))
+                try:
+                    cached = (each.version, self._decode(each))
+                except Exception:
+                    # Must not hide the other rows; decoded again the next time.
+                    self._record_failure(each.key)
+                    cached = (_UNKNOWN_VERSION, None)
             decoded[each.key] = cached
         self._decoded = decoded
         return [record for _, record in decoded.values() if record is not None]
 
+    def _record_failure(self, key: str) -> None:
+        self._counters.add("upstream_rows_failed")
+        earlier = self._decoded.get(key)
+        if earlier is None or earlier[0] != _UNKNOWN_VERSION:
+            _LOG.exception(
+                "unexpected error in the registration of an upstream",
+                extra={"row": key},
+            )
+
     def _decode(self, row: store_row.StoreRow) -> upstream_record.UpstreamRecord | None:
         try:
             return upstream_row.decode(row.key, row.value)
