--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -7,10 +7,11 @@
 import random
 import signal
 import time
+from collections.abc import Callable
 
 import trio
 
-from soak import history, proxy, site_upstream
+from soak import history, proxy, site_upstream, upstream_worker
 from trial import http_client, http_server, processes
 from trial.shared_platform import boot_file, fleet, store, upstream
 
@@ -63,15 +64,17 @@
 
     Parameters
     ----------
-    stand_in : upstream.Upstream or site_upstream.SiteUpstream
-    tcp_proxy : proxy.Proxy
+    stand_in : upstream.Upstream, SiteUpstream or RemoteUpstream
+    tcp_proxy : proxy.Proxy or upstream_worker.RemoteGate
     service, data_centre : str
     """
 
     def __init__(
         self,
-        stand_in: upstream.Upstream | site_upstream.SiteUpstream,
-        tcp_proxy: proxy.Proxy,
+        stand_in: upstream.Upstream
+        | site_upstream.SiteUpstream
+        | upstream_worker.RemoteUpstream,
+        tcp_proxy: proxy.Proxy | upstream_worker.RemoteGate,
         service: str,
         data_centre: str,
     ) -> None:
@@ -115,10 +118,13 @@
         self._started_upstreams = 0
         # Number of callers so far; their indices are part of the ids of requests.
         self.callers = 0
+        # Starts callers in other processes: their rate and time.
+        self.start_callers: Callable[[float, float], None] | None = None
         self.observations = observations
         self._stopped: set[str] = set()
         self.site = observations.site
         self.store = store.Store()
+        self._upstream_workers: upstream_worker.UpstreamWorkers | None = None
         centres = self.site.data_centres
         places = [centres[index % len(centres)] for index in range(vms)]
         if self.site.vms:
@@ -147,6 +153,8 @@
             functools.partial(http_server.serve, "127.0.0.1", 0, self.store.handle)
         )
         self._store_port = listeners[0].socket.getsockname()[1]
+        if self.site.workers:
+            self._upstream_workers = upstream_worker.UpstreamWorkers(self.site)
         centres = [each for each, _ in self.site.data_centres]
         if not self.site.services:
             for index in range(upstreams):
@@ -156,13 +164,23 @@
                 for _ in range(count):
                     await self.add_upstream(centre, service.name)
         for vm in self.vms:
-            vm.store_proxy = proxy.Proxy(self._store_port)
-            await self._nursery.start(vm.store_proxy.run)
+            await self._start_store_proxy(vm)
             self.start_vm(vm)
         with trio.fail_after(READY_SECONDS):
             for vm in self.vms:
                 await self.wait_ready(vm)
 
+    async def _start_store_proxy(self, vm: Vm) -> None:
+        vm.store_proxy = proxy.Proxy(self._store_port)
+        await self._nursery.start(vm.store_proxy.run)
+
+    async def add_vm(self, data_centre: str, region: str) -> Vm:
+        """Add a VM, which isn't started yet."""
+        vm = Vm(len(self.vms), data_centre, region)
+        await self._start_store_proxy(vm)
+        self.vms.append(vm)
+        return vm
+
     def write_state(self) -> None:
         """Write a new version of the desired state to the store."""
         self._version += 1
@@ -186,16 +204,36 @@
         await self._start_upstream(name, crashed.data_centre, crashed.service, True)
 
     async def _start_upstream(
-        self, name: str, data_centre: str, service: str, cold: bool
+        self,
+        name: str,
+        data_centre: str,
+        service: str,
+        cold: bool,
+        port: int = 0,
     ) -> None:
+        if self._upstream_workers:
+            stand_in, tcp_proxy = await self._upstream_workers.start(
+                name, service, self._rng.random(), port
+            )
+        else:
+            stand_in, tcp_proxy = await self._start_here(name, service)
+        if cold:
+            stand_in.turn_cold(reported=True)
+        started = ProxiedUpstream(stand_in, tcp_proxy, service, data_centre)
+        if self.site.services:
+            started.born = time.time_ns() // 1_000_000
+        self.upstreams[name] = started
+        self.register(name, data_centre)
+
+    async def _start_here(
+        self, name: str, service: str
+    ) -> tuple[upstream.Upstream | site_upstream.SiteUpstream, proxy.Proxy]:
         if self.site.services:
             found = next(each for each in self.site.services if each.name == service)
             routes = self.site.routes
             rng = random.Random(self._rng.random())
             stand_in = site_upstream.SiteUpstream(name, found, routes, rng)
             port = await self._nursery.start(stand_in.run)
-            if cold:
-                stand_in.turn_cold(reported=True)
         else:
             stand_in = upstream.Upstream(name, slots=8)
             listeners = await self._nursery.start(
@@ -204,11 +242,23 @@
             port = listeners[0].socket.getsockname()[1]
         tcp_proxy = proxy.Proxy(port)
         await self._nursery.start(tcp_proxy.run)
-        started = ProxiedUpstream(stand_in, tcp_proxy, service, data_centre)
-        if self.site.services:
-            started.born = time.time_ns() // 1_000_000
-        self.upstreams[name] = started
-        self.register(name, data_centre)
+        return stand_in, tcp_proxy
+
+    async def reuse_address(self, former: ProxiedUpstream, service: str) -> str:
+        """Start an upstream at the address of one that is gone; return its id.
+
+        Only for upstreams that other processes play, without a proxy.
+        """
+        self._started_upstreams += 1
+        its_name = f"u{self._started_upstreams - 1}"
+        port = former.tcp_proxy.port
+        await self._start_upstream(its_name, former.data_centre, service, True, port)
+        return its_name
+
+    async def collect(self) -> None:
+        """Fetch what upstreams recorded in other processes."""
+        if self._upstream_workers:
+            await self._upstream_workers.collect(self.observations)
 
     def register(self, name: str, data_centre: str, **row: object) -> None:
         """Write the registration of an upstream."""
@@ -308,6 +358,9 @@
         if self._processes.exit_code(name) is None:
             if number in (signal.SIGTERM, signal.SIGKILL):
                 self._stopped.add(name)
+            if number is signal.SIGKILL:
+                vm = name.rpartition("-")[0]
+                self.observations.kills[vm].append(trio.current_time())
             self._processes.signal(name, number)
 
     def signal(self, vm: Vm, number: signal.Signals) -> None:
@@ -351,3 +404,5 @@
     def end(self) -> None:
         """Stop all processes."""
         self._processes.end_all()
+        if self._upstream_workers:
+            self._upstream_workers.end()
--- a/soak/history.py
+++ b/soak/history.py
@@ -27,6 +27,8 @@
         Whether the connection was reset and not closed.
     data_centre : str
         Of the caller.
+    stalled : float
+        Seconds of that time in which the caller's process got no processor.
     """
 
     request_id: str
@@ -41,6 +43,7 @@
     body: bytes
     reset: bool = False
     data_centre: str = ""
+    stalled: float = 0.0
 
     @property
     def at_most_once(self) -> bool:
@@ -85,6 +88,8 @@
         self.disturbances: dict[str, list[list[float]]] = collections.defaultdict(list)
         # Like `disturbances`, by VM: from SIGTERM until the next process is ready.
         self.stops: dict[str, list[list[float]]] = collections.defaultdict(list)
+        # By VM: the times of SIGKILL.
+        self.kills: dict[str, list[float]] = collections.defaultdict(list)
         # By upstream: what reached it while it was cold, what it tolerates, and the
         # requests whose response it broke off.
         self.cold_arrivals: dict[str, list[site_upstream.Arrival]] = {}
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -26,24 +26,16 @@
     RESET = "reset"
 
 
-class Proxy:
-    """Forwards connections to one address.
-
-    Parameters
-    ----------
-    port : int
-        Target on 127.0.0.1.
-    """
+class Gate:
+    """Injects network faults into connections."""
 
-    def __init__(self, port: int) -> None:
-        self._target = port
+    def __init__(self) -> None:
         self._mode = Mode.OPEN
         self._delay = 0.0
         self._changed = trio.Event()
         # Intervals in which connections were not forwarded as usual.
         self.disturbances: list[list[float]] = []
         self._open: set[trio.SocketStream] = set()
-        self.port = 0
 
     @property
     def mode(self) -> Mode:
@@ -73,6 +65,40 @@
                 stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
             stream.socket.close()
 
+    def connected(self, stream: trio.SocketStream) -> None:
+        """Add an open connection."""
+        self._open.add(stream)
+        if self._mode is Mode.RESET:
+            self.reset_connections()
+
+    def closed(self, stream: trio.SocketStream) -> None:
+        """Remove a connection."""
+        self._open.discard(stream)
+
+    async def delay_or_block(self, is_response: bool) -> None:
+        """Wait until data may be forwarded."""
+        if self._mode is Mode.DELAYED:
+            await trio.sleep(self._delay)
+        while self._mode is Mode.SILENT or (
+            self._mode is Mode.NO_RESPONSES and is_response
+        ):
+            await self._changed.wait()
+
+
+class Proxy(Gate):
+    """Forwards connections to one address.
+
+    Parameters
+    ----------
+    port : int
+        Target on 127.0.0.1.
+    """
+
+    def __init__(self, port: int) -> None:
+        super().__init__()
+        self._target = port
+        self.port = 0
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -106,16 +132,8 @@
     ) -> None:
         while True:
             data = await source.receive_some(_CHUNK_BYTES)
-            await self._delay_or_block(is_response)
+            await self.delay_or_block(is_response)
             if not data:
                 # Close both directions; neither daemon nor stand-ins use half-closing.
                 raise trio.BrokenResourceError("connection closed by peer")
             await sink.send_all(data)
-
-    async def _delay_or_block(self, is_response: bool) -> None:
-        if self._mode is Mode.DELAYED:
-            await trio.sleep(self._delay)
-        while self._mode is Mode.SILENT or (
-            self._mode is Mode.NO_RESPONSES and is_response
-        ):
-            await self._changed.wait()
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,7 @@
 import trio
 
 from soak import (
+    caller_worker,
     callers,
     deployment,
     faults,
@@ -22,6 +23,7 @@
     site_upstream,
     sites,
     small_vm,
+    stalls,
 )
 
 FAULT_FREE_SECONDS = 8.0
@@ -96,6 +98,7 @@
     caller_class = site_callers.SiteCaller if options.site else callers.Caller
     directory = tempfile.mkdtemp(prefix=f"rattanlug-soak-{options.seed}-")
     injected: list[str] = []
+    caller_workers: caller_worker.CallerWorkers | None = None
     async with trio.open_nursery() as nursery:
         deployed = deployment.Deployment(
             nursery,
@@ -108,22 +111,28 @@
         try:
             await deployed.start(options.upstreams)
             nursery.start_soon(monitor.watch_memory, deployed)
-            nursery.start_soon(monitor.watch_stalls, deployed)
+            nursery.start_soon(stalls.watch, observations)
             if options.first_vm_cpu_share:
                 first = deployed.vms[0]
                 deployed.burst_targets = [first]
                 nursery.start_soon(
                     small_vm.limit_cpu, deployed, first, options.first_vm_cpu_share
                 )
-            deployed.callers = site.callers
-            for index in range(site.callers):
-                caller = caller_class(
-                    index,
-                    deployed,
-                    random.Random(rng.random()),
-                    site.requests_per_second,
-                )
-                nursery.start_soon(caller.run)
+            if site.workers:
+                caller_workers = caller_worker.CallerWorkers(deployed, options.seed)
+                deployed.start_callers = caller_workers.start
+                nursery.start_soon(caller_workers.run)
+                caller_workers.start(site.requests_per_second)
+            else:
+                deployed.callers = site.callers
+                for index in range(site.callers):
+                    caller = caller_class(
+                        index,
+                        deployed,
+                        random.Random(rng.random()),
+                        site.requests_per_second,
+                    )
+                    nursery.start_soon(caller.run)
             await trio.sleep(2.0)
             async with trio.open_nursery() as bursts:
                 # A separate generator: bursts must not change the faults of a seed.
@@ -152,8 +161,14 @@
             observations.record_event(trio.current_time(), "calm")
             await trio.sleep(FAULT_FREE_SECONDS - RECOVERY_SECONDS)
             unexpected = deployed.unexpected_ends()
+            stalls.attribute(observations)
+            await deployed.collect()
+            if caller_workers:
+                await caller_workers.collect()
         finally:
             deployed.end()
+            if caller_workers:
+                caller_workers.end()
         nursery.cancel_scope.cancel()
     executions: dict[str, list] = {}
     for each in deployed.executions():
--- a/soak/site_callers.py
+++ b/soak/site_callers.py
@@ -1,7 +1,10 @@
 """Callers of a site, which keep connections and retry as they are told."""
 
 import json
+import math
+import os
 import random
+import socket
 
 import trio
 
@@ -23,6 +26,11 @@
 # Statuses that are not sent again.
 _FINAL = frozenset({400, 401, 404, 413, 431})
 _PROMISES = frozenset({408, 421, 429, 503})
+# Waves of the rate, one third of a period apart in neighbouring data centres.
+_WAVE_SECONDS = 36.0
+_WAVE_PHASE = 0.3
+# A caller that is later than this with its requests leaves some out.
+_MAX_LAG_SECONDS = 1.0
 
 
 class SiteCaller(callers.Caller):
@@ -44,6 +52,25 @@
         self._failed: set[str] = set()
         self._idle_until = float("-inf")
 
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        swing = self._deployed.site.swing
+        if not swing:
+            await super().run()
+        places = self._deployed.site.data_centres
+        third = places.index((self._data_centre, self._region)) % 3 / 3.0
+        due = begun_at = trio.current_time()
+        while True:
+            now = trio.current_time()
+            wave = (now - begun_at) / _WAVE_SECONDS + _WAVE_PHASE + third
+            factor = 1.0 + swing * math.sin(2.0 * math.pi * wave)
+            due = max(due, now - _MAX_LAG_SECONDS)
+            due += self._rng.expovariate(self._rate * factor)
+            await trio.sleep_until(due)
+            await self._look_up()
+            if self._hosts:
+                await self._request()
+
     async def _look_up(self) -> None:
         now = trio.current_time()
         if now < self._look_up_at:
@@ -143,7 +170,7 @@
 
     async def _connect(self) -> None:
         usable = self._host in self._hosts and trio.current_time() < self._idle_until
-        if self._stream is not None and usable:
+        if self._stream is not None and usable and not _is_closed(self._stream):
             return
         await self._close()
         hosts = [each for each in self._hosts if each not in self._failed]
@@ -169,6 +196,18 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def _is_closed(stream: trio.SocketStream) -> bool:
+    """Return whether the VM has closed or reset a connection that is not in use."""
+    # The socket that trio wraps does not block.
+    with socket.socket(fileno=os.dup(stream.socket.fileno())) as raw:
+        try:
+            return not raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+
 def _idle_seconds(head: bytes) -> float:
     """Return how long the daemon keeps an idle connection."""
     field = callers.header(head, b"keep-alive").decode("latin-1")
--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -14,6 +14,8 @@
 _GIVE_UP_SECONDS = 40.0
 # A pressing caller sends this many times as often as others.
 _PRESSING = 3.0
+# On a site that isn't scaled down, this many times as often.
+_PRESSING_SHARE = 0.7
 _AWAY = (proxy.Mode.SILENT, proxy.Mode.RESET, proxy.Mode.DELAYED)
 
 
@@ -339,6 +341,10 @@
     deployed: deployment_module.Deployment, rng: random.Random
 ) -> None:
     """Let as many callers again come for some seconds, on new connections."""
+    if deployed.start_callers:
+        rate = _PRESSING_SHARE * deployed.site.requests_per_second
+        deployed.start_callers(rate, rng.uniform(1.0, 4.0))
+        return
     first = deployed.callers
     deployed.callers += deployed.site.callers
     with trio.move_on_after(rng.uniform(1.0, 4.0)):
--- a/soak/site_guarantees.py
+++ b/soak/site_guarantees.py
@@ -7,6 +7,8 @@
 _WINDOW_SECONDS = 1.0
 # An answer to a question that crosses the close of its connection isn't owed.
 _CROSSING_SECONDS = 0.2
+# A caller sees the end of a killed process within this time.
+_KILL_SECONDS = 0.3
 _MEMORY_MB = 300
 # Time within which a request ends after its route's time limit, and the number of
 # later ones from which on they are a violation.
@@ -57,9 +59,11 @@
         if not each.closed_by_vm:
             continue
         runs = executions.get(each.request_id, ())
-        disturbed = observations.disturbances[each.vm]
-        if history.overlap(disturbed, each.sent_at, each.ended_at):
-            yield each, "vm disturbed"
+        # What the caller saw late because its own process stalled is no delay of a VM.
+        taken = each.ended_at - each.sent_at - each.stalled
+        reason = _disturbance(observations, each)
+        if reason:
+            yield each, reason
         elif each.request_id in observations.broken_off or any(
             history.overlap(
                 observations.disturbances[run.upstream], run.at, each.ended_at
@@ -69,7 +73,7 @@
             yield each, "upstream broke off"
         elif runs:
             yield each, ""
-        elif each.ended_at - each.sent_at <= _CROSSING_SECONDS:
+        elif taken <= _CROSSING_SECONDS:
             yield each, "crossed the close"
         elif each.reset:
             # A close with unread bytes resets the connection.
@@ -78,6 +82,29 @@
             yield each, ""
 
 
+def _disturbance(observations: history.History, closed: history.Exchange) -> str:
+    """Return the kind of disturbance of its VM that excuses a close, if any.
+
+    A kill excuses what ended just after it; a start, which lasts until the VM says that
+    it is ready, and a suspension excuse what met them.
+    """
+    overlapping = [
+        each
+        for each in observations.disturbances[closed.vm]
+        if history.overlap([each], closed.sent_at, closed.ended_at)
+    ]
+    if not overlapping:
+        return ""
+    kills = observations.kills[closed.vm]
+    latest = closed.ended_at - _KILL_SECONDS - closed.stalled
+    if any(closed.sent_at <= at and latest <= at <= closed.ended_at for at in kills):
+        return "vm killed under it"
+    began_with_kill = any(
+        begin <= at <= end for begin, end in overlapping for at in kills
+    )
+    return "vm starting" if began_with_kill else "vm suspended"
+
+
 @guarantees.guarantee
 def requests_end_by_their_time_limit(
     observations: history.History, executions: guarantees.ExecutionsById
--- a/soak/site_upstream.py
+++ b/soak/site_upstream.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from soak import sites
+from soak import proxy, sites
 from trial.shared_platform import upstream
 
 _HEAD_END = b"\r\n\r\n"
@@ -54,6 +54,8 @@
     service : sites.Service
     routes : tuple of sites.Route
     rng : random.Random
+    gate : proxy.Gate, optional
+        Of its connections, if no proxy is before it.
     """
 
     def __init__(
@@ -62,7 +64,9 @@
         service: sites.Service,
         routes: tuple[sites.Route, ...],
         rng: random.Random,
+        gate: proxy.Gate | None = None,
     ) -> None:
+        self._gate = gate or proxy.Gate()
         self.name = name
         self.service = service
         self.slots = service.slots
@@ -111,16 +115,19 @@
         self._scope.cancel()
 
     async def run(
-        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+        self,
+        port: int = 0,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until cancelled or crashed; report the port."""
+        """Serve until cancelled or crashed; report the port, any one by default."""
         with self._scope:
-            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
             task_status.started(listeners[0].socket.getsockname()[1])
             await trio.serve_listeners(self._serve, listeners)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        connection = _Connection(stream)
+        connection = _Connection(stream, self._gate)
+        self._gate.connected(stream)
         try:
             while True:
                 with trio.move_on_after(_IDLE_SECONDS) as idle:
@@ -129,10 +136,11 @@
                     return
                 if not await self._respond(connection, request):
                     return
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            # The VM reset the connection, or the proxy did.
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # The VM reset the connection, or the proxy or gate did.
             pass
         finally:
+            self._gate.closed(stream)
             await trio.aclose_forcefully(stream)
 
     async def _respond(self, connection: "_Connection", request: "_Request") -> bool:
@@ -153,19 +161,17 @@
             pending, connection.pending = connection.pending, b""
             if b"Rattanlug-Not-Executed" in data:
                 connection.pending = data
-            await connection.stream.send_all(pending + data)
+            await connection.send(pending + data)
             return True
         if fault in ("short", "close", "cut"):
             self.broken_off.add(request.request_id)
             end = {"short": len(data) - 3, "close": 0, "cut": data.find(_HEAD_END) - 5}
-            await connection.stream.send_all(data[: end[fault]])
+            await connection.send(data[: end[fault]])
             return False
-        await connection.stream.send_all(
-            data * (2 if fault in ("duplicate", "stray") else 1)
-        )
+        await connection.send(data * (2 if fault in ("duplicate", "stray") else 1))
         if fault == "late":
             await trio.sleep(_REPEAT_SECONDS)
-            await connection.stream.send_all(data)
+            await connection.send(data)
         return fault != "duplicate"
 
     async def _answer(self, request: "_Request") -> bytes:
@@ -257,8 +263,9 @@
 class _Connection:
     """Reads requests with a length, and notices when the peer closes."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
+    def __init__(self, stream: trio.SocketStream, gate: proxy.Gate) -> None:
+        self._stream = stream
+        self._gate = gate
         # Bytes that are sent before the next response.
         self.pending = b""
         self._data = b""
@@ -280,6 +287,11 @@
         method, path, _ = first.split(" ")
         return _Request(method, path, headers, body)
 
+    async def send(self, data: bytes) -> None:
+        """Send data as soon as the gate lets it pass."""
+        await self._gate.delay_or_block(is_response=True)
+        await self._stream.send_all(data)
+
     async def watch(self, scope: trio.CancelScope) -> None:
         """Cancel the work on a request when the peer closes the connection."""
         try:
@@ -290,6 +302,7 @@
         scope.cancel()
 
     async def _receive(self) -> bool:
-        data = await self.stream.receive_some(_READ_BYTES)
+        data = await self._stream.receive_some(_READ_BYTES)
+        await self._gate.delay_or_block(is_response=False)
         self._data += data
         return bool(data)
--- a/soak/sites.py
+++ b/soak/sites.py
@@ -77,6 +77,13 @@
     callers : int
     requests_per_second : float
         Of each caller, if responses took no time.
+    workers : int
+        Processes that play callers, and as many that play upstreams; 0 if the run's own
+        process plays them.
+    swing : float
+        Share by which the rate of callers rises and falls, in waves.
+    spares : int
+        VMs that may be added, at most one in each data centre.
     """
 
     data_centres: tuple[tuple[str, str], ...]
@@ -87,6 +94,9 @@
     routes: tuple[Route, ...] = ()
     callers: int = 24
     requests_per_second: float = 5.0
+    workers: int = 0
+    swing: float = 0.0
+    spares: int = 0
 
     def desired_state(
         self, version: int, organisations: list[dict], added_routes: list[str]
@@ -172,6 +182,26 @@
 
 
 DEFAULT = Site(_SMALL, _bounds(grace_s=4))
+_NOOL_STITCH = Site(
+    _SIX,
+    _bounds(budget_slack=64),
+    _VM,
+    (3, 2, 3, 2, 1, 1),
+    (
+        Service("service-1", 9, 27, (1, 1, 1, 1, 1, 1), 15.0, 3.0, 68),
+        Service("service-2", 3, 9, (1, 1, 1, 1, 1, 1), 15.0, 3.0, 36),
+    ),
+    _routes(
+        (0.48, 0.64, 0.336),
+        (0.4, 0.5, 0.3),
+        (2.0, 2.0, 1.5),
+        (2.5, 3.0, 1.5),
+        (136, 38, 35),
+        (5.7, 1.6, 1.5),
+    ),
+    callers=150,
+    requests_per_second=1.6,
+)
 # The number of upstreams is that of the platform, scaled to one stand-in process.
 SITES = {
     "txiki-swap": Site(
@@ -194,25 +224,19 @@
         callers=140,
         requests_per_second=1.4,
     ),
-    "nool-stitch": Site(
-        _SIX,
-        _bounds(budget_slack=64),
-        _VM,
-        (3, 2, 3, 2, 1, 1),
-        (
-            Service("service-1", 9, 27, (1, 1, 1, 1, 1, 1), 15.0, 3.0, 68),
-            Service("service-2", 3, 9, (1, 1, 1, 1, 1, 1), 15.0, 3.0, 36),
-        ),
-        _routes(
-            (0.48, 0.64, 0.336),
-            (0.4, 0.5, 0.3),
-            (2.0, 2.0, 1.5),
-            (2.5, 3.0, 1.5),
-            (136, 38, 35),
-            (5.7, 1.6, 1.5),
+    "nool-stitch": _NOOL_STITCH,
+    # Not scaled: 46 upstreams, 416 callers with two connections each, 840 requests a
+    # second.
+    "nool-stitch-full": _NOOL_STITCH._replace(
+        services=(
+            Service("service-1", 9, 27, (2, 7, 8, 2, 7, 8), 15.0, 3.0, 68),
+            Service("service-2", 3, 9, (1, 2, 3, 1, 2, 3), 15.0, 3.0, 36),
         ),
-        callers=150,
-        requests_per_second=1.6,
+        callers=832,
+        requests_per_second=840 / 832,
+        workers=2,
+        swing=0.55,
+        spares=6,
     ),
     "txiki-swap-grown": Site(
         _SIX,
