--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -51,6 +51,8 @@
         self.store_proxy: proxy.Proxy | None = None
         self.is_up = False
         self.is_paused = False
+        # Whether it is kept in reserve and may be added.
+        self.is_spare = False
         self.incarnation = 0
 
     @property
@@ -145,6 +147,9 @@
             for index in range(_ORGANISATIONS)
         }
         self.added_routes: list[str] = []
+        # Of the desired state; the factor applies to the timeouts of all routes.
+        self.idle_timeout_seconds = 15
+        self.timeout_factor = 1.0
 
     async def start(self, upstreams: int) -> None:
         """Start the store, upstreams and VMs; wait until all VMs are ready."""
@@ -154,7 +159,9 @@
         )
         self._store_port = listeners[0].socket.getsockname()[1]
         if self.site.workers:
-            self._upstream_workers = upstream_worker.UpstreamWorkers(self.site)
+            # A host of their own: no outgoing connection takes a port meanwhile.
+            host = f"{self.vms[0].host.rpartition('.')[0]}.254"
+            self._upstream_workers = upstream_worker.UpstreamWorkers(self.site, host)
         centres = [each for each, _ in self.site.data_centres]
         if not self.site.services:
             for index in range(upstreams):
@@ -185,7 +192,10 @@
         """Write a new version of the desired state to the store."""
         self._version += 1
         organisations = list(self.organisations.values())
-        state = self.site.desired_state(self._version, organisations, self.added_routes)
+        state = self.site.desired_state(
+            self._version, organisations, self.added_routes, self.timeout_factor
+        )
+        state["limits"]["idle_timeout_s"] = self.idle_timeout_seconds
         self.store.put("op", "config", state)
 
     async def add_upstream(
@@ -273,7 +283,7 @@
         if self.site.services:
             values["cold_seconds"] = round(registered.stand_in.cold_left(), 3)
             registered.stand_in.cold_reported = True
-        address = f"127.0.0.1:{registered.tcp_proxy.port}"
+        address = f"{registered.tcp_proxy.host}:{registered.tcp_proxy.port}"
         row_value = upstream.registration(registered.stand_in, address, **values)
         self.store.put("servers", name, row_value)
 
@@ -310,13 +320,25 @@
     def start_process(self, vm: Vm) -> None:
         """Start a process of a VM, whose settings file may come later."""
         vm.incarnation += 1
+        arguments = ["-m", "rattanlug.gateway"]
+        if self.site.workers:
+            arguments = ["-m", "soak.stepped_clock", str(self._clock_path(vm))]
         self._processes.start(
             vm.process,
-            ["-m", "rattanlug.gateway"],
+            arguments,
             environment={"RATTANLUG_BOOT": str(self.settings_path(vm))},
         )
         vm.is_up = True
 
+    def _clock_path(self, vm: Vm) -> pathlib.Path:
+        return self._directory / f"{vm.name}.clock"
+
+    def step_clock(self, vm: Vm, seconds: float) -> None:
+        """Set by how much a VM's time of day is off."""
+        written = self._clock_path(vm).with_suffix(".new")
+        written.write_text(str(seconds))
+        written.replace(self._clock_path(vm))
+
     async def wait_ready(self, vm: Vm) -> None:
         """Wait until a VM accepts connections of callers."""
         while True:
@@ -344,15 +366,21 @@
         """Send SIGHUP to a process, unless it is not yet prepared for the signal."""
         if self._processes.exit_code(name) is not None:
             return
-        status = pathlib.Path(f"/proc/{self._processes.pid(name)}/status").read_text()
-        masks = dict(line.partition(":")[::2] for line in status.splitlines())
-        handled = int(masks["SigCgt"], 16) | int(masks["SigIgn"], 16)
-        if handled & 1 << signal.SIGHUP - 1:
+        if self.handles(name, signal.SIGHUP):
             self._processes.signal(name, signal.SIGHUP)
         else:
             now = trio.current_time()
             self.observations.record_event(now, "reload before preparation", name)
 
+    def handles(self, name: str, number: signal.Signals) -> bool:
+        """Return whether a process runs and catches or ignores a signal."""
+        if self._processes.exit_code(name) is not None:
+            return False
+        status = pathlib.Path(f"/proc/{self._processes.pid(name)}/status").read_text()
+        masks = dict(line.partition(":")[::2] for line in status.splitlines())
+        handled = int(masks["SigCgt"], 16) | int(masks["SigIgn"], 16)
+        return bool(handled & 1 << number - 1)
+
     def signal_process(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process, also one that a later one has replaced."""
         if self._processes.exit_code(name) is None:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -239,29 +239,40 @@
 def service_recovers(
     observations: history.History, executions: ExecutionsById
 ) -> Iterable[str]:
-    """Check that nearly all requests succeed once the faults have ended."""
+    """Check that nearly all requests succeed once the faults have ended.
+
+    Of an organisation with a rate, as many as it allows; each of these is judged alone.
+    """
     begin = next((each.at for each in observations.events if each.kind == "calm"), None)
     if begin is None:
         return
     withdrawn = {
         each.subject for each in observations.events if each.kind == "key withdrawn"
     }
-    limited = {
-        each.subject.split()[0]
-        for each in observations.events
-        if each.kind == "rate set"
-    }
-    expected = [
-        each
-        for each in observations.exchanges
-        if each.sent_at >= begin
-        and each.key not in withdrawn
-        and _organisation_of(each.key) not in limited
-    ]
-    good = sum(each.status == 200 for each in expected)
-    if not expected or good < RECOVERED_SHARE * len(expected):
-        statuses = collections.Counter(each.status for each in expected)
-        yield f"{good} of {len(expected)} served: {dict(statuses)}"
+    rates = {}
+    for event in observations.events:
+        if event.kind == "rate set":
+            name, rate, burst, _ = event.subject.split()
+            rates[name] = (float(rate), float(burst))
+    expected = collections.defaultdict(list)
+    for each in observations.exchanges:
+        if each.sent_at >= begin and each.key not in withdrawn:
+            name = _organisation_of(each.key)
+            expected[name if name in rates else ""].append(each)
+    if not expected:
+        yield "no request was judged"
+    for name, requests in expected.items():
+        good = sum(each.status == 200 for each in requests)
+        owed = float(len(requests))
+        if name in rates:
+            rate, burst = rates[name]
+            seconds = max(each.sent_at for each in requests) - begin
+            # Allowances of VMs may be used up at the beginning and unused at the end.
+            owed = min(owed, max(0.0, rate * seconds - burst))
+        if good < RECOVERED_SHARE * owed:
+            statuses = collections.Counter(each.status for each in requests)
+            what = f"{good} of {len(requests)} served: {dict(statuses)}"
+            yield f"{name}, {owed:.1f} owed: {what}" if name else what
 
 
 def _organisation_of(key: str) -> str:
--- a/soak/history.py
+++ b/soak/history.py
@@ -29,6 +29,8 @@
         Of the caller.
     stalled : float
         Seconds of that time in which the caller's process got no processor.
+    limit : float
+        Seconds that the request may take; infinite if it isn't known.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     reset: bool = False
     data_centre: str = ""
     stalled: float = 0.0
+    limit: float = float("inf")
 
     @property
     def at_most_once(self) -> bool:
@@ -121,7 +124,7 @@
 
         A stop, and a disturbed way to the store, count as a disturbance of the VM.
         """
-        subjects = (vm, store_of(vm), "store")
+        subjects = (vm, store_of(vm), clock_of(vm), "store")
         intervals = [each for name in subjects for each in self.disturbances[name]]
         return not overlap([*intervals, *self.stops[vm]], since, until)
 
@@ -131,6 +134,11 @@
     return f"{vm} store"
 
 
+def clock_of(vm: str) -> str:
+    """Return the subject of steps of a VM's time of day."""
+    return f"{vm} clock"
+
+
 def overlap(intervals: list[list[float]], since: float, until: float) -> bool:
     """Return whether any interval has a part in another one."""
     return any(begin <= until and end >= since for begin, end in intervals)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -97,11 +97,12 @@
     def __init__(self, port: int) -> None:
         super().__init__()
         self._target = port
+        self.host = "127.0.0.1"
         self.port = 0
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        listeners = await trio.open_tcp_listeners(0, host=self.host)
         self.port = listeners[0].socket.getsockname()[1]
         task_status.started()
         await trio.serve_listeners(self._serve, listeners)
--- a/soak/record.py
+++ b/soak/record.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterator
 
 from soak import deployment as deployment_module
-from soak import history, site_upstream
+from soak import history
+from trial.shared_platform import upstream
 
 
 def write(
@@ -43,7 +44,7 @@
                 "request_id": each.request_id,
                 "upstream": each.upstream,
             }
-        if isinstance(stand_in, site_upstream.SiteUpstream):
+        if not isinstance(stand_in, upstream.Upstream):
             for each in stand_in.arrivals:
                 name = {"upstream": stand_in.name, "born": registered.born}
                 yield {"event": "arrival", **name, **each._asdict()}
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
     callers,
     deployment,
     faults,
+    full_faults,
     guarantees,
     history,
     monitor,
@@ -20,11 +21,11 @@
     site_callers,
     site_faults,
     site_guarantees,
-    site_upstream,
     sites,
     small_vm,
     stalls,
 )
+from trial.shared_platform import upstream
 
 FAULT_FREE_SECONDS = 8.0
 # Time from the end of the faults until nearly all requests succeed again; part of the
@@ -203,6 +204,8 @@
     playable = dict(faults.FAULTS)
     if options.site:
         playable.update(site_faults.FAULTS)
+        if sites.SITES[options.site].workers:
+            playable.update(full_faults.FAULTS)
         for each in _NOT_OF_SITES:
             del playable[each]
     chosen = options.only.split(",")
@@ -220,7 +223,7 @@
     stand_in = registered.stand_in
     intervals = registered.tcp_proxy.disturbances
     observations.disturbances[stand_in.name].extend(intervals)
-    if isinstance(stand_in, site_upstream.SiteUpstream):
+    if not isinstance(stand_in, upstream.Upstream):
         name = f"{stand_in.name}, born {registered.born}"
         cold = [each for each in stand_in.arrivals if each.cold_for is not None]
         observations.cold_arrivals[name] = cold
--- a/soak/site_callers.py
+++ b/soak/site_callers.py
@@ -162,6 +162,9 @@
             self._stream.socket.close()
             raise
         self._record(request_id, path, key, sent_at, received)
+        exchanges = self._deployed.observations.exchanges
+        limit = min(left, route.timeout_seconds)
+        exchanges[-1] = exchanges[-1]._replace(limit=limit)
         head = received.head
         if not head or b"connection: close" in head.lower():
             await self._close()
--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -25,20 +25,21 @@
     return function
 
 
-def _claim(vm: deployment_module.Vm) -> bool:
+def claim(vm: deployment_module.Vm) -> bool:
     """Return whether a fault may stop the VM; no other may until it is up again."""
     was_up, vm.is_up = vm.is_up, False
     return was_up
 
 
-def _choose(
+def choose(
     deployed: deployment_module.Deployment, rng: random.Random, most: int
 ) -> list[deployment_module.Vm]:
+    """Return some VMs that are up."""
     up = [each for each in deployed.vms if each.is_up]
     return rng.sample(up, min(rng.randint(1, most), len(up)))
 
 
-async def _stop(
+async def stop(
     deployed: deployment_module.Deployment, vm: deployment_module.Vm, process: str
 ) -> None:
     """Wait until a process that got SIGTERM has ended; record how it ended."""
@@ -53,7 +54,7 @@
         await deployed.wait_process(process, 1.0)
 
 
-async def _start(
+async def start(
     deployed: deployment_module.Deployment,
     vm: deployment_module.Vm,
     since: float | None = None,
@@ -81,7 +82,7 @@
     deployed: deployment_module.Deployment, rng: random.Random
 ) -> None:
     """Stop a VM's process and start the next at once, a few times in a row."""
-    for vm in _choose(deployed, rng, 2):
+    for vm in choose(deployed, rng, 2):
         for _ in range(rng.randint(1, 3)):
             await _replace(deployed, vm, rng)
 
@@ -91,7 +92,7 @@
     vm: deployment_module.Vm,
     rng: random.Random,
 ) -> None:
-    if not _claim(vm):
+    if not claim(vm):
         return
     old = vm.process
     interval = deployed.observations.begin_stop(vm.name, trio.current_time())
@@ -100,13 +101,13 @@
     deployed.start_vm(vm)
     vm.is_up = False
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_stop, deployed, vm, old)
+        nursery.start_soon(stop, deployed, vm, old)
         if rng.random() < 0.5:
             await trio.sleep(rng.uniform(0.0, 1.0))
             for each in (old, vm.process):
                 deployed.reload(each)
             deployed.signal_process(old, signal.SIGTERM)
-    await _start(deployed, vm)
+    await start(deployed, vm)
     vm.is_up = True
     interval[1] = trio.current_time()
 
@@ -119,7 +120,7 @@
     gap = rng.uniform(0.3, 1.5)
     async with trio.open_nursery() as nursery:
         for vm in rng.sample(deployed.vms, len(deployed.vms)):
-            if _claim(vm):
+            if claim(vm):
                 nursery.start_soon(_stop_and_start, deployed, vm, rng)
                 await trio.sleep(gap)
 
@@ -132,13 +133,13 @@
     interval = deployed.observations.begin_stop(vm.name, trio.current_time())
     deployed.signal(vm, signal.SIGTERM)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_stop, deployed, vm, vm.process)
+        nursery.start_soon(stop, deployed, vm, vm.process)
         await trio.sleep(rng.uniform(0.0, 1.0))
         for number in rng.sample((signal.SIGHUP, signal.SIGTERM), rng.randint(0, 2)):
             deployed.signal(vm, number)
     deployed.start_vm(vm)
     vm.is_up = False
-    await _start(deployed, vm)
+    await start(deployed, vm)
     vm.is_up = True
     interval[1] = trio.current_time()
 
@@ -150,7 +151,7 @@
     """Kill all VMs at the same moment and restart them at once."""
     async with trio.open_nursery() as nursery:
         for vm in deployed.vms:
-            if _claim(vm):
+            if claim(vm):
                 nursery.start_soon(_kill_and_start, deployed, vm, 1)
 
 
@@ -160,9 +161,9 @@
 ) -> None:
     """Kill a VM again just after it has become ready, a few times."""
     async with trio.open_nursery() as nursery:
-        for vm in _choose(deployed, rng, 2):
+        for vm in choose(deployed, rng, 2):
             times = rng.randint(2, 3)
-            _claim(vm)
+            claim(vm)
             nursery.start_soon(_kill_and_start, deployed, vm, times)
 
 
@@ -173,7 +174,7 @@
         interval = await _kill(deployed, vm)
         deployed.start_vm(vm)
         vm.is_up = False
-        await _start(deployed, vm)
+        await start(deployed, vm)
         interval[1] = trio.current_time()
     vm.is_up = True
 
@@ -184,9 +185,9 @@
 ) -> None:
     """Kill VMs and start them while their way to the store is disturbed."""
     async with trio.open_nursery() as nursery:
-        for vm in _choose(deployed, rng, 3):
+        for vm in choose(deployed, rng, 3):
             seconds, mode = rng.uniform(1.0, 5.0), rng.choice(_AWAY)
-            _claim(vm)
+            claim(vm)
             nursery.start_soon(_start_without_store, deployed, vm, mode, seconds)
 
 
@@ -202,7 +203,7 @@
     vm.is_up = False
     await trio.sleep(seconds)
     vm.store_proxy.set_mode(proxy.Mode.OPEN)
-    await _start(deployed, vm)
+    await start(deployed, vm)
     vm.is_up = True
     interval[1] = trio.current_time()
 
@@ -212,12 +213,12 @@
     deployed: deployment_module.Deployment, rng: random.Random
 ) -> None:
     """Start a VM before its settings are written, or rewrite them without a signal."""
-    for vm in _choose(deployed, rng, 1):
+    for vm in choose(deployed, rng, 1):
         seeds = rng.sample(deployed.vms, 3)
         if rng.random() < 0.5:
             deployed.write_settings(vm, seeds)
             return
-        _claim(vm)
+        claim(vm)
         interval = await _kill(deployed, vm)
         text = deployed.settings_path(vm).read_text()
         if rng.random() < 0.5:
@@ -228,7 +229,7 @@
         vm.is_up = False
         await trio.sleep(rng.uniform(0.2, 2.0))
         deployed.write_settings(vm, seeds)
-        await _start(deployed, vm)
+        await start(deployed, vm)
         vm.is_up = True
         interval[1] = trio.current_time()
 
@@ -242,7 +243,7 @@
     This is no disturbance that excuses a VM: machines schedule with such delays.
     """
     for _ in range(rng.randint(3, 10)):
-        chosen = [each for each in _choose(deployed, rng, 4) if not each.is_paused]
+        chosen = [each for each in choose(deployed, rng, 4) if not each.is_paused]
         names = [each.process for each in chosen]
         for each in names:
             deployed.signal_process(each, signal.SIGSTOP)
--- a/soak/site_guarantees.py
+++ b/soak/site_guarantees.py
@@ -1,12 +1,16 @@
 """Guarantees of a site's run: no lost request, no flood, starts and memory."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 from soak import deployment, guarantees, history, site_faults, site_upstream
+from trial.shared_platform import upstream
 
 _WINDOW_SECONDS = 1.0
 # An answer to a question that crosses the close of its connection isn't owed.
 _CROSSING_SECONDS = 0.2
+# Part of its time after which an answer of the VM's own may say that it is up; the
+# desired state may allow a fifth less than the site.
+_LIMIT_SHARE = 0.75
 # A caller sees the end of a killed process within this time.
 _KILL_SECONDS = 0.3
 _MEMORY_MB = 300
@@ -61,15 +65,10 @@
         runs = executions.get(each.request_id, ())
         # What the caller saw late because its own process stalled is no delay of a VM.
         taken = each.ended_at - each.sent_at - each.stalled
-        reason = _disturbance(observations, each)
+        reason = _disturbance(observations, each, bool(runs))
         if reason:
             yield each, reason
-        elif each.request_id in observations.broken_off or any(
-            history.overlap(
-                observations.disturbances[run.upstream], run.at, each.ended_at
-            )
-            for run in runs
-        ):
+        elif _upstream_broke_off(observations, each, runs):
             yield each, "upstream broke off"
         elif runs:
             yield each, ""
@@ -82,11 +81,27 @@
             yield each, ""
 
 
-def _disturbance(observations: history.History, closed: history.Exchange) -> str:
+def _upstream_broke_off(
+    observations: history.History,
+    exchange: history.Exchange,
+    runs: Sequence[upstream.Execution],
+) -> bool:
+    return exchange.request_id in observations.broken_off or any(
+        history.overlap(
+            observations.disturbances[run.upstream], run.at, exchange.ended_at
+        )
+        for run in runs
+    )
+
+
+def _disturbance(
+    observations: history.History, closed: history.Exchange, passed_on: bool
+) -> str:
     """Return the kind of disturbance of its VM that excuses a close, if any.
 
-    A kill excuses what ended just after it; a start, which lasts until the VM says that
-    it is ready, and a suspension excuse what met them.
+    A kill excuses what ended just after it, and a suspension what met it. After a kill,
+    until the VM says that it is ready, only requests that were not passed on are
+    excused.
     """
     overlapping = [
         each
@@ -102,7 +117,41 @@
     began_with_kill = any(
         begin <= at <= end for begin, end in overlapping for at in kills
     )
-    return "vm starting" if began_with_kill else "vm suspended"
+    if began_with_kill:
+        return "" if passed_on else "vm starting"
+    return "vm suspended"
+
+
+@guarantees.guarantee
+def stops_replace_no_answer(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check that a stopping VM lets upstreams finish and passes their answers on.
+
+    An answer of the VM's own before the request's time is up breaks this, if the
+    request ran. VMs that were killed or suspended shortly before are not judged.
+    """
+    for each in observations.exchanges:
+        runs = executions.get(each.request_id, ())
+        if each.status is None or each.status < 500 or each.stamp or not runs:
+            continue
+        taken = each.ended_at - each.sent_at
+        since = each.sent_at - deployment.CONTACT_SECONDS
+        if (
+            taken < _LIMIT_SHARE * each.limit
+            and history.overlap(
+                observations.stops[each.vm], each.sent_at, each.ended_at
+            )
+            and not history.overlap(
+                observations.disturbances[each.vm], since, each.ended_at
+            )
+            and not _upstream_broke_off(observations, each, runs)
+        ):
+            where = [run.upstream for run in runs]
+            yield (
+                f"{each.request_id} {each.path} ran at {where} and was answered "
+                f"{each.status} by {each.vm} after {taken:.2f} of {each.limit:.2f} s"
+            )
 
 
 @guarantees.guarantee
--- a/soak/site_upstream.py
+++ b/soak/site_upstream.py
@@ -116,12 +116,13 @@
 
     async def run(
         self,
+        host: str = "127.0.0.1",
         port: int = 0,
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled or crashed; report the port, any one by default."""
         with self._scope:
-            listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+            listeners = await trio.open_tcp_listeners(port, host=host)
             task_status.started(listeners[0].socket.getsockname()[1])
             await trio.serve_listeners(self._serve, listeners)
 
--- a/soak/sites.py
+++ b/soak/sites.py
@@ -99,12 +99,16 @@
     spares: int = 0
 
     def desired_state(
-        self, version: int, organisations: list[dict], added_routes: list[str]
+        self,
+        version: int,
+        organisations: list[dict],
+        added_routes: list[str],
+        timeout_factor: float = 1.0,
     ) -> dict:
         """Return a desired state; added routes are copies of the first one."""
         if self.routes:
             services = [_service_row(each) for each in self.services]
-            paths = [_route_row(each) for each in self.routes]
+            paths = [_route_row(each, timeout_factor) for each in self.routes]
             hosts = [{"hostname": fleet.HOST, "paths": paths}]
             changes = {"services": services, "virtual_hosts": hosts}
         else:
@@ -126,13 +130,13 @@
     }
 
 
-def _route_row(route: Route) -> dict:
+def _route_row(route: Route, timeout_factor: float) -> dict:
     return {
         "name": route.name,
         "prefix": f"/{route.name}/",
         "kind": route.kind,
         "service": route.service,
-        "timeout_s": route.timeout_seconds,
+        "timeout_s": timeout_factor * route.timeout_seconds,
         "target_latency_s": route.target_seconds,
         "priority": route.priority,
         "max_attempts": 3,
--- a/soak/upstream_worker.py
+++ b/soak/upstream_worker.py
@@ -15,10 +15,13 @@
     ----------
     nursery : trio.Nursery
     site : sites.Site
+    host : str
+        Address of all of them.
     """
 
-    def __init__(self, nursery: trio.Nursery, site: sites.Site) -> None:
+    def __init__(self, nursery: trio.Nursery, site: sites.Site, host: str) -> None:
         self._nursery = nursery
+        self._host = host
         self._site = site
         self._stand_ins: dict[int, site_upstream.SiteUpstream] = {}
         self._gates: dict[int, proxy.Gate] = {}
@@ -34,7 +37,7 @@
         gate = self._gates[number] = proxy.Gate()
         stand_in = site_upstream.SiteUpstream(name, found, self._site.routes, rng, gate)
         self._stand_ins[number] = stand_in
-        return await self._nursery.start(stand_in.run, port)
+        return await self._nursery.start(stand_in.run, self._host, port)
 
     def change(self, number: int, name: str, value: Any) -> None:
         """Set an attribute of an upstream."""
@@ -136,12 +139,13 @@
     Parameters
     ----------
     stand_in : RemoteUpstream
-    port : int
+    host : str
     """
 
-    def __init__(self, stand_in: RemoteUpstream, port: int) -> None:
+    def __init__(self, stand_in: RemoteUpstream, host: str) -> None:
         self._stand_in = stand_in
-        self.port = port
+        self.host = host
+        self.port = 0
         self.disturbances: list[list[float]] = []
 
     def set_mode(self, mode: proxy.Mode, delay: float = 0.0) -> None:
@@ -159,11 +163,15 @@
     Parameters
     ----------
     site : sites.Site
+    host : str
     """
 
-    def __init__(self, site: sites.Site) -> None:
+    def __init__(self, site: sites.Site, host: str) -> None:
         self._site = site
-        self._workers = [worker.Worker(Upstreams, site) for _ in range(site.workers)]
+        self._host = host
+        self._workers = [
+            worker.Worker(Upstreams, site, host) for _ in range(site.workers)
+        ]
         self._started: list[tuple[RemoteUpstream, RemoteGate]] = []
 
     async def start(
@@ -174,7 +182,7 @@
         chosen = self._workers[number % self._site.workers]
         found = next(each for each in self._site.services if each.name == service)
         stand_in = RemoteUpstream(chosen, number, name, found)
-        gate = RemoteGate(stand_in, 0)
+        gate = RemoteGate(stand_in, self._host)
         self._started.append((stand_in, gate))
         gate.port = await chosen.call("start", number, name, service, seed, port)
         return stand_in, gate
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -96,6 +96,13 @@
         ),
         ("service_recovers", [exchange(status=503)], [], [(99.0, "calm", "")]),
         ("service_recovers", [], [], [(99.0, "calm", "")]),
+        # Nine are owed, of which one is served.
+        (
+            "service_recovers",
+            [exchange(), *[exchange("r2", status=429, sent_at=101.0)] * 9],
+            [],
+            [(99.0, "calm", ""), (98.0, "rate set", "organisation-0 5 1 inf")],
+        ),
     ],
 )
 def test_guarantee_detects_its_violation(name, exchanges, executions, events):
--- a/tests/soak/test_site_guarantees.py
+++ b/tests/soak/test_site_guarantees.py
@@ -51,6 +51,48 @@
     assert violated(observations, RUN) == set()
 
 
+@pytest.mark.parametrize(
+    ("disturbed_since", "kills", "runs", "reason"),
+    [
+        (100.4, [100.4], [RUN], "vm killed under it"),
+        # Cut by the next process, which was starting.
+        (99.0, [99.0], [RUN], ""),
+        (99.0, [99.0], [], "vm starting"),
+        # Cut before the kill, and long before it.
+        (100.6, [100.6], [RUN], ""),
+        (99.0, [], [RUN], "vm suspended"),
+    ],
+)
+def test_a_kill_excuses_only_what_it_ended(disturbed_since, kills, runs, reason):
+    observations = site_history()
+    observations.exchanges.append(CUT)
+    observations.disturbances["vm-1"].append([disturbed_since, 105.0])
+    observations.kills["vm-1"].extend(kills)
+    by_request = {each.request_id: [each] for each in runs}
+    counts = site_guarantees.unjudged_closes(observations, by_request)
+    assert counts == ({reason: 1} if reason else {})
+
+
+# An answer of a stopping VM in place of one that the upstream was working on.
+@pytest.mark.parametrize(
+    ("changes", "stop", "broken"),
+    [
+        ({}, [100.2, 106.0], True),
+        ({}, [100.7, 106.0], False),
+        ({"stamp": "stamp-u1-r1"}, [100.2, 106.0], False),
+        ({"limit": 0.6}, [100.2, 106.0], False),
+    ],
+)
+def test_answers_that_replace_work_at_a_stop_are_found(changes, stop, broken):
+    observations = site_history()
+    own = CUT._replace(status=502, closed_by_vm=False, limit=2.0)
+    observations.exchanges.append(own._replace(**changes))
+    observations.stops["vm-1"].append(stop)
+    assert ("stops_replace_no_answer" in violated(observations, RUN)) is broken
+    observations.disturbances["vm-1"].append([97.0, 97.5])
+    assert "stops_replace_no_answer" not in violated(observations, RUN)
+
+
 def test_neither_a_stop_nor_the_store_excuses_a_close():
     observations = site_history()
     observations.exchanges.append(CUT)
