--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -29,6 +29,7 @@
 # Many VMs that start are asked together; more often, the run would starve its store.
 _READINESS_POLL_SECONDS = 0.5
 _ORGANISATIONS = 4
+_LOG_TAIL_CHARACTERS = 300
 # Number of distinct /24 networks, 127.64.0.0 to 127.127.255.0, one for each run.
 _NETWORKS = 64 * 256
 
@@ -412,9 +413,13 @@
         }
 
     def unexpected_ends(self) -> list[str]:
-        """Return the processes that exited without having been stopped or killed."""
+        """Return the processes that exited without having been stopped or killed.
+
+        Each with its exit code and the end of its log.
+        """
         return [
-            f"{each} ended with {self._processes.exit_code(each)}"
+            f"{each} ended with {self._processes.exit_code(each)}: "
+            f"{self._processes.read_log(each)[-_LOG_TAIL_CHARACTERS:]!r}"
             for each in self._processes.names
             if each not in self._stopped and self._processes.exit_code(each) is not None
         ]
