--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -36,6 +36,12 @@
     parser.add_argument(
         "--only", default="", help="parts of the names of the faults that are played"
     )
+    parser.add_argument(
+        "--rate",
+        type=float,
+        default=1.0,
+        help="part of a site's requests that callers send, for a busy machine",
+    )
     parser.add_argument("--list", action="store_true", help="print the injected faults")
     options = parser.parse_args()
     failed_runs = 0
@@ -48,6 +54,7 @@
             options.small,
             options.site,
             options.only,
+            options.rate,
         )
         outcome = trio.run(run.execute, run_options)
         failed_runs += bool(outcome.broken)
--- a/soak/run.py
+++ b/soak/run.py
@@ -55,6 +55,8 @@
         Name of a site, which decides the numbers; empty for none.
     only : str
         Parts of names, separated by commas; faults whose name contains one are played.
+    rate : float
+        Part of the site's rate of requests that callers have.
     """
 
     seed: int
@@ -64,6 +66,7 @@
     first_vm_cpu_share: float = 0.0
     site: str = ""
     only: str = ""
+    rate: float = 1.0
 
 
 class Outcome(NamedTuple):
@@ -94,6 +97,8 @@
     """Execute one run and check its guarantees."""
     rng = random.Random(options.seed)
     site = sites.SITES[options.site] if options.site else sites.DEFAULT
+    rate = options.rate * site.requests_per_second
+    site = site._replace(requests_per_second=rate)
     observations = history.History(site)
     playable = _faults(options)
     caller_class = site_callers.SiteCaller if options.site else callers.Caller
