--- a/soak/full_faults.py
+++ b/soak/full_faults.py
@@ -46,12 +46,14 @@
     if not spares:
         return
     chosen = _share(spares, _ADDED_SHARE, rng)
-    for vm in chosen:
-        vm.is_spare = False
+    others = [each for each in deployed.vms if each.is_up]
     async with trio.open_nursery() as nursery:
         for vm in chosen:
-            nursery.start_soon(_start_added, deployed, vm)
-        for vm in [each for each in deployed.vms if each.is_up]:
+            vm.is_spare = False
+            deployed.start_vm(vm)
+            vm.is_up = False
+            nursery.start_soon(_wait_for_added, deployed, vm)
+        for vm in others:
             deployed.write_settings(vm, rng.sample(chosen, min(3, len(chosen))))
             deployed.reload(vm.process)
         deployed.write_state()
@@ -64,13 +66,11 @@
                 nursery.start_soon(_stop_for_good, deployed, vm)
 
 
-async def _start_added(
+async def _wait_for_added(
     deployed: deployment_module.Deployment, vm: deployment_module.Vm
 ) -> None:
     # A start excuses no dropped request.
     interval = deployed.observations.begin_stop(vm.name, trio.current_time())
-    deployed.start_vm(vm)
-    vm.is_up = False
     await site_faults.start(deployed, vm)
     interval[1] = trio.current_time()
     vm.is_up = True
