--- a/soak/faults.py
+++ b/soak/faults.py
@@ -231,6 +231,8 @@
     old = rng.choice(sorted(deployed.upstreams))
     data_centre = rng.choice(deployed.site.data_centres)[0]
     await deployed.add_upstream(data_centre, deployed.upstreams[old].service)
+    if old not in deployed.upstreams:
+        return
     deployed.register(old, data_centre, state="draining", sequence=9)
     deployed.observations.record_event(trio.current_time(), "upstream leaving", old)
     await trio.sleep(deployed.site.bounds["drain_timeout_s"] + 1.0)
