--- a/soak/history.py
+++ b/soak/history.py
@@ -98,6 +98,8 @@
         self.cold_arrivals: dict[str, list[site_upstream.Arrival]] = {}
         self.cold_limits: dict[str, float] = {}
         self.broken_off: set[str] = set()
+        # Service of each upstream.
+        self.services: dict[str, str] = {}
         # Intervals in which the run itself did not get a processor.
         self.stalls: list[tuple[float, float]] = []
         # Peak memory of each process.
--- a/soak/run.py
+++ b/soak/run.py
@@ -228,6 +228,7 @@
     stand_in = registered.stand_in
     intervals = registered.tcp_proxy.disturbances
     observations.disturbances[stand_in.name].extend(intervals)
+    observations.services[stand_in.name] = registered.service
     if not isinstance(stand_in, upstream.Upstream):
         name = f"{stand_in.name}, born {registered.born}"
         cold = [each for each in stand_in.arrivals if each.cold_for is not None]
--- a/soak/site_guarantees.py
+++ b/soak/site_guarantees.py
@@ -14,6 +14,7 @@
 # A caller sees the end of a killed process within this time.
 _KILL_SECONDS = 0.3
 _MEMORY_MB = 300
+_DENIED = frozenset({401, 403, 404})
 # Time within which a request ends after its route's time limit, and the number of
 # later ones from which on they are a violation.
 _END_SECONDS = 0.5
@@ -154,6 +155,38 @@
             )
 
 
+@guarantees.guarantee
+def requests_run_at_their_service(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check the service of each upstream that ran a request, disturbed or not."""
+    services = {f"/{each.name}/": each.service for each in observations.site.routes}
+    for request_id, runs in executions.items():
+        for each in runs:
+            expected = services.get(each.path[: each.path.find("/", 1) + 1])
+            found = observations.services.get(each.upstream)
+            if expected and found and found != expected:
+                yield f"{request_id} {each.path} ran at {each.upstream} of {found}"
+
+
+@guarantees.guarantee
+def allowed_requests_are_not_denied(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check that no VM answers 401, 403 or 404 to what each desired state allows."""
+    withdrawn = {
+        each.subject for each in observations.events if each.kind == "key withdrawn"
+    }
+    routes = tuple(f"/{each.name}/" for each in observations.site.routes)
+    for each in observations.exchanges:
+        if (
+            each.status in _DENIED
+            and each.key not in withdrawn
+            and each.path.startswith(routes)
+        ):
+            yield f"{each.request_id} {each.path} got {each.status} from {each.vm}"
+
+
 @guarantees.guarantee
 def requests_end_by_their_time_limit(
     observations: history.History, executions: guarantees.ExecutionsById
--- a/tests/soak/test_site_guarantees.py
+++ b/tests/soak/test_site_guarantees.py
@@ -125,6 +125,24 @@
     assert found == ({"requests_end_by_their_time_limit"} if broken else set())
 
 
+def test_runs_at_another_service_are_found():
+    observations = site_history()
+    observations.services["u1"] = "service-1"
+    assert violated(observations, RUN) == set()
+    observations.services["u1"] = "service-2"
+    assert violated(observations, RUN) == {"requests_run_at_their_service"}
+
+
+def test_denials_of_what_is_allowed_are_found():
+    observations = site_history()
+    denied = CUT._replace(status=401, closed_by_vm=False)
+    observations.exchanges.append(denied)
+    assert violated(observations) == {"allowed_requests_are_not_denied"}
+    observations.exchanges.append(denied._replace(path="/route-0/x", status=404))
+    observations.record_event(99.0, "key withdrawn", "key-0-a")
+    assert violated(observations) == set()
+
+
 def test_late_starts_are_found_while_the_store_answers():
     observations = site_history()
     observations.record_event(100.0, "vm started", "vm-1 12.00")
