--- a/soak/history.py
+++ b/soak/history.py
@@ -27,6 +27,10 @@
         Whether the connection was reset and not closed.
     data_centre : str
         Of the caller.
+    stalled : float
+        Seconds of that time in which the caller's process got no processor.
+    limit : float
+        Seconds that the request may take; infinite if it isn't known.
     """
 
     request_id: str
@@ -41,6 +45,8 @@
     body: bytes
     reset: bool = False
     data_centre: str = ""
+    stalled: float = 0.0
+    limit: float = float("inf")
 
     @property
     def at_most_once(self) -> bool:
@@ -85,11 +91,15 @@
         self.disturbances: dict[str, list[list[float]]] = collections.defaultdict(list)
         # Like `disturbances`, by VM: from SIGTERM until the next process is ready.
         self.stops: dict[str, list[list[float]]] = collections.defaultdict(list)
+        # By VM: the times of SIGKILL.
+        self.kills: dict[str, list[float]] = collections.defaultdict(list)
         # By upstream: what reached it while it was cold, what it tolerates, and the
         # requests whose response it broke off.
         self.cold_arrivals: dict[str, list[site_upstream.Arrival]] = {}
         self.cold_limits: dict[str, float] = {}
         self.broken_off: set[str] = set()
+        # Service of each upstream.
+        self.services: dict[str, str] = {}
         # Intervals in which the run itself did not get a processor.
         self.stalls: list[tuple[float, float]] = []
         # Peak memory of each process.
@@ -116,7 +126,7 @@
 
         A stop, and a disturbed way to the store, count as a disturbance of the VM.
         """
-        subjects = (vm, store_of(vm), "store")
+        subjects = (vm, store_of(vm), clock_of(vm), "store")
         intervals = [each for name in subjects for each in self.disturbances[name]]
         return not overlap([*intervals, *self.stops[vm]], since, until)
 
@@ -126,6 +136,11 @@
     return f"{vm} store"
 
 
+def clock_of(vm: str) -> str:
+    """Return the subject of steps of a VM's time of day."""
+    return f"{vm} clock"
+
+
 def overlap(intervals: list[list[float]], since: float, until: float) -> bool:
     """Return whether any interval has a part in another one."""
     return any(begin <= until and end >= since for begin, end in intervals)
