Answer 503 when a request's organisation is removed in flight

Cause: a token is returned to the limiter of the organisation, and the table of limiters no longer had it (KeyError). The table now returns tokens itself and ignores organisations that were removed, at both places that return tokens.

The test failed before: 502 in place of 503, with the log line "unexpected error while serving a request".

--- a/src/rattanlug/gateway/admission.py
+++ b/src/rattanlug/gateway/admission.py
@@ -192,7 +192,7 @@
         if not self._should_shed(matched_route, owner, arrived_at, now):
             return
         if owner is not None:
-            self._node.limiters.limiter(owner.name).refund(now)
+            self._node.limiters.refund(owner.name, now)
         raise self._overload_rejection(arrived_at, now)
 
     def _overload_rejection(self, arrived_at: float, now: float) -> error.RefusedError:
--- a/src/rattanlug/gateway/request_handler.py
+++ b/src/rattanlug/gateway/request_handler.py
@@ -140,7 +140,7 @@
         ):
             return failure
         if admitted.owner is not None:
-            self._node.limiters.limiter(admitted.owner.name).refund(clock.now())
+            self._node.limiters.refund(admitted.owner.name, clock.now())
         if isinstance(failure, error.RefusedError):
             return failure
         return rejections.rejection(
--- a/src/rattanlug/rate_limits/limiter_table.py
+++ b/src/rattanlug/rate_limits/limiter_table.py
@@ -42,6 +42,20 @@
         """Return the limiter of an organisation of the desired state in force."""
         return self._limiters[name]
 
+    def refund(self, name: str, now: float) -> None:
+        """Put back the token of a request that was sent to no upstream.
+
+        An organisation that was removed since the token was taken has no tokens.
+
+        Parameters
+        ----------
+        name : str
+        now : float
+            Time on the VM's monotonic clock, seconds.
+        """
+        if name in self._limiters:
+            self._limiters[name].refund(now)
+
     def report(self, now: float) -> dict[str, float]:
         """Return the demand at this VM by organisation.
 
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -134,6 +134,31 @@
             assert [each.upstream for each in runs] == ["u2"]
 
 
+# Guards against an internal error, whose answer leaves open whether the request ran,
+# when an organisation is removed while an upstream sheds one of its requests.
+@pytest.mark.usefixtures("no_overload")
+@caller.in_trio
+async def test_a_shed_request_of_a_removed_organisation_is_rejected_as_not_run():
+    async with open_vm("u1") as (deployment, vm):
+        upstream = deployment.upstreams["u1"]
+        upstream.shed, upstream.shed_seconds = True, 0.4
+        responses = []
+
+        async def claim():
+            responses.append((await caller.send(vm, "/claim/x", "POST", b"body"))[1])
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(claim)
+            while not vm.requests_in_flight:
+                await trio.sleep(0.01)
+            deployment.store.put("op", "config", fleet.desired_state(5, tenants=[
+                {"name": "other", "api_keys": ["key-2"], "rate_per_s": 0, "burst": 0}
+            ]))  # fmt: skip
+        assert vm.node.desired.version == 5
+        assert responses[0].status == 503, responses[0].body
+        assert not vm.node.counters.value("internal_errors")
+
+
 @caller.in_trio
 async def test_only_requests_that_did_not_run_are_reported_as_not_run():
     async with open_vm("u1") as (deployment, vm):
