Apply the desired state's limits to connections

Callers lost connections that they might still use: the daemon closed idle connections after a constant of 30 s, whatever idle_timeout_s in the desired state. Limits on the time and the size of heads weren't decoded at all.

All limits now apply to open and new connections. The time limits include the time in which a desired state is put in force, since callers may follow a longer limit first.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -13,7 +13,9 @@
 Handler = Callable[[request.Request], Awaitable[reply.Reply]]
 
 MAX_BODY_BYTES = 1024 * 1024
-_MAX_HEADER_BYTES = 16 * 1024
+# Largest head that is kept in memory, whatever the limit in force.
+MAX_HEAD_BYTES = 64 * 1024
+_DEFAULT_HEAD_BYTES = 16 * 1024
 _BODY_TIMEOUT_SECONDS = 10.0
 # Closing a socket with unread bytes resets the connection, and a caller that is still
 # sending its body would lose the error response. The rest of the body is therefore
@@ -49,6 +51,8 @@
         such a request needs no task that watches the connection.
     max_body_bytes : callable, optional
         Returns the size of the largest accepted body.
+    max_head_bytes : callable, optional
+        Returns the largest accepted size of the names and values of all headers.
     """
 
     def __init__(
@@ -58,12 +62,14 @@
         closing: Callable[[], bool] = lambda: False,
         ignores_disconnect: Callable[[request.Request], bool] = lambda incoming: False,
         max_body_bytes: Callable[[], int] = lambda: MAX_BODY_BYTES,
+        max_head_bytes: Callable[[], int] = lambda: _DEFAULT_HEAD_BYTES,
     ) -> None:
         self._handler = handler
         self._counters = all_counters
         self._closing = closing
         self._ignores_disconnect = ignores_disconnect
         self._max_body_bytes = max_body_bytes
+        self._max_head_bytes = max_head_bytes
         self._in_flight = 0
 
     @property
@@ -97,7 +103,7 @@
         """
         self._in_flight += 1
         try:
-            _check_headers(incoming.headers)
+            _check_headers(incoming.headers, self._max_head_bytes())
             if len(incoming.body) > self._max_body_bytes():
                 raise _too_large(self._max_body_bytes())
             with stream.serving():
@@ -137,7 +143,9 @@
     ) -> None:
         incoming, response = None, None
         try:
-            incoming = await _read_request(scope, receive, self._max_body_bytes())
+            incoming = await _read_request(
+                scope, receive, self._max_body_bytes(), self._max_head_bytes()
+            )
         except error.RattanlugError as exc:
             response = self._close_if_stopping(self._from_error(exc))
         else:
@@ -206,7 +214,7 @@
 
 
 async def _read_request(
-    scope: dict, receive: Callable, max_body_bytes: int
+    scope: dict, receive: Callable, max_body_bytes: int, max_head_bytes: int
 ) -> request.Request | None:
     if scope["http_version"] not in _HTTP_1:
         raise error.RefusedError(
@@ -219,7 +227,7 @@
             kind.ErrorKind.REQUEST_MALFORMED, "the method CONNECT is not supported"
         )
     headers = [(name.lower(), value) for name, value in scope["headers"]]
-    _check_headers(headers)
+    _check_headers(headers, max_head_bytes)
     body = bytearray()
     with trio.move_on_after(_BODY_TIMEOUT_SECONDS) as timeout:
         while True:
@@ -258,12 +266,12 @@
     )
 
 
-def _check_headers(headers: request.Headers) -> None:
+def _check_headers(headers: request.Headers, max_bytes: int) -> None:
     size = sum(len(name) + len(value) for name, value in headers)
-    if size > _MAX_HEADER_BYTES:
+    if size > max_bytes:
         raise error.RefusedError(
             kind.ErrorKind.REQUEST_TOO_LARGE,
-            f"the headers are larger than {_MAX_HEADER_BYTES} bytes",
+            f"the headers are larger than {max_bytes} bytes",
         )
     names = [name for name, _ in headers]
     if b"content-length" in names and b"transfer-encoding" in names:
--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -84,6 +84,8 @@
         # Requests of this connection that the application is serving. The next one may
         # begin before the task of the previous one has ended.
         self._served = 0
+        # When the first byte of the current request was read, seconds on trio's clock.
+        self._begun_at = trio.current_time()
         # Whether the current request has been passed to the application.
         self._has_been_read = False
         self._has_failed_to_send = False
@@ -186,6 +188,19 @@
         """
         return 0.0 if self._served else now - self._last_used
 
+    def incomplete_head_seconds(self, now: float) -> float:
+        """Return the seconds since a request began whose head is still incomplete.
+
+        It is 0 if there is no such request.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the clock of trio.
+        """
+        is_reading = self._in_request and not (self._served or self._sending)
+        return now - self._begun_at if is_reading else 0.0
+
     async def receive_request(self) -> bytes:
         """Receive the first bytes of a request; empty if the caller disconnected."""
         data = self._take_pending() or await self._receive(_READ_BYTES)
@@ -286,6 +301,7 @@
         # waits for the response on this one.
         self._in_request = self._is_unanswered = True
         self._has_been_read = False
+        self._begun_at = trio.current_time()
         self._arrived_at = self._earliest_received_at
 
     async def send_all(self, data: bytes) -> None:
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -20,15 +20,15 @@
     local_endpoint,
 )
 from rattanlug.daemon import background_tasks, clock
+from rattanlug.desired import limits
 from rattanlug.metrics import counters
 from rattanlug.settings import address
 
-# Also the time limit for the head of a request.
+# Without other limits, also the time limit for the head of a request.
 KEEP_ALIVE_SECONDS = 30.0
-# Interval between checks for idle connections.
+# Interval between checks of the time limits of connections.
 SWEEP_SECONDS = 2.0
 MAX_CONNECTIONS = 2048
-_MAX_HEADER_BYTES = 32 * 1024
 # Log lines for connections that failed are at least this far apart.
 LOG_INTERVAL_SECONDS = 5.0
 _LOG = logging.getLogger(__name__)
@@ -53,6 +53,8 @@
     earliest_ready_at : callable, optional
         Returns the earliest time at which a socket that is readable now can have
         become readable, seconds on ``clock.now``.
+    current_limits : callable, optional
+        Returns the limits in force, which also apply to open connections.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         max_connections: int | None = None,
         local_reply: caller_stream.LocalReply | None = None,
         earliest_ready_at: Callable[[], float] = clock.now,
+        current_limits: Callable[[], limits.Limits] | None = None,
     ) -> None:
         self._inner_app = app
         self._app = utils.wrap_app(self._serve_scope, 0, "asgi")
@@ -70,6 +73,7 @@
         self._max_connections = max_connections or MAX_CONNECTIONS
         self._local_reply = local_reply
         self._earliest_ready_at = earliest_ready_at
+        self._current_limits = current_limits or _default_limits
         self._config = _config()
         self._context = worker_context.WorkerContext(None)
         self._streams: set[caller_stream.CallerStream] = set()
@@ -185,11 +189,17 @@
         while True:
             await trio.sleep(SWEEP_SECONDS)
             now = trio.current_time()
+            in_force = self._current_limits()
             for stream in list(self._streams):
-                is_idle = stream.idle_seconds(now) > KEEP_ALIVE_SECONDS
+                if stream.idle_seconds(now) > in_force.idle_seconds:
+                    cause = "idle"
+                elif stream.incomplete_head_seconds(now) > in_force.head_seconds:
+                    cause = "head_timeout"
+                else:
+                    continue
                 # After a stall of the process, a request may wait to be read.
-                if is_idle and not stream.has_unread_bytes:
-                    stream.abort("idle")
+                if not stream.has_unread_bytes:
+                    stream.abort(cause)
 
     async def _serve_connection(self, accepted: listener.AcceptedConnection) -> None:
         if len(self._streams) >= self._max_connections:
@@ -272,6 +282,12 @@
     return type(exc).__name__
 
 
+def _default_limits() -> limits.Limits:
+    return limits.Limits(
+        head_seconds=KEEP_ALIVE_SECONDS, idle_seconds=KEEP_ALIVE_SECONDS
+    )
+
+
 def _config() -> hypercorn.config.Config:
     config = hypercorn.config.Config()
     config.accesslog = None
@@ -279,5 +295,5 @@
     config.include_server_header = False
     config.include_date_header = False
     config.keep_alive_timeout = KEEP_ALIVE_SECONDS
-    config.h11_max_incomplete_size = _MAX_HEADER_BYTES
+    config.h11_max_incomplete_size = application.MAX_HEAD_BYTES
     return config
--- a/src/rattanlug/desired/limits.py
+++ b/src/rattanlug/desired/limits.py
@@ -10,9 +10,15 @@
     ----------
     body_bytes : int
         Maximum size of a request body.
+    head_bytes : int
+        Maximum size of the headers of a request.
+    head_seconds : float
+        Maximum time from the first byte of a request to the end of its head.
     idle_seconds : float
         Maximum time for which a connection may be idle.
     """
 
     body_bytes: int = 64 << 20
-    idle_seconds: float = 15.0
+    head_bytes: int = 16 << 10
+    head_seconds: float = 30.0
+    idle_seconds: float = 30.0
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -14,6 +14,7 @@
 from rattanlug.caller import application
 from rattanlug.caller import server as caller_server
 from rattanlug.daemon import background_tasks, clock, process_age
+from rattanlug.desired import limits
 from rattanlug.errors import error
 from rattanlug.gateway import (
     digest_exchange,
@@ -167,7 +168,8 @@
             node.counters,
             closing=lambda: node.leaving,
             ignores_disconnect=self._request_handler.ignores_disconnect,
-            max_body_bytes=self._max_body_bytes,
+            max_body_bytes=lambda: min(self._limits().body_bytes, MAX_BODY_BYTES),
+            max_head_bytes=lambda: self._limits().head_bytes,
         )
         self._digest_exchange = digest_exchange.DigestExchange(node)
         self._is_serving = False
@@ -177,6 +179,7 @@
             node.counters,
             local_reply=self._request_handler.reject_early,
             earliest_ready_at=lambda: node.utilisation.earliest_ready_at,
+            current_limits=self._limits,
         )
 
     @property
@@ -306,7 +309,17 @@
             background_tasks.record_failure("leave_look_ups", self._node.counters)
         has_left.set()
 
-    def _max_body_bytes(self) -> int:
+    def _limits(self) -> limits.Limits:
+        """Return the limits on callers.
+
+        Callers may follow a longer limit before it is in force here, so the time limits
+        include the time in which a desired state is put in force.
+        """
         state = self._node.desired.state
-        limit = state.limits.body_bytes if state else MAX_BODY_BYTES
-        return min(limit, MAX_BODY_BYTES)
+        if state is None:
+            return limits.Limits()
+        margin_seconds = self._node.settings.bounds.apply
+        return state.limits._replace(
+            head_seconds=state.limits.head_seconds + margin_seconds,
+            idle_seconds=state.limits.idle_seconds + margin_seconds,
+        )
--- a/src/rattanlug/platform/desired_state.py
+++ b/src/rattanlug/platform/desired_state.py
@@ -142,5 +142,7 @@
     found = decoding.field(desired, "limits", dict)
     return limits.Limits(
         body_bytes=int(decoding.number(found, "max_body_bytes", defaults.body_bytes)),
+        head_bytes=int(decoding.number(found, "max_header_bytes", defaults.head_bytes)),
+        head_seconds=decoding.number(found, "header_timeout_s", defaults.head_seconds),
         idle_seconds=decoding.number(found, "idle_timeout_s", defaults.idle_seconds),
     )
