Announce the close after a body that was not read

Cause: where the rest of a body can't be discarded in time, the HTTP library closes the connection after the response, and the response did not say so. It now carries Connection: close.

The test failed before: the response to a body that stops after 200 of 1,000 bytes had no such header.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -133,10 +133,7 @@
         return None if response is None else self._close_if_stopping(response)
 
     def _close_if_stopping(self, response: reply.Reply) -> reply.Reply:
-        if not self._closing():
-            return response
-        headers = [*response.headers, (b"connection", b"close")]
-        return response._replace(headers=headers)
+        return _with_close(response) if self._closing() else response
 
     async def _serve_request(
         self, scope: dict, receive: Callable, send: Callable
@@ -159,7 +156,9 @@
         if incoming is not None:
             await _send_reply(response, send)
             return
-        await _discard_body(receive)
+        if not await _discard_body(receive):
+            # The connection can't be used again.
+            response = _with_close(response)
         async with trio.open_nursery() as nursery:
             # After the response, hypercorn puts a message into the application's
             # queue. The rest of the caller's body may have filled that queue, and
@@ -203,14 +202,23 @@
         await receive()
 
 
-async def _discard_body(receive: Callable) -> None:
+def _with_close(response: reply.Reply) -> reply.Reply:
+    close = (b"connection", b"close")
+    if close in response.headers:
+        return response
+    return response._replace(headers=[*response.headers, close])
+
+
+async def _discard_body(receive: Callable) -> bool:
+    """Read and discard the rest of a body; return whether it was read to its end."""
     size = 0
     with trio.move_on_after(_DISCARD_SECONDS):
         while size <= _DISCARD_BYTES:
             message = await receive()
             size += len(message.get("body", b""))
             if not message.get("more_body", False):
-                return
+                return True
+    return False
 
 
 async def _read_request(
