Pass method and target on as received

Cause: the request was put together from path and query, which loses the mark of an empty query, and hypercorn changes the method to upper case.

A request now keeps its target, and the library's connection has a parser that records the request line. The library's requests belong to their connection directly, no longer by the caller's address, so that a caller that uses its port again can't be mixed up with its earlier connection.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -257,8 +257,7 @@
     return request.Request(
         scope["method"],
         scope["path"],
-        scope["raw_path"].partition(b"?")[0],
-        scope["query_string"],
+        scope["raw_path"],
         headers,
         bytes(body),
         client[0],
--- a/src/rattanlug/caller/fast_path.py
+++ b/src/rattanlug/caller/fast_path.py
@@ -88,12 +88,11 @@
 def _to_request(
     head: request_head.RequestHead, data: bytes, stream: caller_stream.CallerStream
 ) -> request.Request:
-    raw_path, _, query = head.target.partition(b"?")
+    raw_path = head.target.partition(b"?")[0]
     return request.Request(
         head.method.decode(),
         parse.unquote(raw_path.decode()),
-        raw_path,
-        query,
+        head.target,
         head.headers,
         data.partition(request_head.HEAD_END)[2],
         stream.remote_address[0],
--- /dev/null
+++ b/src/rattanlug/caller/library_connection.py
@@ -0,0 +1,62 @@
+"""HTTP/1.1 connection of hypercorn that also tells what hypercorn leaves out."""
+
+import h11
+from hypercorn.trio import tcp_server
+
+
+class RequestLineRecorder(h11.Connection):
+    """Parser of a connection that keeps the latest request line as received.
+
+    Hypercorn changes the method to upper case and drops the mark of an empty query.
+
+    Parameters
+    ----------
+    max_head_bytes : int
+        Largest head that is kept until it is complete.
+    """
+
+    def __init__(self, max_head_bytes: int) -> None:
+        super().__init__(h11.SERVER, max_incomplete_event_size=max_head_bytes)
+        self._method = b""
+        self._target = b""
+
+    @property
+    def method(self) -> str:
+        """Method of the latest request."""
+        return self._method.decode("ascii")
+
+    @property
+    def target(self) -> bytes:
+        """Path with query of the latest request."""
+        return self._target
+
+    def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return the next event."""
+        event = super().next_event()
+        if isinstance(event, h11.Request):
+            self._method, self._target = event.method, event.target
+        return event
+
+
+class LibraryConnection(tcp_server.TCPServer):
+    """Connection that hypercorn serves, with a recorder as its parser.
+
+    Parameters
+    ----------
+    *arguments
+        Of hypercorn's class.
+    """
+
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)
+        self._recorder = RequestLineRecorder(self.config.h11_max_incomplete_size)
+
+    @property
+    def recorder(self) -> RequestLineRecorder:
+        """Parser of the connection."""
+        return self._recorder
+
+    async def _read_data(self) -> None:
+        # The protocol has been created, and no bytes have been read.
+        self.protocol.protocol.connection = self._recorder
+        await super()._read_data()
--- a/src/rattanlug/caller/request.py
+++ b/src/rattanlug/caller/request.py
@@ -19,10 +19,8 @@
     method : str
     path : str
         Decoded path.
-    raw_path : bytes
-        Path as received, still percent-encoded.
-    query : bytes
-        Query string without the question mark.
+    target : bytes
+        Path with query, as received.
     headers : list of tuple of bytes
         Names in lower case.
     body : bytes
@@ -37,8 +35,7 @@
 
     method: str
     path: str
-    raw_path: bytes
-    query: bytes
+    target: bytes
     headers: Headers
     body: bytes
     client: str
@@ -53,9 +50,14 @@
         return None
 
     @property
-    def target(self) -> bytes:
-        """Path with query, as received."""
-        return self.raw_path + (b"?" + self.query if self.query else b"")
+    def raw_path(self) -> bytes:
+        """Path as received, still percent-encoded."""
+        return self.target.partition(b"?")[0]
+
+    @property
+    def query(self) -> bytes:
+        """Query string without the question mark."""
+        return self.target.partition(b"?")[2]
 
     @property
     def parameters(self) -> dict[str, str]:
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -10,12 +10,13 @@
 from hypercorn import typing as hypercorn_typing
 from hypercorn import utils
 from hypercorn.protocol import h11
-from hypercorn.trio import tcp_server, worker_context
+from hypercorn.trio import worker_context
 
 from rattanlug.caller import (
     application,
     caller_stream,
     fast_path,
+    library_connection,
     listener,
     local_endpoint,
 )
@@ -67,8 +68,6 @@
         current_limits: Callable[[], limits.Limits] | None = None,
     ) -> None:
         self._inner_app = app
-        self._app = utils.wrap_app(self._serve_scope, 0, "asgi")
-        self._by_caller: dict[tuple[str, int], caller_stream.CallerStream] = {}
         self._counters = all_counters
         self._max_connections = max_connections or MAX_CONNECTIONS
         self._local_reply = local_reply
@@ -168,8 +167,15 @@
             serving.start_soon(self._serve_connection, await listening.accept())
 
     async def _run_library(self, caller: caller_stream.CallerStream) -> None:
-        connection = tcp_server.TCPServer(
-            self._app,
+        async def serve_scope(scope: dict, receive: Callable, send: Callable) -> None:
+            if scope["type"] == "http":
+                scope[caller_stream.SCOPE_KEY] = caller
+                scope["method"] = connection.recorder.method
+                scope["raw_path"] = connection.recorder.target
+            await self._inner_app(scope, receive, send)
+
+        connection = library_connection.LibraryConnection(
+            utils.wrap_app(serve_scope, 0, "asgi"),
             self._config,
             self._context,
             hypercorn_typing.ConnectionState({}),
@@ -179,12 +185,6 @@
         caller.set_buffer(lambda: _has_buffered_bytes(connection))
         await connection.run()
 
-    async def _serve_scope(self, scope: dict, receive: Callable, send: Callable):
-        client = scope.get("client")
-        if client is not None:
-            scope[caller_stream.SCOPE_KEY] = self._by_caller.get(tuple(client[:2]))
-        await self._inner_app(scope, receive, send)
-
     async def _close_idle(self) -> None:
         while True:
             await trio.sleep(SWEEP_SECONDS)
@@ -216,7 +216,6 @@
             await trio.aclose_forcefully(accepted.stream)
             return
         self._streams.add(caller)
-        self._by_caller[caller.remote_address] = caller
         failure = ""
         try:
             # Hypercorn's objects are only created for connections that need them:
@@ -232,7 +231,6 @@
             self._record_failure(failure, caller.phase, clock.now())
         finally:
             self._streams.discard(caller)
-            self._by_caller.pop(caller.remote_address, None)
             if caller.is_unanswered:
                 cause = caller.close_cause or ("failed" if failure else "closed")
                 self._counters.add(
@@ -267,7 +265,7 @@
         """Ignore; the server closes idle connections itself."""
 
 
-def _has_buffered_bytes(connection: tcp_server.TCPServer) -> bool:
+def _has_buffered_bytes(connection: library_connection.LibraryConnection) -> bool:
     """Tell whether the library holds bytes of a caller beyond the current request."""
     protocol = connection.protocol.protocol
     if not isinstance(protocol, h11.H11Protocol):
