--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -20,7 +20,9 @@
 Handler = Callable[[request.Request], Awaitable[reply.Reply]]
 
 MAX_BODY_BYTES = 1024 * 1024
-_MAX_HEADER_BYTES = 16 * 1024
+# Largest head that is kept in memory, whatever the limit in force.
+MAX_HEAD_BYTES = 64 * 1024
+_DEFAULT_HEAD_BYTES = 16 * 1024
 _BODY_TIMEOUT_SECONDS = 10.0
 # Closing a socket with unread bytes resets the connection, and a caller that is still
 # sending its body would lose the error response. The rest of the body is therefore
@@ -61,6 +63,8 @@
     streams_bodies : bool
         Whether the handler takes the `rest` of a large body; otherwise, each body is
         held as a whole.
+    max_head_bytes : callable, optional
+        Returns the largest accepted size of the names and values of all headers.
     """
 
     def __init__(
@@ -72,6 +76,7 @@
         max_body_bytes: Callable[[], int] = lambda: MAX_BODY_BYTES,
         memory: memory_budget.MemoryBudget | None = None,
         streams_bodies: bool = False,
+        max_head_bytes: Callable[[], int] = lambda: _DEFAULT_HEAD_BYTES,
     ) -> None:
         self._handler = handler
         self._counters = all_counters
@@ -80,6 +85,7 @@
         self._max_body_bytes = max_body_bytes
         self._memory = memory
         self._streams_bodies = streams_bodies
+        self._max_head_bytes = max_head_bytes
         self._in_flight = 0
 
     @property
@@ -127,7 +133,7 @@
         """
         self._in_flight += 1
         try:
-            _check_headers(incoming.headers)
+            _check_headers(incoming.headers, self._max_head_bytes())
             if len(incoming.body) > self._max_body_bytes():
                 raise _too_large(self._max_body_bytes())
             size = len(incoming.body)
@@ -161,10 +167,7 @@
         return None if response is None else self._close_if_stopping(response)
 
     def _close_if_stopping(self, response: reply.Reply) -> reply.Reply:
-        if not self._closing():
-            return response
-        headers = [*response.headers, (b"connection", b"close")]
-        return response._replace(headers=headers)
+        return _with_close(response) if self._closing() else response
 
     async def _serve_request(
         self, scope: dict, receive: Callable, send: Callable
@@ -185,6 +188,7 @@
                 scope,
                 receive,
                 self._max_body_bytes(),
+                self._max_head_bytes(),
                 reservation,
                 self._streams_bodies,
             )
@@ -204,7 +208,9 @@
         ):
             await _send_reply(response, send)
             return
-        await _discard_body(receive)
+        if not await _discard_body(receive):
+            # The connection can't be used again.
+            response = _with_close(response)
         async with trio.open_nursery() as nursery:
             # After the response, hypercorn puts a message into the application's
             # queue. The rest of the caller's body may have filled that queue, and
@@ -248,20 +254,30 @@
         await receive()
 
 
-async def _discard_body(receive: Callable) -> None:
+def _with_close(response: reply.Reply) -> reply.Reply:
+    close = (b"connection", b"close")
+    if close in response.headers:
+        return response
+    return response._replace(headers=[*response.headers, close])
+
+
+async def _discard_body(receive: Callable) -> bool:
+    """Read and discard the rest of a body; return whether it was read to its end."""
     size = 0
     with trio.move_on_after(_DISCARD_SECONDS):
         while size <= _DISCARD_BYTES:
             message = await receive()
             size += len(message.get("body", b""))
             if not message.get("more_body", False):
-                return
+                return True
+    return False
 
 
 async def _read_request(
     scope: dict,
     receive: Callable,
     max_body_bytes: int,
+    max_head_bytes: int,
     reservation: body_reservation.BodyReservation,
     streams_bodies: bool,
 ) -> request.Request | None:
@@ -282,7 +298,7 @@
             kind.ErrorKind.REQUEST_MALFORMED, "the method CONNECT is not supported"
         )
     headers = [(name.lower(), value) for name, value in scope["headers"]]
-    _check_headers(headers)
+    _check_headers(headers, max_head_bytes)
     length = _content_length(headers)
     if length is not None and length > max_body_bytes:
         raise _too_large(max_body_bytes)
@@ -317,8 +333,7 @@
     return request.Request(
         scope["method"],
         scope["path"],
-        scope["raw_path"].partition(b"?")[0],
-        scope["query_string"],
+        scope["raw_path"],
         headers,
         bytes(body),
         client[0],
@@ -343,12 +358,12 @@
     )
 
 
-def _check_headers(headers: request.Headers) -> None:
+def _check_headers(headers: request.Headers, max_bytes: int) -> None:
     size = sum(len(name) + len(value) for name, value in headers)
-    if size > _MAX_HEADER_BYTES:
+    if size > max_bytes:
         raise error.RefusedError(
             kind.ErrorKind.REQUEST_TOO_LARGE,
-            f"the headers are larger than {_MAX_HEADER_BYTES} bytes",
+            f"the headers are larger than {max_bytes} bytes",
         )
     names = [name for name, _ in headers]
     if b"content-length" in names and b"transfer-encoding" in names:
--- a/src/rattanlug/gateway/connection_limits.py
+++ b/src/rattanlug/gateway/connection_limits.py
@@ -10,7 +10,9 @@
 RESERVED_DESCRIPTORS = 32
 # Descriptors that are left for connections to upstreams at most.
 MAX_UPSTREAM_DESCRIPTORS = 512
-_INTERNAL_FRACTION = 16
+# Every caller looks VMs up on a connection of its own; readiness is asked by the platform.
+_LOOKUPS_FRACTION = 6
+_READINESS_FRACTION = 16
 _MIN_INTERNAL_CONNECTIONS = 4
 
 
@@ -41,11 +43,12 @@
         Limit of open file descriptors.
     """
     free = max(0, max_descriptors - RESERVED_DESCRIPTORS)
-    internal = max(_MIN_INTERNAL_CONNECTIONS, free // _INTERNAL_FRACTION)
-    shared = free - 2 * internal
+    lookups = max(_MIN_INTERNAL_CONNECTIONS, free // _LOOKUPS_FRACTION)
+    readiness = max(_MIN_INTERNAL_CONNECTIONS, free // _READINESS_FRACTION)
+    shared = free - lookups - readiness
     callers = max(1, shared // 2, shared - MAX_UPSTREAM_DESCRIPTORS)
     return ConnectionLimits(
-        *(min(server.MAX_CONNECTIONS, each) for each in (callers, internal, internal))
+        *(min(server.MAX_CONNECTIONS, each) for each in (callers, lookups, readiness))
     )
 
 
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -14,6 +14,7 @@
 from rattanlug.caller import application
 from rattanlug.caller import server as caller_server
 from rattanlug.daemon import background_tasks, clock, process_age
+from rattanlug.desired import limits
 from rattanlug.errors import error
 from rattanlug.gateway import (
     connection_limits,
@@ -42,8 +43,6 @@
 # The oldest generation is rarely collected, since most objects live as long as the
 # daemon.
 _GC_THRESHOLDS = (20_000, 20, 50)
-# Largest request body while no desired state is known.
-MAX_BODY_BYTES = 16 << 20
 _LOG = logging.getLogger(__name__)
 
 
@@ -168,22 +167,24 @@
             node.counters,
             closing=lambda: node.leaving,
             ignores_disconnect=self._request_handler.ignores_disconnect,
-            max_body_bytes=self._max_body_bytes,
             memory=node.memory,
             streams_bodies=True,
+            max_body_bytes=lambda: self._caller_limits().body_bytes,
+            max_head_bytes=lambda: self._caller_limits().head_bytes,
         )
         self._digest_exchange = digest_exchange.DigestExchange(node)
         self._is_serving = False
         self._stop_caller_server = trio.Event()
-        self._limits = connection_limits.connection_limits(
+        self._connection_limits = connection_limits.connection_limits(
             connection_limits.descriptor_limit(settings.max_descriptors)
         )
         self._caller_server = caller_server.Server(
             self._app,
             node.counters,
-            max_connections=self._limits.callers,
+            max_connections=self._connection_limits.callers,
             local_reply=self._request_handler.reject_early,
             earliest_ready_at=lambda: node.utilisation.earliest_ready_at,
+            current_limits=self._caller_limits,
         )
 
     @property
@@ -222,13 +223,18 @@
             self._start_task(nursery, "loop_lag", node.lag.run)
             self._start_task(nursery, "upstream_sweeps", node.pools.run_sweeps)
             await nursery.start(self._digest_exchange.run)
-            limits = self._limits
+            connections = self._connection_limits
             for handler, local, limit, local_reply in (
-                (handlers.serve_readiness, settings.readiness, limits.readiness, None),
+                (
+                    handlers.serve_readiness,
+                    settings.readiness,
+                    connections.readiness,
+                    None,
+                ),
                 (
                     handlers.serve_lookup,
                     settings.lookups,
-                    limits.lookups,
+                    connections.lookups,
                     handlers.local_lookup_reply,
                 ),
             ):
@@ -323,6 +329,17 @@
             background_tasks.record_failure("leave_look_ups", self._node.counters)
         has_left.set()
 
-    def _max_body_bytes(self) -> int:
+    def _caller_limits(self) -> limits.Limits:
+        """Return the limits on callers.
+
+        Callers may follow a longer limit before it is in force here, so the time limits
+        include the time in which a desired state is put in force.
+        """
         state = self._node.desired.state
-        return state.limits.body_bytes if state else MAX_BODY_BYTES
+        if state is None:
+            return limits.Limits()
+        margin_seconds = self._node.settings.bounds.apply
+        return state.limits._replace(
+            head_seconds=state.limits.head_seconds + margin_seconds,
+            idle_seconds=state.limits.idle_seconds + margin_seconds,
+        )
