--- a/src/rattanlug/gateway/connection_limits.py
+++ b/src/rattanlug/gateway/connection_limits.py
@@ -10,7 +10,7 @@
 RESERVED_DESCRIPTORS = 32
 # Descriptors that are left for connections to upstreams at most.
 MAX_UPSTREAM_DESCRIPTORS = 512
-# Every caller looks VMs up on a connection of its own; readiness is asked by the platform.
+# Each caller looks VMs up on its own connection; readiness is for the platform only.
 _LOOKUPS_FRACTION = 6
 _READINESS_FRACTION = 16
 _MIN_INTERNAL_CONNECTIONS = 4
--- a/tests/gateway/test_connection_limits.py
+++ b/tests/gateway/test_connection_limits.py
@@ -47,7 +47,8 @@
         callers.callback(process.kill)
         while process.poll() is None:
             with contextlib.suppress(OSError):
-                socket.create_connection(address, 1.0).close()
+                # The listener that is opened last.
+                get_status(host, 9200 + boot_file.LOOKUPS)
                 break
             time.sleep(0.02)
         opened = [
