Count incomplete requests against the memory of a VM

Callers that send heads or bodies without an end could use up a VM's memory, so that the platform ends it with the requests of all others. Cause: the HTTP library holds a head until it is complete, for each of 2,048 connections, and each connection read 64 KiB at a time; only complete bodies counted.

Incomplete heads and the stated length of small bodies count now; what doesn't fit is answered 503 at once. Connections read 16 KiB at a time.

The test fails before (no 503; nothing reserved for heads).

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -7,9 +7,9 @@
 import trio
 
 from rattanlug.caller import (
-    body_reservation,
     body_stream,
     caller_stream,
+    memory_reservation,
     reply,
     request,
 )
@@ -107,15 +107,15 @@
             finally:
                 self._in_flight -= 1
 
-    def reserve_body(self) -> body_reservation.BodyReservation:
+    def reserve_memory(self) -> memory_reservation.MemoryReservation:
         """Return the reservation for a request and its response."""
-        return body_reservation.BodyReservation(self._memory)
+        return memory_reservation.MemoryReservation(self._memory)
 
     async def serve_parsed(
         self,
         incoming: request.Request,
         stream: caller_stream.CallerStream,
-        reservation: body_reservation.BodyReservation,
+        reservation: memory_reservation.MemoryReservation,
     ) -> reply.Reply | None:
         """Serve a request that the fast path parsed, without hypercorn.
 
@@ -123,7 +123,7 @@
         ----------
         incoming : request.Request
         stream : caller_stream.CallerStream
-        reservation : body_reservation.BodyReservation
+        reservation : memory_reservation.MemoryReservation
             For the bodies of the request and of its response.
 
         Returns
@@ -172,7 +172,7 @@
     async def _serve_request(
         self, scope: dict, receive: Callable, send: Callable
     ) -> None:
-        with self.reserve_body() as reservation:
+        with self.reserve_memory() as reservation:
             await self._serve_reserved(scope, receive, send, reservation)
 
     async def _serve_reserved(
@@ -180,7 +180,7 @@
         scope: dict,
         receive: Callable,
         send: Callable,
-        reservation: body_reservation.BodyReservation,
+        reservation: memory_reservation.MemoryReservation,
     ) -> None:
         incoming, response = None, None
         try:
@@ -278,7 +278,7 @@
     receive: Callable,
     max_body_bytes: int,
     max_head_bytes: int,
-    reservation: body_reservation.BodyReservation,
+    reservation: memory_reservation.MemoryReservation,
     streams_bodies: bool,
 ) -> request.Request | None:
     """Return the request; None if the caller disconnected.
@@ -304,6 +304,8 @@
         raise _too_large(max_body_bytes)
     body, rest = bytearray(), None
     is_large = length is not None and length > memory_budget.SMALL_BODY_BYTES
+    if length is not None and not (is_large and streams_bodies):
+        reservation.add(length, length)
     with trio.move_on_after(_BODY_TIMEOUT_SECONDS) as timeout:
         while True:
             if is_large and streams_bodies:
@@ -316,7 +318,8 @@
             if message["type"] == "http.disconnect":
                 return None
             piece = message.get("body", b"")
-            reservation.add(len(piece), max(length or 0, len(body) + len(piece)))
+            if length is None:
+                reservation.add(len(piece), len(body) + len(piece))
             body += piece
             if len(body) > max_body_bytes:
                 raise _too_large(max_body_bytes)
--- a/src/rattanlug/caller/body_stream.py
+++ b/src/rattanlug/caller/body_stream.py
@@ -7,7 +7,7 @@
 from rattanlug.errors import error, executed, kind
 
 # What the HTTP library and this daemon hold of such a body at any time.
-WINDOW_BYTES = 384 * 1024
+WINDOW_BYTES = 128 * 1024
 
 Receive = Callable[[], Awaitable[dict]]
 
--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -6,13 +6,15 @@
 
 import trio
 
-from rattanlug.caller import listener, request_head
+from rattanlug.caller import listener, memory_reservation, reply, request_head
 from rattanlug.daemon import clock
+from rattanlug.errors import error
 from rattanlug.metrics import counters
 
 # Limits how long a caller that does not read its response keeps it in memory.
 SEND_SECONDS = 20.0
-_READ_BYTES = 65536
+# Small, since many connections may become readable at the same time.
+_READ_BYTES = 16 * 1024
 _HTTP_2_PREFACE = b"PRI * HTTP/2"
 _STATUS_LINE = b"HTTP/1.1 "
 _HEAD_END = b"\r\n\r\n"
@@ -49,6 +51,8 @@
     earliest_ready_at : callable
         Returns the earliest time at which a socket that is readable now can have
         become readable, seconds on ``clock.now``.
+    head_memory : memory_reservation.MemoryReservation
+        For the part of a head that the HTTP library holds until the head is complete.
     """
 
     def __init__(
@@ -57,7 +61,9 @@
         all_counters: counters.Counters,
         local_reply: LocalReply | None,
         earliest_ready_at: Callable[[], float],
+        head_memory: memory_reservation.MemoryReservation,
     ) -> None:
+        self._head_memory = head_memory
         self._stream = stream = accepted.stream
         self._raw = accepted.raw
         self._earliest_ready_at = earliest_ready_at
@@ -260,8 +266,33 @@
             self._counters.add("requests_rejected", reason="http_2")
             self._close_cause = "http_2"
             return b""
+        if not self._served:
+            try:
+                self._hold_head(len(data))
+            except error.RefusedError as exc:
+                await self._reject_head(exc)
+                return b""
         return data
 
+    def _hold_head(self, size: int) -> None:
+        """Reserve memory for a part of a head.
+
+        Raises
+        ------
+        error.RefusedError
+        """
+        self._head_memory.add(size, self._head_memory.size + size)
+
+    async def _reject_head(self, exc: error.RefusedError) -> None:
+        """Answer a request whose head is incomplete; the connection ends then."""
+        self._counters.add("requests_rejected", reason="memory")
+        self._close_cause = "memory"
+        self._is_unanswered = False
+        rejection = reply.from_error(exc)
+        headers = [*rejection.headers, (b"connection", b"close")]
+        response = rejection._replace(headers=headers)
+        await self._send_with_timeout(reply.to_bytes(response))
+
     async def _receive_request(self, max_bytes: int) -> bytes:
         """Send local replies; return the bytes of the first request without one."""
         data = await self._receive(max_bytes)
@@ -290,6 +321,8 @@
             self._begin_request()
         self._served += 1
         self._has_been_read = True
+        # From here on, the application counts what is held of the request.
+        self._head_memory.release()
         try:
             yield
         finally:
@@ -342,7 +375,7 @@
         self._earliest_received_at = self._earliest_next_byte_at
         while True:
             try:
-                return self._raw.recv(max_bytes)
+                return self._raw.recv(min(max_bytes, _READ_BYTES))
             except BlockingIOError:
                 await trio.lowlevel.wait_readable(self._raw)
                 self._earliest_received_at = self._earliest_ready_at()
--- a/src/rattanlug/caller/fast_path.py
+++ b/src/rattanlug/caller/fast_path.py
@@ -12,8 +12,8 @@
 
 from rattanlug.caller import (
     application,
-    body_reservation,
     caller_stream,
+    memory_reservation,
     reply,
     request,
     request_head,
@@ -64,7 +64,7 @@
             if local_reply is not None:
                 await self._stream.send_response(local_reply)
                 continue
-            with self._app.reserve_body() as reservation:
+            with self._app.reserve_memory() as reservation:
                 response = await self._respond(
                     _to_request(head, data, self._stream), reservation
                 )
@@ -75,7 +75,9 @@
                 return False
 
     async def _respond(
-        self, incoming: request.Request, reservation: body_reservation.BodyReservation
+        self,
+        incoming: request.Request,
+        reservation: memory_reservation.MemoryReservation,
     ) -> reply.Reply | None:
         if self._app.ignores_disconnect(incoming):
             return await self._app.serve_parsed(incoming, self._stream, reservation)
--- a/src/rattanlug/caller/body_reservation.py
+++ b/src/rattanlug/caller/memory_reservation.py
@@ -1,11 +1,11 @@
-"""Memory that is reserved for the body of one request."""
+"""Memory that is reserved for a request and its response."""
 
 from rattanlug.errors import error, kind
 from rattanlug.upstream import memory_budget
 
 
-class BodyReservation:
-    """Counts what is held of one body; a context that releases it at its end.
+class MemoryReservation:
+    """Counts what is held of a request; a context that releases it at its end.
 
     Parameters
     ----------
@@ -17,12 +17,22 @@
         self._budget = budget
         self._size = 0
 
-    def __enter__(self) -> "BodyReservation":
+    @property
+    def size(self) -> int:
+        """Number of reserved bytes."""
+        return self._size
+
+    def __enter__(self) -> "MemoryReservation":
         return self
 
     def __exit__(self, *exc_info: object) -> None:
+        self.release()
+
+    def release(self) -> None:
+        """Release what was reserved so far."""
         if self._budget is not None:
             self._budget.release(self._size)
+        self._size = 0
 
     def hold(self, size: int) -> None:
         """Count bytes that are held in any case, such as a response to be sent."""
@@ -51,6 +61,6 @@
             self._budget.release(size)
             raise error.RefusedError(
                 kind.ErrorKind.NO_CAPACITY,
-                "the memory of this VM for bodies is used up",
+                "the memory of this VM for requests is used up",
             )
         self._size += size
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -19,6 +19,7 @@
     library_connection,
     listener,
     local_endpoint,
+    memory_reservation,
 )
 from rattanlug.daemon import background_tasks, clock
 from rattanlug.desired import limits
@@ -34,8 +35,8 @@
 # Time for the first request on a connection that is accepted when the server stops.
 FIRST_REQUEST_SECONDS = 0.2
 MAX_CONNECTIONS = 2048
-# Pieces of a body, of at most 64 KiB, that wait for the application.
-_MAX_QUEUED_PIECES = 2
+# Pieces of a body, of at most 16 KiB, that wait for the application.
+_MAX_QUEUED_PIECES = 1
 # Log lines for connections that failed are at least this far apart.
 LOG_INTERVAL_SECONDS = 5.0
 _LOG = logging.getLogger(__name__)
@@ -240,9 +241,21 @@
             self._counters.add("connections_refused")
             await trio.aclose_forcefully(accepted.stream)
             return
+        with self._inner_app.reserve_memory() as head_memory:
+            await self._serve_accepted(accepted, head_memory)
+
+    async def _serve_accepted(
+        self,
+        accepted: listener.AcceptedConnection,
+        head_memory: memory_reservation.MemoryReservation,
+    ) -> None:
         try:
             caller = caller_stream.CallerStream(
-                accepted, self._counters, self._local_reply, self._earliest_ready_at
+                accepted,
+                self._counters,
+                self._local_reply,
+                self._earliest_ready_at,
+                head_memory,
             )
         except OSError:
             # The caller reset the connection before it was served.
--- a/tests/gateway/test_large_bodies.py
+++ b/tests/gateway/test_large_bodies.py
@@ -1,7 +1,9 @@
 """Tests of requests with large bodies."""
 
+import contextlib
 import socket
 
+import pytest
 import trio
 
 from rattanlug.gateway import node
@@ -14,14 +16,14 @@
 MEMORY_MB = 64
 
 
-async def start(deployment, body_limit=64 * MIB):
+async def start(deployment, body_limit=64 * MIB, memory_mb=MEMORY_MB):
     state = fleet.desired_state(version=3)
     state["limits"]["max_body_bytes"] = body_limit
     for path in state["virtual_hosts"][0]["paths"]:
         path["timeout_s"] = 10.0
     deployment.store.put("op", "config", state)
     await deployment.add_upstream("u1")
-    vm = await deployment.add_vm(limits={"memory_mb": MEMORY_MB, "max_fds": 1024})
+    vm = await deployment.add_vm(limits={"memory_mb": memory_mb, "max_fds": 1024})
     with trio.fail_after(5):
         while vm.node.desired.version != 3:
             await trio.sleep(0.01)
@@ -191,10 +193,9 @@
             stream = trio.SocketStream(sock)
             await stream.send_all(caller.encode("/view/1", name, "GET", 10_000))
             streams.append(stream)
-        with trio.fail_after(5):
-            while vm.node.memory.reserved < size:
-                await trio.sleep(0.01)
-        await trio.sleep(0.1)
+            with trio.fail_after(5):
+                while vm.node.memory.reserved < size:
+                    await trio.sleep(0.01)
         assert (
             size
             <= vm.node.memory.reserved
@@ -203,3 +204,48 @@
         for stream in streams:
             await trio.aclose_forcefully(stream)
         await released(vm)
+
+
+# Guards against many callers whose heads or bodies are incomplete at the same time.
+@pytest.mark.parametrize(
+    "begin",
+    [
+        b"GET /view/1 HTTP/1.1\r\nHost: host.example\r\nX: ",
+        b"POST /claim/1 HTTP/1.1\r\nHost: host.example\r\n"
+        b"Content-Length: 99999\r\n\r\n",
+    ],
+)
+@caller.in_trio
+async def test_incomplete_requests_hold_a_bounded_share_of_the_memory(begin):
+    async with fleet.open_fleet() as deployment:
+        vm = await start(deployment, memory_mb=4)
+        local = vm.node.settings.callers
+        limit = memory_budget.MAX_MEMORY_SHARE * (4 << 20)
+        most, answers = 0, []
+
+        async def send_in_part():
+            async with await trio.open_tcp_stream(local.host, local.port) as stream:
+                for piece in (begin, *[b"a" * 4096] * 10):
+                    with contextlib.suppress(trio.BrokenResourceError):
+                        await stream.send_all(piece)
+                with contextlib.suppress(trio.BrokenResourceError):
+                    answers.append(await stream.receive_some(4096))
+
+        async def watch():
+            nonlocal most
+            while True:
+                most = max(most, vm.node.memory.reserved)
+                await trio.sleep(0.005)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            for _ in range(60):
+                nursery.start_soon(send_in_part)
+            with trio.fail_after(10):
+                while not answers:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        assert answers[0].startswith(b"HTTP/1.1 503 ")
+        # The rejections count too, and are sent in any case.
+        assert 0 < most <= limit + 60 * 1024
+        await released(vm)
