Send the last response of a connection despite bytes after its request

At a stop, callers got no answer to a request that had been passed on, when a byte arrived after it while its response was being sent: the next request, or a blank line after the body. Cause: the response's Connection: close makes h11 take any byte for an error, and hypercorn closes the connection then, between the head of the response and its body. Such bytes are now left unread until the response is sent.

--- a/src/rattanlug/caller/library_connection.py
+++ b/src/rattanlug/caller/library_connection.py
@@ -31,7 +31,18 @@
         return self._target
 
     def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
-        """Return the next event."""
+        """Return the next event.
+
+        Bytes after a request whose response closes the connection are left unread until
+        the response is sent. They are an error for h11, and hypercorn would close the
+        connection before the rest of the response.
+        """
+        if (
+            self.their_state is h11.MUST_CLOSE
+            and self.our_state is h11.SEND_BODY
+            and self.trailing_data[0]
+        ):
+            return h11.PAUSED
         event = super().next_event()
         if isinstance(event, h11.Request):
             self._method, self._target = event.method, event.target
