Start and end without a reader of the standard streams

With settings that came late, a daemon whose standard error had no reader ended with code 120 after SIGTERM, and one whose standard error was a full pipe never served. One whose parent shares the pipe of standard output made the parent's end non-blocking, so that the parent's own lines failed.

Log lines before the settings were read went to standard error, blocking, and what couldn't be written failed the flush at the interpreter's exit. Now the log is configured first, an error in the settings is written only if nothing blocks, the process exits without the interpreter's clean-up, and a pipe is opened anew for non-blocking writes.

The new tests failed before: "the daemon does not accept connections" (2), "assert 120 == 0" (2), "assert False" for the parent's mode (1).

--- a/src/rattanlug/gateway/__main__.py
+++ b/src/rattanlug/gateway/__main__.py
@@ -35,11 +35,13 @@
     from rattanlug.logs import setup
     from rattanlug.platform import boot_settings
 
+    # The name of the VM isn't known yet.
+    setup.configure("INFO", "", to_standard_output=True)
     try:
         path = boot_settings.path_from_environment()
         settings = settings_file.read_when_complete(path)
     except error.InvalidInputError as exc:
-        print(exc.detail, file=sys.stderr)
+        standard_streams.write_error(exc.detail)
         return 2
     setup.configure("INFO", settings.vm, to_standard_output=True)
     return run.run(settings, path, prepared_at)
@@ -60,4 +62,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    # The exit of the interpreter would fail if a standard stream can't be written to.
+    posix._exit(main())
--- a/src/rattanlug/logs/non_blocking.py
+++ b/src/rattanlug/logs/non_blocking.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import stat
 
 
 class NonBlockingHandler(logging.Handler):
@@ -10,13 +11,14 @@
     Parameters
     ----------
     descriptor : int
-        File descriptor; it is set to non-blocking mode.
+        File descriptor. A pipe is opened again, since its mode is shared with all
+        processes that have it; anything else is set to non-blocking mode.
     """
 
     def __init__(self, descriptor: int) -> None:
         super().__init__()
-        os.set_blocking(descriptor, False)
-        self._descriptor = descriptor
+        self._descriptor = _open_non_blocking(descriptor)
+        self._owns_descriptor = self._descriptor != descriptor
         self._dropped = 0
         self._pending = b""
 
@@ -36,6 +38,13 @@
             self._pending = b""
             self._dropped += 1
 
+    def close(self) -> None:
+        """Close the descriptor if it was opened here."""
+        if self._owns_descriptor:
+            self._owns_descriptor = False
+            os.close(self._descriptor)
+        super().close()
+
     def _write_pending(self) -> bool:
         """Write the pending rest of a line; return whether all of it was written.
 
@@ -48,3 +57,15 @@
             return False
         self._pending = self._pending[written:]
         return not self._pending
+
+
+def _open_non_blocking(descriptor: int) -> int:
+    """Return a descriptor of the same file in non-blocking mode."""
+    if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+        try:
+            return os.open(f"/proc/self/fd/{descriptor}", os.O_WRONLY | os.O_NONBLOCK)
+        except OSError:
+            # The reader is gone, or the pipe belongs to another user.
+            pass
+    os.set_blocking(descriptor, False)
+    return descriptor
--- a/src/rattanlug/logs/setup.py
+++ b/src/rattanlug/logs/setup.py
@@ -46,6 +46,8 @@
     root = logging.getLogger()
     for each in root.handlers[:]:
         root.removeHandler(each)
+        if isinstance(each, non_blocking.NonBlockingHandler):
+            each.close()
     root.addHandler(handler)
     root.setLevel(logging.WARNING)
     logger = logging.getLogger(LOGGER_NAME)
--- a/src/rattanlug/logs/standard_streams.py
+++ b/src/rattanlug/logs/standard_streams.py
@@ -1,9 +1,12 @@
 """Standard streams of a process that was started without them."""
 
 import os
+import select
 import sys
 
 _INPUT, _OUTPUT, _ERROR = range(3)
+# A pipe that is ready takes as much without blocking.
+_MAX_BYTES = select.PIPE_BUF
 
 
 def open_missing() -> None:
@@ -26,3 +29,15 @@
         sys.stdout = open(_OUTPUT, "w", encoding="utf-8", closefd=False)
     if sys.stderr is None:
         sys.stderr = open(_ERROR, "w", encoding="utf-8", closefd=False)
+
+
+def write_error(text: str) -> None:
+    """Write a line to standard error, cut to `select.PIPE_BUF`, if nothing blocks.
+
+    Nothing is written to a pipe that is full or whose reader is gone.
+    """
+    ready = select.poll()
+    ready.register(_ERROR, select.POLLOUT)
+    if ready.poll(0) != [(_ERROR, select.POLLOUT)]:
+        return
+    os.write(_ERROR, text.encode()[: _MAX_BYTES - 1] + b"\n")
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -1,5 +1,6 @@
 """Tests of the gateway daemon as a process."""
 
+import fcntl
 import os
 import signal
 import socket
@@ -300,3 +301,67 @@
         assert process.wait(10) == 0
     finally:
         process.kill()
+
+
+def open_full_pipe():
+    """Return the ends of a pipe to which nothing can be written without blocking."""
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+    os.write(writer, b"x" * fcntl.fcntl(writer, fcntl.F_GETPIPE_SZ))
+    return reader, writer
+
+
+# Guards against a daemon that waits for the reader of its standard error, or that ends
+# with an error because it can't write there, when its settings come late.
+@pytest.mark.parametrize("has_reader", [True, False])
+@pytest.mark.parametrize("streams", [("stdout",), ("stderr",), ("stdout", "stderr")])
+def test_a_daemon_that_waits_for_its_settings_needs_no_reader(
+    tmp_path, streams, has_reader
+):
+    path, complete = tmp_path / "local.toml", tmp_path / "complete.toml"
+    complete.write_text(boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds=STOP))
+    os.mkfifo(path)
+    reader, writer = open_full_pipe()
+    if not has_reader:
+        os.close(reader)
+    outputs = dict.fromkeys(("stdout", "stderr"), subprocess.DEVNULL)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "rattanlug.gateway"],
+        # Without PYTHONUNBUFFERED, which hides errors of buffered streams.
+        env={"RATTANLUG_BOOT": str(path), "PYTHONPATH": os.pathsep.join(sys.path)},
+        **{**outputs, **dict.fromkeys(streams, writer)},
+    )
+    try:
+        # Returns when the daemon opens the file.
+        with path.open("w") as incomplete:
+            incomplete.write("node_name = ")
+            complete.replace(path)
+        wait_until_serving()
+        process.terminate()
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+        process.wait()
+        os.close(writer)
+        if has_reader:
+            os.close(reader)
+
+
+# Guards against a daemon that changes the pipe of its parent, whose lines then fail.
+def test_a_daemon_leaves_the_mode_of_a_shared_pipe(tmp_path):
+    reader, writer = os.pipe()
+    path = tmp_path / "local.toml"
+    path.write_text(boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds=STOP))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "rattanlug.gateway"],
+        env={**os.environ, "RATTANLUG_BOOT": str(path)},
+        stdout=writer,
+    )
+    wait_until_serving()
+    is_blocking = os.get_blocking(writer)
+    process.terminate()
+    assert process.wait(10) == 0
+    assert is_blocking
+    assert b"stopped" in os.read(reader, 1 << 16)
+    os.close(reader)
+    os.close(writer)
