Read the settings again once SIGHUP is handled

A daemon whose settings changed while it started kept the old ones until the next SIGHUP. SIGHUP is ignored from the first moment until the handlers of the daemon are installed, and the file was read in between. Now it is read again once they are. A file that isn't valid then is logged, and the settings that were read before apply.

Found by reading. test_settings_that_change_while_a_daemon_starts_apply failed before in both cases, without a line on the settings in the log.

--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -98,11 +98,31 @@
     state_log.log_change("settings", "loaded", "reloaded", changed=changed)
 
 
+def _read_again(
+    settings: gateway_settings.GatewaySettings, settings_path: str
+) -> gateway_settings.GatewaySettings:
+    """Return the settings in the file, or those given if the file is invalid now."""
+    try:
+        found = boot_settings.read(settings_path)
+    except error.InvalidInputError as exc:
+        state_log.log_change("settings", "loaded", "rejected", reason=exc.detail)
+        return settings
+    changed = [
+        name
+        for name, old, new in zip(settings._fields, settings, found, strict=True)
+        if old != new
+    ]
+    if changed:
+        state_log.log_change("settings", "loaded", "reloaded", changed=changed)
+    return found
+
+
 async def _run(settings: gateway_settings.GatewaySettings, settings_path: str) -> None:
     handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*handled) as signals:
         async with trio.open_nursery() as nursery:
-            daemon = GatewayDaemon(settings)
+            # Until now, SIGHUP was ignored.
+            daemon = GatewayDaemon(_read_again(settings, settings_path))
             stop_times = _record_stop_signals(daemon.node)
             # Signals are handled while the daemon waits for its ports.
             nursery.start_soon(_serve, daemon)
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -365,3 +365,40 @@
     assert b"stopped" in os.read(reader, 1 << 16)
     os.close(reader)
     os.close(writer)
+
+
+# Runs the daemon with settings that are rewritten after they were read.
+REWRITE_SETTINGS = """
+import pathlib, sys
+from rattanlug.gateway import run, settings_file
+from rattanlug.logs import setup
+path = sys.argv[1]
+settings = settings_file.read_when_complete(path)
+pathlib.Path(path).write_text(sys.argv[2])
+setup.configure("INFO", settings.vm, to_standard_output=True)
+sys.exit(run.run(settings, path))
+"""
+
+
+# Guards against a daemon that keeps old settings, since it ignores SIGHUP from its
+# first moment until its own handlers are installed.
+@pytest.mark.parametrize(
+    ("bounds", "expected"),
+    [({"grace_s": 2}, '"changed": ["bounds"]'), (None, "rejected")],
+)
+def test_settings_that_change_while_a_daemon_starts_apply(tmp_path, bounds, expected):
+    path = tmp_path / "local.toml"
+    first, second = (
+        each and boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds=each)
+        for each in (STOP, bounds)
+    )
+    path.write_text(first)
+    process = subprocess.Popen(
+        [sys.executable, "-c", REWRITE_SETTINGS, str(path), second or "a = "],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    wait_until_serving()
+    process.terminate()
+    assert expected in process.communicate(timeout=10)[0]
+    assert process.returncode == 0
