--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -7,10 +7,11 @@
 import random
 import signal
 import time
+from collections.abc import Callable
 
 import trio
 
-from soak import history, proxy, site_upstream
+from soak import history, proxy, site_upstream, upstream_worker
 from trial import http_client, http_server, processes
 from trial.shared_platform import boot_file, fleet, store, upstream
 
@@ -28,6 +29,7 @@
 # Many VMs that start are asked together; more often, the run would starve its store.
 _READINESS_POLL_SECONDS = 0.5
 _ORGANISATIONS = 4
+_LOG_TAIL_CHARACTERS = 300
 # Number of distinct /24 networks, 127.64.0.0 to 127.127.255.0, one for each run.
 _NETWORKS = 64 * 256
 
@@ -50,6 +52,8 @@
         self.store_proxy: proxy.Proxy | None = None
         self.is_up = False
         self.is_paused = False
+        # Whether it is kept in reserve and may be added.
+        self.is_spare = False
         self.incarnation = 0
 
     @property
@@ -63,15 +67,17 @@
 
     Parameters
     ----------
-    stand_in : upstream.Upstream or site_upstream.SiteUpstream
-    tcp_proxy : proxy.Proxy
+    stand_in : upstream.Upstream, SiteUpstream or RemoteUpstream
+    tcp_proxy : proxy.Proxy or upstream_worker.RemoteGate
     service, data_centre : str
     """
 
     def __init__(
         self,
-        stand_in: upstream.Upstream | site_upstream.SiteUpstream,
-        tcp_proxy: proxy.Proxy,
+        stand_in: upstream.Upstream
+        | site_upstream.SiteUpstream
+        | upstream_worker.RemoteUpstream,
+        tcp_proxy: proxy.Proxy | upstream_worker.RemoteGate,
         service: str,
         data_centre: str,
     ) -> None:
@@ -115,10 +121,13 @@
         self._started_upstreams = 0
         # Number of callers so far; their indices are part of the ids of requests.
         self.callers = 0
+        # Starts callers in other processes: their rate and time.
+        self.start_callers: Callable[[float, float], None] | None = None
         self.observations = observations
         self._stopped: set[str] = set()
         self.site = observations.site
         self.store = store.Store()
+        self._upstream_workers: upstream_worker.UpstreamWorkers | None = None
         centres = self.site.data_centres
         places = [centres[index % len(centres)] for index in range(vms)]
         if self.site.vms:
@@ -139,6 +148,9 @@
             for index in range(_ORGANISATIONS)
         }
         self.added_routes: list[str] = []
+        # Of the desired state; the factor applies to the timeouts of all routes.
+        self.idle_timeout_seconds = 15
+        self.timeout_factor = 1.0
 
     async def start(self, upstreams: int) -> None:
         """Start the store, upstreams and VMs; wait until all VMs are ready."""
@@ -147,6 +159,10 @@
             functools.partial(http_server.serve, "127.0.0.1", 0, self.store.handle)
         )
         self._store_port = listeners[0].socket.getsockname()[1]
+        if self.site.workers:
+            # A host of their own: no outgoing connection takes a port meanwhile.
+            host = f"{self.vms[0].host.rpartition('.')[0]}.254"
+            self._upstream_workers = upstream_worker.UpstreamWorkers(self.site, host)
         centres = [each for each, _ in self.site.data_centres]
         if not self.site.services:
             for index in range(upstreams):
@@ -156,18 +172,31 @@
                 for _ in range(count):
                     await self.add_upstream(centre, service.name)
         for vm in self.vms:
-            vm.store_proxy = proxy.Proxy(self._store_port)
-            await self._nursery.start(vm.store_proxy.run)
+            await self._start_store_proxy(vm)
             self.start_vm(vm)
         with trio.fail_after(READY_SECONDS):
             for vm in self.vms:
                 await self.wait_ready(vm)
 
+    async def _start_store_proxy(self, vm: Vm) -> None:
+        vm.store_proxy = proxy.Proxy(self._store_port)
+        await self._nursery.start(vm.store_proxy.run)
+
+    async def add_vm(self, data_centre: str, region: str) -> Vm:
+        """Add a VM, which isn't started yet."""
+        vm = Vm(len(self.vms), data_centre, region)
+        await self._start_store_proxy(vm)
+        self.vms.append(vm)
+        return vm
+
     def write_state(self) -> None:
         """Write a new version of the desired state to the store."""
         self._version += 1
         organisations = list(self.organisations.values())
-        state = self.site.desired_state(self._version, organisations, self.added_routes)
+        state = self.site.desired_state(
+            self._version, organisations, self.added_routes, self.timeout_factor
+        )
+        state["limits"]["idle_timeout_s"] = self.idle_timeout_seconds
         self.store.put("op", "config", state)
 
     async def add_upstream(
@@ -186,16 +215,36 @@
         await self._start_upstream(name, crashed.data_centre, crashed.service, True)
 
     async def _start_upstream(
-        self, name: str, data_centre: str, service: str, cold: bool
+        self,
+        name: str,
+        data_centre: str,
+        service: str,
+        cold: bool,
+        port: int = 0,
     ) -> None:
+        if self._upstream_workers:
+            stand_in, tcp_proxy = await self._upstream_workers.start(
+                name, service, self._rng.random(), port
+            )
+        else:
+            stand_in, tcp_proxy = await self._start_here(name, service)
+        if cold:
+            stand_in.turn_cold(reported=True)
+        started = ProxiedUpstream(stand_in, tcp_proxy, service, data_centre)
+        if self.site.services:
+            started.born = time.time_ns() // 1_000_000
+        self.upstreams[name] = started
+        self.register(name, data_centre)
+
+    async def _start_here(
+        self, name: str, service: str
+    ) -> tuple[upstream.Upstream | site_upstream.SiteUpstream, proxy.Proxy]:
         if self.site.services:
             found = next(each for each in self.site.services if each.name == service)
             routes = self.site.routes
             rng = random.Random(self._rng.random())
             stand_in = site_upstream.SiteUpstream(name, found, routes, rng)
             port = await self._nursery.start(stand_in.run)
-            if cold:
-                stand_in.turn_cold(reported=True)
         else:
             stand_in = upstream.Upstream(name, slots=8)
             listeners = await self._nursery.start(
@@ -204,11 +253,23 @@
             port = listeners[0].socket.getsockname()[1]
         tcp_proxy = proxy.Proxy(port)
         await self._nursery.start(tcp_proxy.run)
-        started = ProxiedUpstream(stand_in, tcp_proxy, service, data_centre)
-        if self.site.services:
-            started.born = time.time_ns() // 1_000_000
-        self.upstreams[name] = started
-        self.register(name, data_centre)
+        return stand_in, tcp_proxy
+
+    async def reuse_address(self, former: ProxiedUpstream, service: str) -> str:
+        """Start an upstream at the address of one that is gone; return its id.
+
+        Only for upstreams that other processes play, without a proxy.
+        """
+        self._started_upstreams += 1
+        its_name = f"u{self._started_upstreams - 1}"
+        port = former.tcp_proxy.port
+        await self._start_upstream(its_name, former.data_centre, service, True, port)
+        return its_name
+
+    async def collect(self) -> None:
+        """Fetch what upstreams recorded in other processes."""
+        if self._upstream_workers:
+            await self._upstream_workers.collect(self.observations)
 
     def register(self, name: str, data_centre: str, **row: object) -> None:
         """Write the registration of an upstream."""
@@ -223,7 +284,7 @@
         if self.site.services:
             values["cold_seconds"] = round(registered.stand_in.cold_left(), 3)
             registered.stand_in.cold_reported = True
-        address = f"127.0.0.1:{registered.tcp_proxy.port}"
+        address = f"{registered.tcp_proxy.host}:{registered.tcp_proxy.port}"
         row_value = upstream.registration(registered.stand_in, address, **values)
         self.store.put("servers", name, row_value)
 
@@ -260,13 +321,25 @@
     def start_process(self, vm: Vm) -> None:
         """Start a process of a VM, whose settings file may come later."""
         vm.incarnation += 1
+        arguments = ["-m", "rattanlug.gateway"]
+        if self.site.workers:
+            arguments = ["-m", "soak.stepped_clock", str(self._clock_path(vm))]
         self._processes.start(
             vm.process,
-            ["-m", "rattanlug.gateway"],
+            arguments,
             environment={"RATTANLUG_BOOT": str(self.settings_path(vm))},
         )
         vm.is_up = True
 
+    def _clock_path(self, vm: Vm) -> pathlib.Path:
+        return self._directory / f"{vm.name}.clock"
+
+    def step_clock(self, vm: Vm, seconds: float) -> None:
+        """Set by how much a VM's time of day is off."""
+        written = self._clock_path(vm).with_suffix(".new")
+        written.write_text(str(seconds))
+        written.replace(self._clock_path(vm))
+
     async def wait_ready(self, vm: Vm) -> None:
         """Wait until a VM accepts connections of callers."""
         while True:
@@ -294,20 +367,29 @@
         """Send SIGHUP to a process, unless it is not yet prepared for the signal."""
         if self._processes.exit_code(name) is not None:
             return
-        status = pathlib.Path(f"/proc/{self._processes.pid(name)}/status").read_text()
-        masks = dict(line.partition(":")[::2] for line in status.splitlines())
-        handled = int(masks["SigCgt"], 16) | int(masks["SigIgn"], 16)
-        if handled & 1 << signal.SIGHUP - 1:
+        if self.handles(name, signal.SIGHUP):
             self._processes.signal(name, signal.SIGHUP)
         else:
             now = trio.current_time()
             self.observations.record_event(now, "reload before preparation", name)
 
+    def handles(self, name: str, number: signal.Signals) -> bool:
+        """Return whether a process runs and catches or ignores a signal."""
+        if self._processes.exit_code(name) is not None:
+            return False
+        status = pathlib.Path(f"/proc/{self._processes.pid(name)}/status").read_text()
+        masks = dict(line.partition(":")[::2] for line in status.splitlines())
+        handled = int(masks["SigCgt"], 16) | int(masks["SigIgn"], 16)
+        return bool(handled & 1 << number - 1)
+
     def signal_process(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process, also one that a later one has replaced."""
         if self._processes.exit_code(name) is None:
             if number in (signal.SIGTERM, signal.SIGKILL):
                 self._stopped.add(name)
+            if number is signal.SIGKILL:
+                vm = name.rpartition("-")[0]
+                self.observations.kills[vm].append(trio.current_time())
             self._processes.signal(name, number)
 
     def signal(self, vm: Vm, number: signal.Signals) -> None:
@@ -331,9 +413,13 @@
         }
 
     def unexpected_ends(self) -> list[str]:
-        """Return the processes that exited without having been stopped or killed."""
+        """Return the processes that exited without having been stopped or killed.
+
+        Each with its exit code and the end of its log.
+        """
         return [
-            f"{each} ended with {self._processes.exit_code(each)}"
+            f"{each} ended with {self._processes.exit_code(each)}: "
+            f"{self._processes.read_log(each)[-_LOG_TAIL_CHARACTERS:]!r}"
             for each in self._processes.names
             if each not in self._stopped and self._processes.exit_code(each) is not None
         ]
@@ -351,3 +437,5 @@
     def end(self) -> None:
         """Stop all processes."""
         self._processes.end_all()
+        if self._upstream_workers:
+            self._upstream_workers.end()
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,9 +9,11 @@
 import trio
 
 from soak import (
+    caller_worker,
     callers,
     deployment,
     faults,
+    full_faults,
     guarantees,
     history,
     monitor,
@@ -19,10 +21,11 @@
     site_callers,
     site_faults,
     site_guarantees,
-    site_upstream,
     sites,
     small_vm,
+    stalls,
 )
+from trial.shared_platform import upstream
 
 FAULT_FREE_SECONDS = 8.0
 # Time from the end of the faults until nearly all requests succeed again; part of the
@@ -52,6 +55,8 @@
         Name of a site, which decides the numbers; empty for none.
     only : str
         Parts of names, separated by commas; faults whose name contains one are played.
+    rate : float
+        Part of the site's rate of requests that callers have.
     """
 
     seed: int
@@ -61,6 +66,7 @@
     first_vm_cpu_share: float = 0.0
     site: str = ""
     only: str = ""
+    rate: float = 1.0
 
 
 class Outcome(NamedTuple):
@@ -91,11 +97,14 @@
     """Execute one run and check its guarantees."""
     rng = random.Random(options.seed)
     site = sites.SITES[options.site] if options.site else sites.DEFAULT
+    rate = options.rate * site.requests_per_second
+    site = site._replace(requests_per_second=rate)
     observations = history.History(site)
     playable = _faults(options)
     caller_class = site_callers.SiteCaller if options.site else callers.Caller
     directory = tempfile.mkdtemp(prefix=f"rattanlug-soak-{options.seed}-")
     injected: list[str] = []
+    caller_workers: caller_worker.CallerWorkers | None = None
     async with trio.open_nursery() as nursery:
         deployed = deployment.Deployment(
             nursery,
@@ -108,22 +117,28 @@
         try:
             await deployed.start(options.upstreams)
             nursery.start_soon(monitor.watch_memory, deployed)
-            nursery.start_soon(monitor.watch_stalls, deployed)
+            nursery.start_soon(stalls.watch, observations)
             if options.first_vm_cpu_share:
                 first = deployed.vms[0]
                 deployed.burst_targets = [first]
                 nursery.start_soon(
                     small_vm.limit_cpu, deployed, first, options.first_vm_cpu_share
                 )
-            deployed.callers = site.callers
-            for index in range(site.callers):
-                caller = caller_class(
-                    index,
-                    deployed,
-                    random.Random(rng.random()),
-                    site.requests_per_second,
-                )
-                nursery.start_soon(caller.run)
+            if site.workers:
+                caller_workers = caller_worker.CallerWorkers(deployed, options.seed)
+                deployed.start_callers = caller_workers.start
+                nursery.start_soon(caller_workers.run)
+                caller_workers.start(site.requests_per_second)
+            else:
+                deployed.callers = site.callers
+                for index in range(site.callers):
+                    caller = caller_class(
+                        index,
+                        deployed,
+                        random.Random(rng.random()),
+                        site.requests_per_second,
+                    )
+                    nursery.start_soon(caller.run)
             await trio.sleep(2.0)
             async with trio.open_nursery() as bursts:
                 # A separate generator: bursts must not change the faults of a seed.
@@ -152,8 +167,14 @@
             observations.record_event(trio.current_time(), "calm")
             await trio.sleep(FAULT_FREE_SECONDS - RECOVERY_SECONDS)
             unexpected = deployed.unexpected_ends()
+            stalls.attribute(observations)
+            await deployed.collect()
+            if caller_workers:
+                await caller_workers.collect()
         finally:
             deployed.end()
+            if caller_workers:
+                caller_workers.end()
         nursery.cancel_scope.cancel()
     executions: dict[str, list] = {}
     for each in deployed.executions():
@@ -188,6 +209,8 @@
     playable = dict(faults.FAULTS)
     if options.site:
         playable.update(site_faults.FAULTS)
+        if sites.SITES[options.site].workers:
+            playable.update(full_faults.FAULTS)
         for each in _NOT_OF_SITES:
             del playable[each]
     chosen = options.only.split(",")
@@ -205,7 +228,8 @@
     stand_in = registered.stand_in
     intervals = registered.tcp_proxy.disturbances
     observations.disturbances[stand_in.name].extend(intervals)
-    if isinstance(stand_in, site_upstream.SiteUpstream):
+    observations.services[stand_in.name] = registered.service
+    if not isinstance(stand_in, upstream.Upstream):
         name = f"{stand_in.name}, born {registered.born}"
         cold = [each for each in stand_in.arrivals if each.cold_for is not None]
         observations.cold_arrivals[name] = cold
--- a/soak/site_guarantees.py
+++ b/soak/site_guarantees.py
@@ -1,13 +1,20 @@
 """Guarantees of a site's run: no lost request, no flood, starts and memory."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 from soak import deployment, guarantees, history, site_faults, site_upstream
+from trial.shared_platform import upstream
 
 _WINDOW_SECONDS = 1.0
 # An answer to a question that crosses the close of its connection isn't owed.
 _CROSSING_SECONDS = 0.2
+# Part of its time after which an answer of the VM's own may say that it is up; the
+# desired state may allow a fifth less than the site.
+_LIMIT_SHARE = 0.75
+# A caller sees the end of a killed process within this time.
+_KILL_SECONDS = 0.3
 _MEMORY_MB = 300
+_DENIED = frozenset({401, 403, 404})
 # Time within which a request ends after its route's time limit, and the number of
 # later ones from which on they are a violation.
 _END_SECONDS = 0.5
@@ -57,19 +64,16 @@
         if not each.closed_by_vm:
             continue
         runs = executions.get(each.request_id, ())
-        disturbed = observations.disturbances[each.vm]
-        if history.overlap(disturbed, each.sent_at, each.ended_at):
-            yield each, "vm disturbed"
-        elif each.request_id in observations.broken_off or any(
-            history.overlap(
-                observations.disturbances[run.upstream], run.at, each.ended_at
-            )
-            for run in runs
-        ):
+        # What the caller saw late because its own process stalled is no delay of a VM.
+        taken = each.ended_at - each.sent_at - each.stalled
+        reason = _disturbance(observations, each, bool(runs))
+        if reason:
+            yield each, reason
+        elif _upstream_broke_off(observations, each, runs):
             yield each, "upstream broke off"
         elif runs:
             yield each, ""
-        elif each.ended_at - each.sent_at <= _CROSSING_SECONDS:
+        elif taken <= _CROSSING_SECONDS:
             yield each, "crossed the close"
         elif each.reset:
             # A close with unread bytes resets the connection.
@@ -78,6 +82,111 @@
             yield each, ""
 
 
+def _upstream_broke_off(
+    observations: history.History,
+    exchange: history.Exchange,
+    runs: Sequence[upstream.Execution],
+) -> bool:
+    return exchange.request_id in observations.broken_off or any(
+        history.overlap(
+            observations.disturbances[run.upstream], run.at, exchange.ended_at
+        )
+        for run in runs
+    )
+
+
+def _disturbance(
+    observations: history.History, closed: history.Exchange, passed_on: bool
+) -> str:
+    """Return the kind of disturbance of its VM that excuses a close, if any.
+
+    A kill excuses what ended just after it, and a suspension what met it. After a kill,
+    until the VM says that it is ready, only requests that were not passed on are
+    excused.
+    """
+    overlapping = [
+        each
+        for each in observations.disturbances[closed.vm]
+        if history.overlap([each], closed.sent_at, closed.ended_at)
+    ]
+    if not overlapping:
+        return ""
+    kills = observations.kills[closed.vm]
+    latest = closed.ended_at - _KILL_SECONDS - closed.stalled
+    if any(closed.sent_at <= at and latest <= at <= closed.ended_at for at in kills):
+        return "vm killed under it"
+    began_with_kill = any(
+        begin <= at <= end for begin, end in overlapping for at in kills
+    )
+    if began_with_kill:
+        return "" if passed_on else "vm starting"
+    return "vm suspended"
+
+
+@guarantees.guarantee
+def stops_replace_no_answer(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check that a stopping VM lets upstreams finish and passes their answers on.
+
+    An answer of the VM's own before the request's time is up breaks this, if the
+    request ran. VMs that were killed or suspended shortly before are not judged.
+    """
+    for each in observations.exchanges:
+        runs = executions.get(each.request_id, ())
+        if each.status is None or each.status < 500 or each.stamp or not runs:
+            continue
+        taken = each.ended_at - each.sent_at
+        since = each.sent_at - deployment.CONTACT_SECONDS
+        if (
+            taken < _LIMIT_SHARE * each.limit
+            and history.overlap(
+                observations.stops[each.vm], each.sent_at, each.ended_at
+            )
+            and not history.overlap(
+                observations.disturbances[each.vm], since, each.ended_at
+            )
+            and not _upstream_broke_off(observations, each, runs)
+        ):
+            where = [run.upstream for run in runs]
+            yield (
+                f"{each.request_id} {each.path} ran at {where} and was answered "
+                f"{each.status} by {each.vm} after {taken:.2f} of {each.limit:.2f} s"
+            )
+
+
+@guarantees.guarantee
+def requests_run_at_their_service(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check the service of each upstream that ran a request, disturbed or not."""
+    services = {f"/{each.name}/": each.service for each in observations.site.routes}
+    for request_id, runs in executions.items():
+        for each in runs:
+            expected = services.get(each.path[: each.path.find("/", 1) + 1])
+            found = observations.services.get(each.upstream)
+            if expected and found and found != expected:
+                yield f"{request_id} {each.path} ran at {each.upstream} of {found}"
+
+
+@guarantees.guarantee
+def allowed_requests_are_not_denied(
+    observations: history.History, executions: guarantees.ExecutionsById
+) -> Iterable[str]:
+    """Check that no VM answers 401, 403 or 404 to what each desired state allows."""
+    withdrawn = {
+        each.subject for each in observations.events if each.kind == "key withdrawn"
+    }
+    routes = tuple(f"/{each.name}/" for each in observations.site.routes)
+    for each in observations.exchanges:
+        if (
+            each.status in _DENIED
+            and each.key not in withdrawn
+            and each.path.startswith(routes)
+        ):
+            yield f"{each.request_id} {each.path} got {each.status} from {each.vm}"
+
+
 @guarantees.guarantee
 def requests_end_by_their_time_limit(
     observations: history.History, executions: guarantees.ExecutionsById
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -10,25 +10,32 @@
 from hypercorn import typing as hypercorn_typing
 from hypercorn import utils
 from hypercorn.protocol import h11
-from hypercorn.trio import tcp_server, worker_context
+from hypercorn.trio import worker_context
 
 from rattanlug.caller import (
     application,
     caller_stream,
     fast_path,
+    library_connection,
     listener,
     local_endpoint,
 )
 from rattanlug.daemon import background_tasks, clock
+from rattanlug.desired import limits
 from rattanlug.metrics import counters
 from rattanlug.settings import address
 
-# Also the time limit for the head of a request.
+# Without other limits, also the time limit for the head of a request.
 KEEP_ALIVE_SECONDS = 30.0
-# Interval between checks for idle connections.
+# Interval between checks of the time limits of connections.
 SWEEP_SECONDS = 2.0
+# Interval between the checks of a server that is stopping.
+STOP_SWEEP_SECONDS = 0.02
+# Time for the first request on a connection that is accepted when the server stops.
+FIRST_REQUEST_SECONDS = 0.2
 MAX_CONNECTIONS = 2048
-_MAX_HEADER_BYTES = 32 * 1024
+# Pieces of a body, of at most 64 KiB, that wait for the application.
+_MAX_QUEUED_PIECES = 2
 # Log lines for connections that failed are at least this far apart.
 LOG_INTERVAL_SECONDS = 5.0
 _LOG = logging.getLogger(__name__)
@@ -53,6 +60,8 @@
     earliest_ready_at : callable, optional
         Returns the earliest time at which a socket that is readable now can have
         become readable, seconds on ``clock.now``.
+    current_limits : callable, optional
+        Returns the limits in force, which also apply to open connections.
     """
 
     def __init__(
@@ -62,18 +71,19 @@
         max_connections: int | None = None,
         local_reply: caller_stream.LocalReply | None = None,
         earliest_ready_at: Callable[[], float] = clock.now,
+        current_limits: Callable[[], limits.Limits] | None = None,
     ) -> None:
         self._inner_app = app
-        self._app = utils.wrap_app(self._serve_scope, 0, "asgi")
-        self._by_caller: dict[tuple[str, int], caller_stream.CallerStream] = {}
         self._counters = all_counters
         self._max_connections = max_connections or MAX_CONNECTIONS
         self._local_reply = local_reply
         self._earliest_ready_at = earliest_ready_at
+        self._current_limits = current_limits or _default_limits
         self._config = _config()
         self._context = worker_context.WorkerContext(None)
         self._streams: set[caller_stream.CallerStream] = set()
         self._stopping = False
+        self._has_stopped = False
         self._logged_at = -math.inf
         self._unlogged_failures = 0
 
@@ -82,6 +92,11 @@
         """Number of open connections."""
         return len(self._streams)
 
+    @property
+    def has_stopped(self) -> bool:
+        """Whether it stopped listening and has no connection left."""
+        return self._has_stopped
+
     async def open(
         self,
         local: address.Address,
@@ -141,21 +156,43 @@
                     task_status.started([listening])
                     await stop.wait()
                     accepting.cancel_scope.cancel()
+                # Requests may have arrived on connections in the accept queue, and
+                # closing the listener would reset them.
+                for accepted in listening.accept_queued():
+                    serving.start_soon(self._serve_connection, accepted)
             finally:
                 listening.close()
-            # Idle connections close at once, the others after their response. A request
-            # that waits in the socket is still read and answered.
-            self._stopping = True
-            await self._context.terminated.set()
-            for stream in list(self._streams):
-                if stream.between_requests and not stream.has_unread_bytes:
-                    stream.abort("shutdown")
-            with trio.move_on_after(graceful_timeout_seconds):
-                while self._streams:
-                    await trio.sleep(0.02)
-            for stream in list(self._streams):
-                stream.abort("shutdown")
+            await self._finish(serving, graceful_timeout_seconds)
             serving.cancel_scope.cancel()
+        self._has_stopped = True
+
+    async def _finish(
+        self, serving: trio.Nursery, graceful_timeout_seconds: float
+    ) -> None:
+        """Wait until the connections end; abort the rest at the time limit.
+
+        Idle connections close at once, the others after their response. A request that
+        waits in the socket is still read and answered.
+        """
+        self._stopping = True
+        await self._context.terminated.set()
+        self._abort_idle(0.0)
+        with trio.move_on_after(graceful_timeout_seconds):
+            while serving.child_tasks:
+                await trio.sleep(STOP_SWEEP_SECONDS)
+                self._abort_idle(FIRST_REQUEST_SECONDS)
+        for stream in list(self._streams):
+            stream.abort("shutdown")
+
+    def _abort_idle(self, min_seconds: float) -> None:
+        now = trio.current_time()
+        for stream in list(self._streams):
+            if (
+                stream.between_requests
+                and stream.idle_seconds(now) >= min_seconds
+                and not stream.has_unread_bytes
+            ):
+                stream.abort("shutdown")
 
     async def _accept(
         self, listening: listener.Listener, serving: trio.Nursery
@@ -164,8 +201,15 @@
             serving.start_soon(self._serve_connection, await listening.accept())
 
     async def _run_library(self, caller: caller_stream.CallerStream) -> None:
-        connection = tcp_server.TCPServer(
-            self._app,
+        async def serve_scope(scope: dict, receive: Callable, send: Callable) -> None:
+            if scope["type"] == "http":
+                scope[caller_stream.SCOPE_KEY] = caller
+                scope["method"] = connection.recorder.method
+                scope["raw_path"] = connection.recorder.target
+            await self._inner_app(scope, receive, send)
+
+        connection = library_connection.LibraryConnection(
+            utils.wrap_app(serve_scope, 0, "asgi"),
             self._config,
             self._context,
             hypercorn_typing.ConnectionState({}),
@@ -175,21 +219,21 @@
         caller.set_buffer(lambda: _has_buffered_bytes(connection))
         await connection.run()
 
-    async def _serve_scope(self, scope: dict, receive: Callable, send: Callable):
-        client = scope.get("client")
-        if client is not None:
-            scope[caller_stream.SCOPE_KEY] = self._by_caller.get(tuple(client[:2]))
-        await self._inner_app(scope, receive, send)
-
     async def _close_idle(self) -> None:
         while True:
             await trio.sleep(SWEEP_SECONDS)
             now = trio.current_time()
+            in_force = self._current_limits()
             for stream in list(self._streams):
-                is_idle = stream.idle_seconds(now) > KEEP_ALIVE_SECONDS
+                if stream.idle_seconds(now) > in_force.idle_seconds:
+                    cause = "idle"
+                elif stream.incomplete_head_seconds(now) > in_force.head_seconds:
+                    cause = "head_timeout"
+                else:
+                    continue
                 # After a stall of the process, a request may wait to be read.
-                if is_idle and not stream.has_unread_bytes:
-                    stream.abort("idle")
+                if not stream.has_unread_bytes:
+                    stream.abort(cause)
 
     async def _serve_connection(self, accepted: listener.AcceptedConnection) -> None:
         if len(self._streams) >= self._max_connections:
@@ -206,7 +250,6 @@
             await trio.aclose_forcefully(accepted.stream)
             return
         self._streams.add(caller)
-        self._by_caller[caller.remote_address] = caller
         failure = ""
         try:
             # Hypercorn's objects are only created for connections that need them:
@@ -222,7 +265,6 @@
             self._record_failure(failure, caller.phase, clock.now())
         finally:
             self._streams.discard(caller)
-            self._by_caller.pop(caller.remote_address, None)
             if caller.is_unanswered:
                 cause = caller.close_cause or ("failed" if failure else "closed")
                 self._counters.add(
@@ -257,7 +299,7 @@
         """Ignore; the server closes idle connections itself."""
 
 
-def _has_buffered_bytes(connection: tcp_server.TCPServer) -> bool:
+def _has_buffered_bytes(connection: library_connection.LibraryConnection) -> bool:
     """Tell whether the library holds bytes of a caller beyond the current request."""
     protocol = connection.protocol.protocol
     if not isinstance(protocol, h11.H11Protocol):
@@ -272,6 +314,12 @@
     return type(exc).__name__
 
 
+def _default_limits() -> limits.Limits:
+    return limits.Limits(
+        head_seconds=KEEP_ALIVE_SECONDS, idle_seconds=KEEP_ALIVE_SECONDS
+    )
+
+
 def _config() -> hypercorn.config.Config:
     config = hypercorn.config.Config()
     config.accesslog = None
@@ -279,5 +327,6 @@
     config.include_server_header = False
     config.include_date_header = False
     config.keep_alive_timeout = KEEP_ALIVE_SECONDS
-    config.h11_max_incomplete_size = _MAX_HEADER_BYTES
+    config.max_app_queue_size = _MAX_QUEUED_PIECES
+    config.h11_max_incomplete_size = application.MAX_HEAD_BYTES
     return config
--- a/src/rattanlug/gateway/request_handler.py
+++ b/src/rattanlug/gateway/request_handler.py
@@ -125,6 +125,8 @@
                     admitted.route.max_attempts,
                     admitted.deadline - clock.now(),
                 )
+                if not admitted.incoming.is_repeatable:
+                    break
                 if not may_retry or unreachable > admitted.route.max_attempts:
                     break
         raise self._final_error(admitted, failure)
@@ -140,7 +142,7 @@
         ):
             return failure
         if admitted.owner is not None:
-            self._node.limiters.limiter(admitted.owner.name).refund(clock.now())
+            self._node.limiters.refund(admitted.owner.name, clock.now())
         if isinstance(failure, error.RefusedError):
             return failure
         return rejections.rejection(
