Count the daemon as serving before it reads the first request

A SIGTERM in the moment in which a daemon begins to serve callers cut the requests it had just read: the daemon still counted as starting, and such a daemon ends at once. Found by reading, not seen in a run of processes.

The daemon now counts as serving before its server for callers runs.

Before the change the test failed with "assert {False, True} == {True}": the first connection was accepted by a daemon that didn't count as serving.

--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -186,7 +186,7 @@
 
     @property
     def is_serving(self) -> bool:
-        """Whether all listeners are open."""
+        """Whether all listeners are open, and callers are being served."""
         return self._is_serving
 
     @property
@@ -227,13 +227,14 @@
                 await nursery.start(start)
             serve_metrics = functools.partial(self._serve_metrics, handlers)
             self._start_task(nursery, "metrics", serve_metrics)
+            # From here on, callers' requests are read, and a stop has to finish them.
+            self._is_serving = True
             await nursery.start(
                 self._caller_server.run,
                 callers_listener,
                 self._stop_caller_server,
                 settings.bounds.stop,
             )
-            self._is_serving = True
             task_status.started()
 
     def _start_task(
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from rattanlug.caller import listener
 from rattanlug.gateway import node as node_module
 from rattanlug.gateway import run
 from tests.gateway import caller
@@ -97,3 +98,29 @@
             assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
             assert 1.0 <= trio.current_time() - sent_at < 1.0 + 0.5
             nursery.cancel_scope.cancel()
+
+
+# Guards against a stop right after a start that cuts requests which were read already:
+# a daemon that doesn't count as serving yet ends at once.
+@caller.in_trio
+async def test_a_daemon_counts_as_serving_before_it_accepts_a_caller(monkeypatch):
+    daemons, was_serving = [], []
+    serve, accept = run.GatewayDaemon.serve, listener.Listener.accept
+
+    async def record_daemon(self, **options):
+        daemons.append(self)
+        await serve(self, **options)
+
+    async def record_state(self):
+        if self.socket.getsockname()[1] == fleet.FIRST_VM_PORT:
+            was_serving.append(daemons[0].is_serving)
+        return await accept(self)
+
+    monkeypatch.setattr(run.GatewayDaemon, "serve", record_daemon)
+    monkeypatch.setattr(listener.Listener, "accept", record_state)
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        vm = await deployment.add_vm()
+        _, response = await caller.send(vm, "/view/x")
+        assert response.status == 200
+    assert set(was_serving) == {True}
