Wait until the caller's deadline during a shutdown

Callers got a 504 of the daemon 0.02 s before their own deadline while the upstream was at work; after a stall even earlier. After a SIGTERM a request that is broken off before its time counts as lost. On routes whose timeout is longer than the deadline that is every request that takes too long.

The daemon responds 0.02 s early on purpose. That stays so, and the wait for such a request again isn't extended after a stall, since its caller would leave unanswered. During a shutdown, the daemon now waits until the deadline is surely over. Requests accepted before the signal aren't changed.

Before the change the test, with 0.2 s in place of 0.02 s, failed for the shutdown with a 504 after 0.419 s of 0.6 s.

--- a/src/rattanlug/gateway/admission.py
+++ b/src/rattanlug/gateway/admission.py
@@ -13,6 +13,8 @@
 
 # Reserved for returning the response before the deadline.
 RESPONSE_MARGIN_SECONDS = 0.02
+# Time that a response may be late if it isn't known when its request arrived.
+MAX_LATE_SECONDS = 0.2
 # Added to the retry delay while the VM is overloaded.
 OVERLOAD_RETRY_AFTER_SECONDS = 0.5
 
@@ -141,9 +143,30 @@
             service,
             arrived_at,
             arrived_at + timeout,
+            self._latest_end(matched_route, headers.time_left, arrived_at, now),
             now,
         )
 
+    def _latest_end(
+        self,
+        matched_route: route.Route,
+        time_left: float | None,
+        arrived_at: float,
+        now: float,
+    ) -> float:
+        """Return the time until which an upstream may work on a request, seconds.
+
+        A caller should get its response before its own deadline. But a VM that shuts
+        down must not break off a request before it.
+        """
+        latest_arrival = min(now, arrived_at + MAX_LATE_SECONDS)
+        latest_end = latest_arrival + matched_route.timeout
+        if time_left is None:
+            return latest_end
+        if self._node.leaving:
+            return min(latest_end, latest_arrival + time_left)
+        return min(latest_end, arrived_at + time_left - RESPONSE_MARGIN_SECONDS)
+
     def _check_shutdown(
         self, matched_route: route.Route, deadline: float, now: float
     ) -> None:
--- a/src/rattanlug/gateway/admitted_request.py
+++ b/src/rattanlug/gateway/admitted_request.py
@@ -6,9 +6,6 @@
 from rattanlug.desired import organisation, route
 from rattanlug.platform import request_headers
 
-# Time that a response may be late if it isn't known when its request arrived.
-MAX_LATE_SECONDS = 0.2
-
 
 class AdmittedRequest(NamedTuple):
     """A request with the results of its admission.
@@ -25,7 +22,11 @@
     arrived_at : float
         Earliest possible arrival time, monotonic seconds.
     deadline : float
-        Time by which the caller needs a response, monotonic seconds.
+        Time by which the caller needs a response, monotonic seconds. It counts from
+        the earliest possible arrival, so that a request that may be late is not sent.
+    latest_end : float
+        Time until which an upstream may work on the request, monotonic seconds. Before
+        it, a request that was sent must not be broken off.
     admitted_at : float
         Monotonic seconds.
     """
@@ -37,17 +38,9 @@
     service: str
     arrived_at: float
     deadline: float
+    latest_end: float
     admitted_at: float
 
-    @property
-    def latest_end(self) -> float:
-        """Time until which an upstream may work on the request, monotonic seconds.
-
-        The deadline counts from the earliest possible arrival, so that a request that
-        may be late is not sent. Once it is sent, it must not be broken off too early.
-        """
-        return self.deadline + min(self.admitted_at - self.arrived_at, MAX_LATE_SECONDS)
-
     @property
     def object_id(self) -> str | None:
         """Id of the requested object, or None if the route or request has no affinity.
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -6,8 +6,8 @@
 import trio
 
 from rattanlug.caller import listener
+from rattanlug.gateway import admission, run
 from rattanlug.gateway import node as node_module
-from rattanlug.gateway import run
 from tests.gateway import caller
 from trial.shared_platform import fleet
 
@@ -124,3 +124,32 @@
         _, response = await caller.send(vm, "/view/x")
         assert response.status == 200
     assert set(was_serving) == {True}
+
+
+# Guards against a daemon that breaks off a request during its shutdown before the time
+# that the caller gave it, or that at other times responds only after that time.
+@pytest.mark.parametrize(
+    ("stopping", "earliest", "latest"), [(False, 0.0, 0.6), (True, 0.6, 1.0)]
+)
+@caller.in_trio
+async def test_a_shutdown_waits_until_the_caller_s_deadline(
+    stopping, earliest, latest, monkeypatch
+):
+    monkeypatch.setattr(admission, "RESPONSE_MARGIN_SECONDS", 0.2)
+    async with fleet.open_fleet() as deployment:
+        added = await deployment.add_upstream("u1")
+        added.silent = True
+        vm = await deployment.add_vm(bounds={"grace_s": 4})
+        await deployment.settle()
+        local = vm.node.settings.callers
+        async with trio.open_nursery() as nursery:
+            if stopping:
+                nursery.start_soon(vm.stop)
+            stream = await trio.open_tcp_stream(local.host, local.port)
+            sent_at = trio.current_time()
+            await stream.send_all(
+                caller.encode("/claim/x", "waiting", "POST", milliseconds=600)
+            )
+            assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
+            assert earliest <= trio.current_time() - sent_at < latest
+            nursery.cancel_scope.cancel()
