Give a read of several pages the version of its first page

Callers would have been sent to a draining upstream for as long as it is registered, when its row changed while a VM read a table of more than 500 rows: the read had the version of its last page, and the changes after it don't contain a change between the pages. Cause found by reading; a test with 600 rows and a change after the first page failed before ("assert 'ready' == 'draining'") and passes now.

Rows of such a read may be newer than it. They don't count as changes after it, so that followers that have them don't ask without a pause until the store responds again.

--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -87,17 +87,22 @@
     async def read_table(self, table: str) -> store_read.StoreRead:
         """Read all rows of a table, page by page.
 
+        The read has the version of its first page, so that changes between two pages
+        are found by following the table.
+
         Raises
         ------
         store_error.StoreError
         """
         rows: list[store_row.StoreRow] = []
         sent_at = self._clock()
+        first: dict[str, Any] | None = None
         while True:
             query = {"table": table, "part": "", "limit": str(_ROWS_PER_CALL)}
             if rows:
                 query["from"] = rows[-1].key + "\0"
             found = await self._get("rows-get", query, CALL_TIMEOUT_SECONDS, {})
+            first = first or found
             page = _decode_rows(found)
             if page and rows and page[0].key <= rows[-1].key:
                 raise store_error.StoreError("the store repeated rows of a page")
@@ -106,7 +111,8 @@
                 break
             if not page:
                 raise store_error.StoreError("a page of the store has no usable rows")
-        return _store_read(found, rows, sent_at)
+        first_version = _store_read(first, [], sent_at).version
+        return _store_read(found, rows, sent_at)._replace(version=first_version)
 
     async def follow_table(
         self, table: str, after: int, wait: float
