--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,6 +1,7 @@
 """Tests of the store client."""
 
 import functools
+import json
 
 import pytest
 import trio
@@ -9,6 +10,9 @@
 from rattanlug.metrics import counters, histograms
 from rattanlug.platform import store_client, store_error, store_write
 from rattanlug.settings import address
+from rattanlug.tables import table_copy
+from trial import http_server
+from trial.shared_platform import store
 
 HOST = "127.0.0.1"
 
@@ -85,13 +89,16 @@
 
 def call_store(call, body, status=200):
     """Call a store that always gives one response; return the result or the error."""
+    serve = functools.partial(respond_with, body, status)
+    return call_server(call, functools.partial(trio.serve_tcp, serve, 0, host=HOST))
+
+
+def call_server(call, serve):
+    """Call a store that ``serve`` starts; return the result or the error."""
 
     async def main():
         async with trio.open_nursery() as nursery:
-            serve = functools.partial(respond_with, body, status)
-            listeners = await nursery.start(
-                functools.partial(trio.serve_tcp, serve, 0, host=HOST)
-            )
+            listeners = await nursery.start(serve)
             client = store_client.StoreClient(
                 address.Address(HOST, listeners[0].socket.getsockname()[1]),
                 HOST,
@@ -174,3 +181,31 @@
 def test_pages_without_progress_are_a_store_error(rows):
     body = b'{"rows": [' + rows + b'], "has_more": true}'
     assert isinstance(read_from(body), store_error.StoreError)
+
+
+# Guards against a change that no VM ever sees, of a row on a page that was read before
+# the change, while the following pages were read after it.
+def test_a_change_between_two_pages_is_followed():
+    stand_in = store.Store()
+    for number in range(600):
+        stand_in.put("servers", f"u{number:03}", {"state": "ready"})
+
+    async def handle(request):
+        response = await stand_in.handle(request)
+        if request.path == "/rows-get" and request.parameter("from") is None:
+            stand_in.put("servers", "u000", {"state": "draining"})
+        return response
+
+    async def read_and_follow(client):
+        copy = table_copy.TableCopy()
+        copy.apply_read(await client.read_table("servers"), whole=True)
+        copy.apply_read(
+            await client.follow_table("servers", copy.version, 0.1), whole=False
+        )
+        return {row.key: json.loads(row.value)["state"] for row in copy.rows}
+
+    states = call_server(
+        read_and_follow, functools.partial(http_server.serve, HOST, 0, handle)
+    )
+    assert len(states) == 600
+    assert states["u000"] == "draining"
--- a/tests/tables/test_table_copy.py
+++ b/tests/tables/test_table_copy.py
@@ -42,6 +42,16 @@
     assert copy.changes(5) == (False, [])
 
 
+# Guards against followers that ask without a pause, until the store responds again,
+# after a read whose pages were read at different times.
+def test_a_row_newer_than_its_read_is_no_change_after_the_read():
+    copy = table_copy.TableCopy()
+    copy.apply_read(read(5, row("a", 3), row("b", 6)), whole=True)
+    assert copy.has_changes(4)
+    assert not copy.has_changes(5)
+    assert copy.changes(5) == (False, [row("b", 6)])
+
+
 def test_removed_rows_expire_and_late_followers_get_the_whole_table():
     copy = table_copy.TableCopy()
     copy.apply_read(read(0), whole=True)
