Contain the errors of a background task that is being cancelled

The platform would see a process end by itself at a stop: when a part of a background task raised while the others were cancelled, trio raised a group of the error and the cancellation, which "except Exception" doesn't catch; the event loop ended with the error and exit code 1. The errors are logged and counted, the cancellation goes on.

--- a/src/rattanlug/daemon/background_tasks.py
+++ b/src/rattanlug/daemon/background_tasks.py
@@ -39,6 +39,13 @@
         try:
             await run()
             return
+        except BaseExceptionGroup as exc:
+            # Parts of a task may fail while the others are cancelled.
+            errors, cancellations = exc.split(Exception)
+            if errors is not None:
+                record_failure(name, all_counters)
+            if cancellations is not None:
+                raise cancellations from None
         except Exception:
             record_failure(name, all_counters)
         if trio.current_time() - started_at > MAX_BACKOFF_SECONDS:
--- a/tests/gateway/test_background_tasks.py
+++ b/tests/gateway/test_background_tasks.py
@@ -2,8 +2,10 @@
 
 import pytest
 import trio
+import trio.testing
 
 from rattanlug.caller import listener
+from rattanlug.daemon import background_tasks
 from rattanlug.gateway import (
     digest_exchange,
     loop_lag,
@@ -11,6 +13,7 @@
     store_reader,
     table_server,
 )
+from rattanlug.metrics import counters
 from rattanlug.upstream import connection_pools
 from tests.gateway import caller
 from trial.shared_platform import fleet
@@ -67,3 +70,48 @@
         for vm in (first, second):
             _, answer = await caller.send(vm, "/open/1", key=None)
             assert answer.status == 200
+
+
+async def fail_when_cancelled():
+    try:
+        await trio.sleep_forever()
+    finally:
+        raise RuntimeError("failed while it was cancelled")
+
+
+async def run_two_parts():
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fail_when_cancelled)
+        nursery.start_soon(trio.sleep_forever)
+
+
+# Guards against a stop that ends with an error, and a platform that sees a process end
+# by itself, because a part of a background task failed while it was cancelled.
+@pytest.mark.parametrize("task", [fail_when_cancelled, run_two_parts])
+def test_an_error_during_the_cancellation_does_not_spread(task):
+    all_counters = counters.Counters()
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(background_tasks.keep_running, "t", task, all_counters)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert all_counters.value("task_failures", task="t") == 1
+
+
+# Guards against an error in each part of a background task that ends the daemon.
+def test_a_task_whose_parts_fail_starts_again():
+    all_counters = counters.Counters()
+    runs = []
+
+    async def run():
+        runs.append(trio.current_time())
+        if len(runs) < 3:
+            raise ExceptionGroup("parts", [RuntimeError("a"), ValueError("b")])
+
+    clock = trio.testing.MockClock(autojump_threshold=0.0)
+    trio.run(background_tasks.keep_running, "t", run, all_counters, clock=clock)
+    assert len(runs) == 3
+    assert all_counters.value("task_failures", task="t") == 2
