--- a/src/rattanlug/tables/table_copy.py
+++ b/src/rattanlug/tables/table_copy.py
@@ -72,8 +72,8 @@
                 self._complete_from = read.version
         for row in changed:
             self._rows[row.key] = row
-            # A row of a read of several pages may be newer than the read; a follower that
-            # has it must not be told again and again.
+            # A row of a read of several pages may be newer than the read; a follower
+            # that has it must not be told again and again.
             changed_version = min(row.version, read.version)
             self._changed_version = max(self._changed_version, changed_version)
         self._version = read.version
