--- a/src/rattanlug/caller/request.py
+++ b/src/rattanlug/caller/request.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 from urllib import parse
 
+from rattanlug.caller import body_stream
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -19,13 +21,12 @@
     method : str
     path : str
         Decoded path.
-    raw_path : bytes
-        Path as received, still percent-encoded.
-    query : bytes
-        Query string without the question mark.
+    target : bytes
+        Path with query, as received.
     headers : list of tuple of bytes
         Names in lower case.
     body : bytes
+        The whole body, or its begin if there is a `rest`.
     client : str
         IP address of the caller.
     arrived_at : float or None
@@ -33,17 +34,19 @@
         None if unknown.
     has_disconnected : callable
         Tells whether the caller closed its connection.
+    rest : body_stream.BodyStream or None
+        Rest of a body that is too large to be held.
     """
 
     method: str
     path: str
-    raw_path: bytes
-    query: bytes
+    target: bytes
     headers: Headers
     body: bytes
     client: str
     arrived_at: float | None = None
     has_disconnected: Callable[[], bool] = _has_not_disconnected
+    rest: body_stream.BodyStream | None = None
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header, or None."""
@@ -53,9 +56,24 @@
         return None
 
     @property
-    def target(self) -> bytes:
-        """Path with query, as received."""
-        return self.raw_path + (b"?" + self.query if self.query else b"")
+    def body_length(self) -> int | None:
+        """Bytes of the whole body; None if the caller doesn't state it."""
+        return len(self.body) if self.rest is None else self.rest.length
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the whole body can still be sent to another upstream."""
+        return self.rest is None or not self.rest.has_begun
+
+    @property
+    def raw_path(self) -> bytes:
+        """Path as received, still percent-encoded."""
+        return self.target.partition(b"?")[0]
+
+    @property
+    def query(self) -> bytes:
+        """Query string without the question mark."""
+        return self.target.partition(b"?")[2]
 
     @property
     def parameters(self) -> dict[str, str]:
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -14,8 +14,10 @@
 from rattanlug.caller import application
 from rattanlug.caller import server as caller_server
 from rattanlug.daemon import background_tasks, clock, process_age
+from rattanlug.desired import limits
 from rattanlug.errors import error
 from rattanlug.gateway import (
+    connection_limits,
     digest_exchange,
     endpoints,
     request_handler,
@@ -41,8 +43,6 @@
 # The oldest generation is rarely collected, since most objects live as long as the
 # daemon.
 _GC_THRESHOLDS = (20_000, 20, 50)
-# Largest request body that is kept in memory, whatever the limit in the desired state.
-MAX_BODY_BYTES = 16 << 20
 _LOG = logging.getLogger(__name__)
 
 
@@ -167,16 +167,24 @@
             node.counters,
             closing=lambda: node.leaving,
             ignores_disconnect=self._request_handler.ignores_disconnect,
-            max_body_bytes=self._max_body_bytes,
+            memory=node.memory,
+            streams_bodies=True,
+            max_body_bytes=lambda: self._caller_limits().body_bytes,
+            max_head_bytes=lambda: self._caller_limits().head_bytes,
         )
         self._digest_exchange = digest_exchange.DigestExchange(node)
         self._is_serving = False
         self._stop_caller_server = trio.Event()
+        self._connection_limits = connection_limits.connection_limits(
+            connection_limits.descriptor_limit(settings.max_descriptors)
+        )
         self._caller_server = caller_server.Server(
             self._app,
             node.counters,
+            max_connections=self._connection_limits.callers,
             local_reply=self._request_handler.reject_early,
             earliest_ready_at=lambda: node.utilisation.earliest_ready_at,
+            current_limits=self._caller_limits,
         )
 
     @property
@@ -215,13 +223,26 @@
             self._start_task(nursery, "loop_lag", node.lag.run)
             self._start_task(nursery, "upstream_sweeps", node.pools.run_sweeps)
             await nursery.start(self._digest_exchange.run)
-            for handler, local, local_reply in (
-                (handlers.serve_readiness, settings.readiness, None),
-                (handlers.serve_lookup, settings.lookups, handlers.local_lookup_reply),
+            connections = self._connection_limits
+            for handler, local, limit, local_reply in (
+                (
+                    handlers.serve_readiness,
+                    settings.readiness,
+                    connections.readiness,
+                    None,
+                ),
+                (
+                    handlers.serve_lookup,
+                    settings.lookups,
+                    connections.lookups,
+                    handlers.local_lookup_reply,
+                ),
             ):
-                app = application.Application(handler, node.counters)
+                app = application.Application(
+                    handler, node.counters, memory=node.memory
+                )
                 internal_server = caller_server.Server(
-                    app, node.counters, local_reply=local_reply
+                    app, node.counters, max_connections=limit, local_reply=local_reply
                 )
                 start = functools.partial(internal_server.run, local, trio.Event(), 0.0)
                 await nursery.start(start)
@@ -247,7 +268,9 @@
         """Serve the metrics, as soon as their port is free."""
         node = self._node
         local = address.Address(node.settings.host, METRICS_PORT)
-        app = application.Application(handlers.serve_metrics, node.counters)
+        app = application.Application(
+            handlers.serve_metrics, node.counters, memory=node.memory
+        )
         server = caller_server.Server(app, node.counters)
         listening = await server.open(local, math.inf)
         await server.run(listening, trio.Event(), 0.0)
@@ -281,7 +304,7 @@
             # The signal may have been sent later; nothing is gained by cutting requests
             # before the platform does.
             while clock.now() - started_at < grace and not (
-                has_left.is_set() and not self._caller_server.connections
+                has_left.is_set() and self._caller_server.has_stopped
             ):
                 await trio.sleep(0.02)
             nursery.cancel_scope.cancel()
@@ -306,7 +329,17 @@
             background_tasks.record_failure("leave_look_ups", self._node.counters)
         has_left.set()
 
-    def _max_body_bytes(self) -> int:
+    def _caller_limits(self) -> limits.Limits:
+        """Return the limits on callers.
+
+        Callers may follow a longer limit before it is in force here, so the time limits
+        include the time in which a desired state is put in force.
+        """
         state = self._node.desired.state
-        limit = state.limits.body_bytes if state else MAX_BODY_BYTES
-        return min(limit, MAX_BODY_BYTES)
+        if state is None:
+            return limits.Limits()
+        margin_seconds = self._node.settings.bounds.apply
+        return state.limits._replace(
+            head_seconds=state.limits.head_seconds + margin_seconds,
+            idle_seconds=state.limits.idle_seconds + margin_seconds,
+        )
