Send requests and responses of the full site in parts

Requests that arrive in one piece are all served by the daemon's fast path; bodies on real links arrive in several segments, which go through the library.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -99,11 +99,17 @@
         if not received.head or b"connection: close" in received.head.lower():
             await self._close()
 
-    async def _exchange(self, data: bytes, timeout: float) -> "_Received":
+    async def _exchange(
+        self, data: bytes, timeout: float, first_part: int = 0, pause: float = 0.0
+    ) -> "_Received":
+        """Send a request, after a pause following its first part; read the answer."""
         head, body, timed_out, reset = b"", b"", False, False
         try:
             with trio.fail_after(timeout):
-                await self._stream.send_all(data)
+                if first_part:
+                    await self._stream.send_all(data[:first_part])
+                    await trio.sleep(pause)
+                await self._stream.send_all(data[first_part:])
                 head, body = await self._read()
         except trio.TooSlowError:
             timed_out = True
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -73,7 +73,8 @@
             continue
         upstream_name = each.body.split(b" ")[0].decode()
         stamp = f"stamp-{upstream_name}-{each.request_id}"
-        if each.body != f"{upstream_name} {each.request_id}".encode():
+        body = f"{upstream_name} {each.request_id}".encode()
+        if each.body != body.ljust(observations.site.response_bytes):
             yield f"{each.request_id} got the body {each.body!r}"
         elif each.stamp != stamp:
             yield f"{each.request_id} got the stamp {each.stamp!r}"
--- a/soak/site_callers.py
+++ b/soak/site_callers.py
@@ -26,6 +26,7 @@
 # Statuses that are not sent again.
 _FINAL = frozenset({400, 401, 404, 413, 431})
 _PROMISES = frozenset({408, 421, 429, 503})
+_PAUSE_SECONDS = 0.05
 # Waves of the rate, one third of a period apart in neighbouring data centres.
 _WAVE_SECONDS = 36.0
 _WAVE_PHASE = 0.3
@@ -153,7 +154,7 @@
             return None
         data = self._encode_route(request_id, route, path, key, left)
         try:
-            received = await self._exchange(data, left)
+            received = await self._exchange(data, left, *self._parts(route, data))
         except trio.Cancelled:
             # A pressing caller leaves without waiting for its response.
             vm = next(x.name for x in self._deployed.vms if x.host == self._host)
@@ -171,6 +172,13 @@
         self._idle_until = trio.current_time() + _IDLE_SHARE * _idle_seconds(head)
         return received
 
+    def _parts(self, route: sites.Route, data: bytes) -> tuple[int, float]:
+        """Return the length of the first part and the pause after it."""
+        parted = self._deployed.site.parted
+        if not route.body_bytes or not parted or self._rng.random() >= parted:
+            return 0, 0.0
+        return self._rng.randrange(1, len(data)), self._rng.uniform(0.0, _PAUSE_SECONDS)
+
     async def _connect(self) -> None:
         usable = self._host in self._hosts and trio.current_time() < self._idle_until
         if self._stream is not None and usable and not _is_closed(self._stream):
--- a/soak/site_upstream.py
+++ b/soak/site_upstream.py
@@ -1,7 +1,9 @@
 """An upstream with slots, a bounded queue and a slow, limited start."""
 
 import collections
+import contextlib
 import random
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import trio
@@ -18,6 +20,8 @@
 _IDLE_SECONDS = 10.0
 # Time after a response at which it is written a second time on an idle connection.
 _REPEAT_SECONDS = 0.05
+# Longest pause between two parts of a response.
+_PAUSE_SECONDS = 0.05
 
 
 class Arrival(NamedTuple):
@@ -80,6 +84,9 @@
         self.fault = ""
         self.share = 1.0
         self.slowness = 1.0
+        # Share of the responses that are sent in two parts; length of their bodies.
+        self.parted = 0.0
+        self.response_bytes = 0
         self._work = {f"/{each.name}/": each.work_seconds for each in routes}
         self._rng = rng
         self._slots = trio.CapacityLimiter(service.slots)
@@ -147,14 +154,11 @@
     async def _respond(self, connection: "_Connection", request: "_Request") -> bool:
         """Answer one request; return whether the connection stays open."""
         data = None
-        try:
+        with self._noting_crash(request):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.watch, nursery.cancel_scope)
                 data = await self._answer(request)
                 nursery.cancel_scope.cancel()
-        finally:
-            if self._scope.cancel_called:
-                self.broken_off.add(request.request_id)
         if data is None:
             return False
         fault = self.fault if self._rng.random() < self.share else ""
@@ -169,12 +173,26 @@
             end = {"short": len(data) - 3, "close": 0, "cut": data.find(_HEAD_END) - 5}
             await connection.send(data[: end[fault]])
             return False
+        if self.parted and not fault and self._rng.random() < self.parted:
+            length = self._rng.randrange(1, len(data))
+            await connection.send(data[:length])
+            with self._noting_crash(request):
+                await trio.sleep(self._rng.uniform(0.0, _PAUSE_SECONDS))
+            data = data[length:]
         await connection.send(data * (2 if fault in ("duplicate", "stray") else 1))
         if fault == "late":
             await trio.sleep(_REPEAT_SECONDS)
             await connection.send(data)
         return fault != "duplicate"
 
+    @contextlib.contextmanager
+    def _noting_crash(self, request: "_Request") -> Iterator[None]:
+        try:
+            yield
+        finally:
+            if self._scope.cancel_called:
+                self.broken_off.add(request.request_id)
+
     async def _answer(self, request: "_Request") -> bytes:
         headers, request_id = request.headers, request.request_id
         if headers.get("rattanlug-expect-instance", self.name) != self.name:
@@ -230,7 +248,7 @@
         self, status: str, request_id: str, stamped: bool = False, refused: bool = False
     ) -> bytes:
         statistics = self._slots.statistics()
-        body = f"{self.name} {request_id}".encode()
+        body = f"{self.name} {request_id}".encode().ljust(self.response_bytes)
         lines = [
             f"HTTP/1.1 {status}",
             f"Rattanlug-Request-Id: {request_id}",
--- a/soak/sites.py
+++ b/soak/sites.py
@@ -82,6 +82,11 @@
         process plays them.
     swing : float
         Share by which the rate of callers rises and falls, in waves.
+    parted : float
+        Share of the requests with a body, and of the responses, that are sent in two
+        parts with a pause.
+    response_bytes : int
+        Length of all responses, if it is larger than that of what they must say.
     spares : int
         VMs that may be added, at most one in each data centre.
     """
@@ -97,6 +102,8 @@
     workers: int = 0
     swing: float = 0.0
     spares: int = 0
+    parted: float = 0.0
+    response_bytes: int = 0
 
     def desired_state(
         self,
@@ -241,6 +248,8 @@
         workers=2,
         swing=0.55,
         spares=6,
+        parted=0.4,
+        response_bytes=1500,
     ),
     "txiki-swap-grown": Site(
         _SIX,
--- a/soak/upstream_worker.py
+++ b/soak/upstream_worker.py
@@ -36,6 +36,8 @@
         rng = random.Random(seed)
         gate = self._gates[number] = proxy.Gate()
         stand_in = site_upstream.SiteUpstream(name, found, self._site.routes, rng, gate)
+        stand_in.parted = self._site.parted
+        stand_in.response_bytes = self._site.response_bytes
         self._stand_ins[number] = stand_in
         return await self._nursery.start(stand_in.run, self._host, port)
 
