--- a/soak/run.py
+++ b/soak/run.py
@@ -189,7 +189,9 @@
     counts = collections.Counter(each.kind for each in observations.events)
     counts.update(f"status {each.status}" for each in observations.exchanges)
     counts.update(site_guarantees.unjudged_closes(observations, executions))
-    counts["stalls"] = len(observations.stalls)
+    counts["stalls"] = sum(
+        end - begin > stalls.STALL_SECONDS for begin, end in observations.stalls
+    )
     counts["peak MB"] = round(max(observations.memory_mb.values(), default=0))
     if options.site:
         _count_upstreams(deployed, counts)
--- a/soak/stalls.py
+++ b/soak/stalls.py
@@ -6,7 +6,9 @@
 
 _TICK_SECONDS = 0.02
 # A later wake-up is recorded: what the run measured then is late as well.
-_STALL_SECONDS = 0.15
+_LATE_SECONDS = 0.05
+# A wake-up that is so late is counted in the result.
+STALL_SECONDS = 0.15
 
 
 async def watch(observations: history.History) -> None:
@@ -15,7 +17,7 @@
     while True:
         await trio.sleep(_TICK_SECONDS)
         now = trio.current_time()
-        if now - before > _STALL_SECONDS:
+        if now - before > _LATE_SECONDS:
             observations.stalls.append((before, now))
         before = now
 
