Give the callers of each burst ids of their own

The ids of a burst began at the number of disconnects that were recorded; callers whose connection broke aren't recorded, so that the next burst used ids of the one before it again. Ids now come from a counter of their own.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -121,6 +121,8 @@
         self._started_upstreams = 0
         # Number of callers so far; their indices are part of the ids of requests.
         self.callers = 0
+        # The same for the callers of bursts.
+        self.burst_callers = 0
         # Starts callers in other processes: their rate and time.
         self.start_callers: Callable[[float, float], None] | None = None
         self.observations = observations
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -305,7 +305,9 @@
     vm = rng.choice(deployed.burst_targets)
     organisation = rng.choice(list(deployed.organisations.values()))
     key = organisation["api_keys"][0]
-    first = len(deployed.observations.disconnects)
+    # Also the ids of those that could not connect are never used again.
+    first = deployed.burst_callers
+    deployed.burst_callers += _BURST_CALLERS
     async with trio.open_nursery() as nursery:
         for number in range(first, first + _BURST_CALLERS):
             path = rng.choice(["/view/x", "/claim/x"])
