--- a/soak/caller_worker.py
+++ b/soak/caller_worker.py
@@ -6,7 +6,7 @@
 import trio
 
 from soak import deployment as deployment_module
-from soak import history, site_callers, sites, stalls, worker
+from soak import faults, history, site_callers, sites, stalls, worker
 
 # Changes of VMs and keys reach the callers after this time.
 _UPDATE_SECONDS = 0.1
@@ -59,6 +59,14 @@
                     caller = site_callers.SiteCaller(index, self, rng, rate)
                     nursery.start_soon(caller.run)
 
+    def burst(self, vm: str, key: str, first: int, seed: float) -> None:
+        """Start a burst at a VM, see `faults.play_burst`."""
+        found = next(each for each in self.vms if each.name == vm)
+        rng = random.Random(seed)
+        self._nursery.start_soon(
+            faults.play_burst, self.observations, found, key, first, rng
+        )
+
     def collect(self) -> tuple[list, dict, list]:
         """Return exchanges, disconnects and stalls."""
         seen = self.observations
@@ -109,6 +117,12 @@
             indices = range(first + number, last, len(self._workers))
             each.send("start", indices, f"{self._seed} callers", rate, seconds)
 
+    def start_burst(self, vm: str, key: str, first: int, seed: float) -> None:
+        """Start a burst at a VM, in one of the processes."""
+        self._update()
+        chosen = self._workers[int(seed * len(self._workers))]
+        chosen.send("burst", vm, key, first, seed)
+
     async def collect(self) -> None:
         """Add what the callers observed to the observations of the run."""
         seen = self._deployed.observations
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -125,6 +125,8 @@
         self.burst_callers = 0
         # Starts callers in other processes: their rate and time.
         self.start_callers: Callable[[float, float], None] | None = None
+        # Starts a burst there: VM, key, first number and seed.
+        self.start_burst: Callable[[str, str, int, float], None] | None = None
         self.observations = observations
         self._stopped: set[str] = set()
         self.site = observations.site
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -308,12 +308,26 @@
     # Also the ids of those that could not connect are never used again.
     first = deployed.burst_callers
     deployed.burst_callers += _BURST_CALLERS
+    if deployed.start_burst:
+        deployed.start_burst(vm.name, key, first, rng.random())
+    else:
+        await play_burst(deployed.observations, vm, key, first, rng)
+
+
+async def play_burst(
+    observations: history.History,
+    vm: deployment_module.Vm,
+    key: str,
+    first: int,
+    rng: random.Random,
+) -> None:
+    """Send the requests of a burst, whose ids begin with a number."""
     async with trio.open_nursery() as nursery:
         for number in range(first, first + _BURST_CALLERS):
             path = rng.choice(["/view/x", "/claim/x"])
             nursery.start_soon(
                 _request_and_disconnect,
-                deployed,
+                observations,
                 vm,
                 f"left-{number}",
                 path,
@@ -323,7 +337,7 @@
 
 
 async def _request_and_disconnect(
-    deployed: deployment_module.Deployment,
+    observations: history.History,
     vm: deployment_module.Vm,
     request_id: str,
     path: str,
@@ -345,4 +359,4 @@
         async with stream:
             await stream.send_all(data)
             await trio.sleep(seconds * _MAX_CONNECTION_SECONDS)
-        deployed.observations.disconnects[request_id] = (trio.current_time(), vm.name)
+        observations.disconnects[request_id] = (trio.current_time(), vm.name)
--- a/soak/run.py
+++ b/soak/run.py
@@ -127,6 +127,7 @@
             if site.workers:
                 caller_workers = caller_worker.CallerWorkers(deployed, options.seed)
                 deployed.start_callers = caller_workers.start
+                deployed.start_burst = caller_workers.start_burst
                 nursery.start_soon(caller_workers.run)
                 caller_workers.start(site.requests_per_second)
             else:
