--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -87,6 +87,8 @@
         self.data_centre = data_centre
         self.sequence = 1
         self.born = 1
+        # Whether it has been told to drain; no fault starts it again then.
+        self.is_leaving = False
 
 
 class Deployment:
@@ -278,6 +280,7 @@
     def register(self, name: str, data_centre: str, **row: object) -> None:
         """Write the registration of an upstream."""
         registered = self.upstreams[name]
+        registered.is_leaving |= row.get("state") == "draining"
         values = {
             "service": registered.service,
             "data_centre": data_centre,
--- a/soak/full_faults.py
+++ b/soak/full_faults.py
@@ -152,7 +152,12 @@
 
     The upstreams are replaced so that each service keeps at least as many.
     """
-    names = _share(sorted(deployed.upstreams), _REUSED_SHARE, rng)
+    staying = sorted(
+        name
+        for name, each in deployed.upstreams.items()
+        if not each.is_leaving and not each.stand_in.has_crashed
+    )
+    names = _share(staying, _REUSED_SHARE, rng)
     bounds = deployed.site.bounds
     observations = deployed.observations
     former = {}
--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -263,7 +263,7 @@
         deployed.upstreams[name].stand_in.turn_cold(reported=False)
     await trio.sleep(rng.uniform(0.0, 0.8))
     for name in names:
-        if name in deployed.upstreams:
+        if name in deployed.upstreams and not deployed.upstreams[name].is_leaving:
             registered = deployed.upstreams[name]
             registered.sequence += 1
             deployed.register(name, registered.data_centre)
@@ -300,7 +300,7 @@
     crashed.tcp_proxy.set_mode(proxy.Mode.RESET)
     crashed.stand_in.crash()
     await trio.sleep(rng.uniform(0.2, 4.0))
-    if deployed.upstreams.get(name) is not crashed:
+    if deployed.upstreams.get(name) is not crashed or crashed.is_leaving:
         return
     if rng.random() < 0.5:
         await deployed.restart_upstream(name)
