Give a slow store longer to send whole tables

VMs that started while the store took over 0.8 s for a response didn't get ready: each read of a table was given up after 0.8 s and repeated, so that no answer was ever taken.

The timeout of reads of whole tables doubles when it is reached, up to 2.4 s. Feed calls and writes keep theirs, so that a VM that runs notices a lost store as soon as before.

--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -20,6 +20,9 @@
 CONNECT_TIMEOUT_SECONDS = 0.35
 # The store responds within a few milliseconds unless it is overloaded.
 CALL_TIMEOUT_SECONDS = 0.8
+# The timeout of reads of whole tables grows to this while the store is slow: a VM that
+# starts has no other source.
+MAX_READ_TIMEOUT_SECONDS = 2.4
 # Time for a feed call, a long poll for the changes of a table, beyond its wait.
 FEED_MARGIN_SECONDS = 0.5
 # Below the idle timeout of common HTTP servers.
@@ -79,6 +82,7 @@
             keepalive_expiry=IDLE_TIMEOUT_SECONDS,
             retries=0,
         )
+        self._read_timeout = CALL_TIMEOUT_SECONDS
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -97,7 +101,7 @@
             query = {"table": table, "part": "", "limit": str(_ROWS_PER_CALL)}
             if rows:
                 query["from"] = rows[-1].key + "\0"
-            found = await self._get("rows-get", query, CALL_TIMEOUT_SECONDS, {})
+            found = await self._read_page(query)
             page = _decode_rows(found)
             if page and rows and page[0].key <= rows[-1].key:
                 raise store_error.StoreError("the store repeated rows of a page")
@@ -108,6 +112,21 @@
                 raise store_error.StoreError("a page of the store has no usable rows")
         return _store_read(found, rows, sent_at)
 
+    async def _read_page(self, query: dict[str, str]) -> dict:
+        timeout = self._read_timeout
+        started_at = self._clock()
+        try:
+            found = await self._get("rows-get", query, timeout, {})
+        except store_error.StoreError:
+            if self._clock() - started_at >= timeout:
+                self._read_timeout = min(2.0 * timeout, MAX_READ_TIMEOUT_SECONDS)
+            raise
+        taken = self._clock() - started_at
+        self._read_timeout = min(
+            max(2.0 * taken, CALL_TIMEOUT_SECONDS), MAX_READ_TIMEOUT_SECONDS
+        )
+        return found
+
     async def follow_table(
         self, table: str, after: int, wait: float
     ) -> store_read.StoreRead:
