--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -87,6 +87,8 @@
         self.data_centre = data_centre
         self.sequence = 1
         self.born = 1
+        # Whether it has been told to drain; no fault starts it again then.
+        self.is_leaving = False
 
 
 class Deployment:
@@ -121,8 +123,12 @@
         self._started_upstreams = 0
         # Number of callers so far; their indices are part of the ids of requests.
         self.callers = 0
+        # The same for the callers of bursts.
+        self.burst_callers = 0
         # Starts callers in other processes: their rate and time.
         self.start_callers: Callable[[float, float], None] | None = None
+        # Starts a burst there: VM, key, first number and seed.
+        self.start_burst: Callable[[str, str, int, float], None] | None = None
         self.observations = observations
         self._stopped: set[str] = set()
         self.site = observations.site
@@ -274,6 +280,7 @@
     def register(self, name: str, data_centre: str, **row: object) -> None:
         """Write the registration of an upstream."""
         registered = self.upstreams[name]
+        registered.is_leaving |= row.get("state") == "draining"
         values = {
             "service": registered.service,
             "data_centre": data_centre,
