--- a/soak/site_callers.py
+++ b/soak/site_callers.py
@@ -85,7 +85,10 @@
         for vm in vms[:3]:
             answer = await self._ask(vm.host, data)
             if answer is not None:
-                self._hosts = [each.partition(":")[0] for each in answer["addresses"]]
+                hosts = [each.partition(":")[0] for each in answer["addresses"]]
+                # This process may hear later of a VM that was just added.
+                known = {each.host for each in self._deployed.vms}
+                self._hosts = [each for each in hosts if each in known]
                 self._failed.clear()
                 self._look_up_at = now + min(answer["ttl_s"], 5.0) * self._patience
                 return
