Start daemons in the soak as the platform does

The soak started them with site and as a module, which leaves them unprepared for signals several times as long as the command of deploy/system.toml does.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import signal
+import sysconfig
 import time
 from collections.abc import Callable
 
@@ -16,6 +17,10 @@
 from trial.shared_platform import boot_file, fleet, store, upstream
 
 FIRST_PORT = 9100
+_ROOT = pathlib.Path(__file__).parent.parent
+_DAEMON = _ROOT / "src" / "rattanlug" / "gateway" / "__main__.py"
+# The libraries are found by their path, since ``site`` isn't loaded.
+_PYTHON_PATH = (_ROOT / "src", _ROOT, sysconfig.get_path("purelib"))
 # Time until every VM rejects a withdrawn key.
 REVOKE_SECONDS = 5.0
 # Time before an event in which a disturbance of a VM still excuses it.
@@ -328,13 +333,17 @@
     def start_process(self, vm: Vm) -> None:
         """Start a process of a VM, whose settings file may come later."""
         vm.incarnation += 1
-        arguments = ["-m", "rattanlug.gateway"]
+        # As the platform does it: without ``site``, and as a script.
+        arguments = ["-S", "-P", str(_DAEMON)]
         if self.site.workers:
-            arguments = ["-m", "soak.stepped_clock", str(self._clock_path(vm))]
+            arguments = ["-S", "-m", "soak.stepped_clock", str(self._clock_path(vm))]
         self._processes.start(
             vm.process,
             arguments,
-            environment={"RATTANLUG_BOOT": str(self.settings_path(vm))},
+            environment={
+                "RATTANLUG_BOOT": str(self.settings_path(vm)),
+                "PYTHONPATH": os.pathsep.join(map(str, _PYTHON_PATH)),
+            },
         )
         vm.is_up = True
 
