End the connection of an upload that its caller cancels

Since large bodies are passed on in parts, a caller that leaves during an upload on a repeatable route can keep its connection in the server for ever: it counts against the limit of connections, and a stop waits for it until the end of the grace period.

Cause: hypercorn's queue for the application holds one piece. If a piece is in it when the reader of the connection finds the end, the reader waits for room for the message http.disconnect.

The application now receives what was sent before the end, and then ends.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -201,6 +201,8 @@
                 )
         if response is None:
             self._counters.add("requests_abandoned")
+            if incoming is not None and incoming.rest is not None:
+                await _discard_rest(incoming.rest, receive)
             return
         reservation.hold(len(response.body))
         if incoming is not None and (
@@ -273,6 +275,17 @@
     return False
 
 
+async def _discard_rest(rest: body_stream.BodyStream, receive: Callable) -> None:
+    """Discard what the caller sent before it left.
+
+    Otherwise, hypercorn would wait for ever for room in the application's queue.
+    """
+    has_ended = rest.has_ended
+    while not has_ended:
+        message = await receive()
+        has_ended = not message.get("more_body", False)
+
+
 async def _read_request(
     scope: dict,
     receive: Callable,
--- a/src/rattanlug/caller/body_stream.py
+++ b/src/rattanlug/caller/body_stream.py
@@ -36,6 +36,7 @@
         self._max_bytes = max_bytes
         self._has_begun = False
         self._is_complete = False
+        self._has_left = False
 
     @property
     def length(self) -> int | None:
@@ -52,6 +53,11 @@
         """Whether the whole body was received."""
         return self._is_complete
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the whole body, or the end of its connection, was received."""
+        return self._is_complete or self._has_left
+
     async def content(
         self, begin: bytes, deadline: Callable[[], float]
     ) -> AsyncIterator[bytes]:
@@ -85,6 +91,7 @@
                 kind.ErrorKind.DEADLINE_EXCEEDED, "the body did not arrive in time"
             )
         if message["type"] == "http.disconnect":
+            self._has_left = True
             raise _abandoned(
                 kind.ErrorKind.CALLER_LEFT, "the caller left before the end of the body"
             )
