Don't take a connection for idle while its response is sent

Since the idle time of the desired state is in force, a caller that takes longer than it to read a response that the fast path sends loses the rest. Before, the idle time was always 30 s, more than the 20 s that a response may take to send.

Cause: a connection counts as in use until the application returns. The fast path sends the response after that, and the time of the last use is the begin of the send. The library sends within the application's call.

The time limit for sending a response is unchanged.

--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -184,15 +184,15 @@
     def idle_seconds(self, now: float) -> float:
         """Return the seconds since bytes were last received or sent.
 
-        It is 0 while a request is being served, which may take longer than a caller may
-        be idle.
+        It is 0 while a request is being served or a response is being sent, which may
+        take longer than a caller may be idle.
 
         Parameters
         ----------
         now : float
             Seconds on the clock of trio.
         """
-        return 0.0 if self._served else now - self._last_used
+        return 0.0 if self._served or self._sending else now - self._last_used
 
     def incomplete_head_seconds(self, now: float) -> float:
         """Return the seconds since a request began whose head is still incomplete.
@@ -401,6 +401,7 @@
             raise
         finally:
             self._sending = False
+            self._last_used = trio.current_time()
         self._counters.add("answers_not_read")
         self._record_failed_send()
         self.abort("send_timeout")
