Don't wait for slow readers when a server is cancelled

A stop ends 0.25 s before the end of the grace period by cancelling the servers. A connection that the HTTP library serves, whose caller doesn't read its response, then kept the process running for up to 20 s more, the time limit for sending; the platform would have killed it.

Cause: hypercorn shields its sends from cancellations. The server aborts its connections after its own time limit, which is the whole grace period and so is never reached; a cancellation before that skipped the abort.

The server now aborts its connections however it ends.

--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -146,31 +146,41 @@
         )
         async with trio.open_nursery() as serving:
             try:
-                async with trio.open_nursery() as accepting:
-                    for name, task in {
-                        "listener": functools.partial(self._accept, listening, serving),
-                        "idle_sweeps": self._close_idle,
-                    }.items():
-                        accepting.start_soon(
-                            background_tasks.keep_running, name, task, self._counters
-                        )
-                    task_status.started([listening])
-                    await stop.wait()
-                    accepting.cancel_scope.cancel()
-                # Requests may have arrived on connections in the accept queue, and
-                # closing the listener would reset them.
-                for accepted in listening.accept_queued():
-                    serving.start_soon(self._serve_connection, accepted)
+                try:
+                    async with trio.open_nursery() as accepting:
+                        for name, task in {
+                            "listener": functools.partial(
+                                self._accept, listening, serving
+                            ),
+                            "idle_sweeps": self._close_idle,
+                        }.items():
+                            accepting.start_soon(
+                                background_tasks.keep_running,
+                                name,
+                                task,
+                                self._counters,
+                            )
+                        task_status.started([listening])
+                        await stop.wait()
+                        accepting.cancel_scope.cancel()
+                    # Requests may have arrived on connections in the accept queue, and
+                    # closing the listener would reset them.
+                    for accepted in listening.accept_queued():
+                        serving.start_soon(self._serve_connection, accepted)
+                finally:
+                    listening.close()
+                await self._finish(serving, graceful_timeout_seconds)
             finally:
-                listening.close()
-            await self._finish(serving, graceful_timeout_seconds)
+                # The library shields its sends from a cancellation.
+                for stream in list(self._streams):
+                    stream.abort("shutdown")
             serving.cancel_scope.cancel()
         self._has_stopped = True
 
     async def _finish(
         self, serving: trio.Nursery, graceful_timeout_seconds: float
     ) -> None:
-        """Wait until the connections end; abort the rest at the time limit.
+        """Wait until the connections end, or for the time limit.
 
         Idle connections close at once, the others after their response. A request that
         waits in the socket is still read and answered.
@@ -182,8 +192,6 @@
             while serving.child_tasks:
                 await trio.sleep(STOP_SWEEP_SECONDS)
                 self._abort_idle(FIRST_REQUEST_SECONDS)
-        for stream in list(self._streams):
-            stream.abort("shutdown")
 
     def _abort_idle(self, min_seconds: float) -> None:
         now = trio.current_time()
