Keep memory for responses that requests can't take

Since incomplete requests count against the memory, they can take what the response to an executed request needs: the caller then gets a 502 for work that was done. A few callers without a key suffice: each announces a body of 256 KiB, which is reserved at once, and sends nothing; one connection for each MiB of the VM's memory.

Cause: small bodies of requests and responses have the same limit, although refusing a request costs nothing and refusing a response costs its work.

Small bodies of requests are now refused beyond 3/16 of the memory, those of responses beyond 1/4 as before.

tests/gateway/test_large_bodies.py, the last test, failed before with "(502, 1) == (200, 1)", status and executions, and passes now.

What remains: such callers still have requests with bodies refused (503, not executed) for 10 s each, and a response above 256 KiB still fails beyond 1/8.

--- a/src/rattanlug/caller/memory_reservation.py
+++ b/src/rattanlug/caller/memory_reservation.py
@@ -41,7 +41,7 @@
             self._size += size
 
     def add(self, size: int, body_bytes: int) -> None:
-        """Reserve memory before it is used.
+        """Reserve memory for a request before it is used.
 
         Parameters
         ----------
@@ -57,7 +57,7 @@
         """
         if self._budget is None:
             return
-        if not self._budget.reserve(size, body_bytes):
+        if not self._budget.reserve(size, body_bytes, of_request=True):
             self._budget.release(size)
             raise error.RefusedError(
                 kind.ErrorKind.NO_CAPACITY,
--- a/src/rattanlug/upstream/memory_budget.py
+++ b/src/rattanlug/upstream/memory_budget.py
@@ -6,8 +6,11 @@
 # A body up to this size is received even if the budget is used up, so that a few large
 # bodies don't make the usual small ones fail.
 SMALL_BODY_BYTES = 256 * 1024
-# Share of the VM's memory beyond which small bodies fail too: upstreams that send
-# without end make many bodies that are still small at the same time.
+# Share of the VM's memory beyond which small bodies of requests fail too. It is below
+# that of responses, whose requests have been executed already.
+MAX_REQUEST_SHARE = 0.1875
+# Share of the VM's memory beyond which small bodies of responses fail: upstreams that
+# send without end make many bodies that are still small at the same time.
 MAX_MEMORY_SHARE = 0.25
 
 
@@ -22,6 +25,7 @@
 
     def __init__(self, memory_bytes: int) -> None:
         self._limit = int(MEMORY_SHARE * memory_bytes)
+        self._request_limit = int(MAX_REQUEST_SHARE * memory_bytes)
         self._max_limit = int(MAX_MEMORY_SHARE * memory_bytes)
         self._reserved = 0
 
@@ -30,7 +34,7 @@
         """Number of bytes of unfinished bodies."""
         return self._reserved
 
-    def reserve(self, size: int, body_bytes: int) -> bool:
+    def reserve(self, size: int, body_bytes: int, of_request: bool = False) -> bool:
         """Count received bytes of a body; return whether they may be kept.
 
         The bytes count until ``release`` even if they may not be kept.
@@ -41,10 +45,14 @@
             Number of bytes just received.
         body_bytes : int
             Number of bytes of the body so far, including these.
+        of_request : bool
+            Whether it is the body of a request, not of a response.
         """
         self._reserved += size
-        is_small = body_bytes <= SMALL_BODY_BYTES
-        return self._reserved <= (self._max_limit if is_small else self._limit)
+        if body_bytes > SMALL_BODY_BYTES:
+            return self._reserved <= self._limit
+        limit = self._request_limit if of_request else self._max_limit
+        return self._reserved <= limit
 
     def release(self, size: int) -> None:
         """Release the bytes of a body that is finished or abandoned."""
--- a/tests/gateway/test_large_bodies.py
+++ b/tests/gateway/test_large_bodies.py
@@ -257,3 +257,26 @@
         # The rejections count too, and are sent in any case.
         assert 0 < most <= limit + 60 * 1024
         await released(vm)
+
+
+# Guards against the work of executed requests that is lost because callers announced
+# bodies without sending them.
+@caller.in_trio
+async def test_announced_bodies_take_no_memory_from_responses(monkeypatch):
+    monkeypatch.setattr(node.Node, "processing_delay", lambda self, at, now: 0.0)
+    async with fleet.open_fleet() as deployment:
+        vm = await start(deployment, memory_mb=8)
+        local = vm.node.settings.callers
+        async with contextlib.AsyncExitStack() as stack:
+            for number in range(8):
+                stream = await trio.open_tcp_stream(local.host, local.port)
+                await stack.enter_async_context(stream)
+                await stream.send_all(
+                    b"POST /claim/%d HTTP/1.1\r\nHost: x\r\n"
+                    b"Content-Length: 262144\r\n\r\n" % number
+                )
+            await trio.sleep(0.1)
+            executions = len(deployment.upstreams["u1"].executions)
+            _, answer = await caller.send(vm, "/claim/1", "POST")
+            executed = len(deployment.upstreams["u1"].executions) - executions
+            assert (answer.status, executed) == (200, 1)
