Reject desired states with negative limits

Negative sizes refuse every request with 413.

They are malformed now, like negative rates and timeouts, and the previous desired state stays in force. The four new cases of test_malformed_desired_states_are_rejected failed before ("DID NOT RAISE").

--- a/src/rattanlug/platform/desired_state.py
+++ b/src/rattanlug/platform/desired_state.py
@@ -131,8 +131,8 @@
     )
 
 
-def _non_negative(found: dict[str, Any], name: str) -> float:
-    return decoding.require_at_least(decoding.number(found, name, 0.0), 0.0, name)
+def _non_negative(found: dict[str, Any], name: str, default: float = 0.0) -> float:
+    return decoding.require_at_least(decoding.number(found, name, default), 0.0, name)
 
 
 def _decode_limits(desired: dict[str, Any]) -> limits.Limits:
@@ -141,8 +141,8 @@
         return defaults
     found = decoding.field(desired, "limits", dict)
     return limits.Limits(
-        body_bytes=int(decoding.number(found, "max_body_bytes", defaults.body_bytes)),
-        head_bytes=int(decoding.number(found, "max_header_bytes", defaults.head_bytes)),
-        head_seconds=decoding.number(found, "header_timeout_s", defaults.head_seconds),
-        idle_seconds=decoding.number(found, "idle_timeout_s", defaults.idle_seconds),
+        body_bytes=int(_non_negative(found, "max_body_bytes", defaults.body_bytes)),
+        head_bytes=int(_non_negative(found, "max_header_bytes", defaults.head_bytes)),
+        head_seconds=_non_negative(found, "header_timeout_s", defaults.head_seconds),
+        idle_seconds=_non_negative(found, "idle_timeout_s", defaults.idle_seconds),
     )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -290,6 +290,10 @@
         ((*_TENANT, "priority"), "high"),
         ((*_TENANT, "priority"), float("inf")),
         (("limits",), [1]),
+        (("limits", "max_body_bytes"), -1),
+        (("limits", "max_header_bytes"), -1),
+        (("limits", "header_timeout_s"), -1),
+        (("limits", "idle_timeout_s"), -1),
     ],
 )
 def test_malformed_desired_states_are_rejected(path, value):
