Don't let a rollout order that fails hold up the others

An unexpected error while one order is carried out ended the round, and the task starts again with the same order: no later order is started, completed or rolled back, and so a bad version of another service stays in force. No such error has been seen; the test injects it.

Each order's errors are now counted and logged by themselves, and the next round tries again.

tests/gateway/test_rollouts.py, the last test, failed before with TooSlowError (5 s) and passes now.

--- a/src/rattanlug/gateway/rollouts.py
+++ b/src/rattanlug/gateway/rollouts.py
@@ -14,7 +14,7 @@
     rollout_state,
     schedule,
 )
-from rattanlug.daemon import clock
+from rattanlug.daemon import background_tasks, clock
 from rattanlug.errors import error
 from rattanlug.gateway import node as node_module
 from rattanlug.gateway import store_reader
@@ -45,6 +45,9 @@
                 # Another VM wrote first, or the store is unavailable; the next round
                 # tries again.
                 node.log.write("move not written", now, reason=str(exc))
+            except Exception:
+                # Must not hold up the other orders; the next round tries again.
+                background_tasks.record_failure("rollout", node.counters)
         await trio.sleep(ROUND_INTERVAL_SECONDS)
 
 
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from rattanlug.gateway import rollouts
 from tests.gateway import caller
 from trial.shared_platform import fleet
 
@@ -78,3 +79,24 @@
             if name.startswith("new")
         )
         assert after == before
+
+
+# Guards against an order that raises an error in each round and holds up the others: a
+# bad version of another service would stay in force.
+@caller.in_trio
+async def test_an_order_that_fails_does_not_hold_up_the_others(monkeypatch):
+    advance = rollouts._advance
+
+    async def fail_for_one(node, order, seen_for):
+        if order.service == "a":
+            raise RuntimeError("the order failed")
+        await advance(node, order, seen_for)
+
+    monkeypatch.setattr(rollouts, "_advance", fail_for_one)
+    async with fleet.open_fleet() as deployment:
+        order = {"service": "a", "target": "v2", "duration_s": DURATION}
+        deployment.store.put("op", "rollout/a", order)
+        await start(deployment)
+        with trio.fail_after(5.0):
+            while status(deployment) is None:
+                await trio.sleep(0.05)
