Bound the attempts to empty the accept queue

An error of accept that counts as the caller's and lasts, such as EPERM of a security filter, would repeat for ever without a checkpoint: the loop stands still, and the process is killed with all its requests. The ordinary accept guards against that already. Not seen; the test injects the error.

As many attempts are made as the kernel's queue can hold connections.

--- a/src/rattanlug/caller/listener.py
+++ b/src/rattanlug/caller/listener.py
@@ -114,7 +114,9 @@
     def accept_queued(self) -> list[AcceptedConnection]:
         """Return the connections in the accept queue, which a close would reset."""
         queued: list[AcceptedConnection] = []
-        while len(queued) < BACKLOG:
+        # Not until the queue is empty, since an error may last. The kernel queues one
+        # connection more than the length.
+        for _ in range(BACKLOG + 1):
             try:
                 raw, _ = self._socket.accept()
             except BlockingIOError:
--- a/tests/caller/test_listener.py
+++ b/tests/caller/test_listener.py
@@ -206,3 +206,17 @@
     is_of_caller = number == errno.ECONNABORTED
     counted = "connections_broken" if is_of_caller else "connections_refused"
     assert all_counters.value(counted) == 1
+
+
+# Guards against a stop that never ends, and cuts all requests, because an error lasts.
+@pytest.mark.parametrize("number", sorted(listener._PEER_ERRORS))
+def test_an_error_that_lasts_ends_the_emptying_of_the_queue(number, monkeypatch):
+    tested = listener.Listener(
+        address.Address(HOST, 0), lambda: 0.0, counters.Counters()
+    )
+    failing, most = unittest.mock.Mock(), 10 * listener.BACKLOG
+    failing.accept.side_effect = [OSError(number, "")] * most + [BlockingIOError]
+    with tested.socket:
+        monkeypatch.setattr(tested, "_socket", failing)
+        assert tested.accept_queued() == []
+    assert failing.accept.call_count <= 2 * listener.BACKLOG
