Don't answer 400 to a request that is being served

A request with Connection: close, or of HTTP/1.0, whose caller sends anything after its body, such as a blank line, got a 400 at once. It was passed on and executed meanwhile, also if it may run only once, and a 400 isn't repeated.

Cause: holds such bytes back from h11 once the response has begun. h11 takes them for an error from the end of the request on, and hypercorn answers an error before the response with 400.

--- a/src/rattanlug/caller/library_connection.py
+++ b/src/rattanlug/caller/library_connection.py
@@ -33,13 +33,14 @@
     def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Return the next event.
 
-        Bytes after a request whose response closes the connection are left unread until
-        the response is sent. They are an error for h11, and hypercorn would close the
-        connection before the rest of the response.
+        Bytes after the last request of a connection are left unread until its response
+        is sent. They are an error for h11, and hypercorn would answer 400 while the
+        request is being served, or close the connection before the rest of the
+        response.
         """
         if (
             self.their_state is h11.MUST_CLOSE
-            and self.our_state is h11.SEND_BODY
+            and self.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
             and self.trailing_data[0]
         ):
             return h11.PAUSED
