Close the connection of a rejected WebSocket

The message websocket.connect fills it, and after the rejection hypercorn waits for room for websocket.disconnect, while the application has returned.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -97,6 +97,9 @@
         """Serve one ASGI scope."""
         if scope["type"] == "websocket":
             self._counters.add("requests_rejected", reason="websocket")
+            # Leaves room in the queue for the message about the close, for which
+            # hypercorn would wait for ever.
+            await receive()
             await send({"type": "websocket.close"})
         elif scope["type"] == "http":
             self._in_flight += 1
