Reject requests for HTTP/2 without changing to it

A request with Upgrade: h2c made hypercorn change to HTTP/2 before the application rejected it.

Cause: not traced within hypercorn's HTTP/2. Nothing needs that protocol here, and such requests are rejected in any case, so it is never entered now: the request gets its 400 by HTTP/1.1.

--- a/src/rattanlug/caller/library_connection.py
+++ b/src/rattanlug/caller/library_connection.py
@@ -19,6 +19,7 @@
         super().__init__(h11.SERVER, max_incomplete_event_size=max_head_bytes)
         self._method = b""
         self._target = b""
+        self._asks_for_http_2 = False
 
     @property
     def method(self) -> str:
@@ -30,6 +31,11 @@
         """Path with query of the latest request."""
         return self._target
 
+    @property
+    def asks_for_http_2(self) -> bool:
+        """Whether the latest request asks to change to HTTP/2."""
+        return self._asks_for_http_2
+
     def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Return the next event.
 
@@ -47,7 +53,27 @@
         event = super().next_event()
         if isinstance(event, h11.Request):
             self._method, self._target = event.method, event.target
+            accepted = _without_http_2(event)
+            self._asks_for_http_2 = accepted is not event
+            return accepted
+        return event
+
+
+def _without_http_2(event: h11.Request) -> h11.Request:
+    """Return a request that doesn't make hypercorn change to HTTP/2."""
+    headers = [
+        (name, value)
+        for name, value in event.headers
+        if name != b"upgrade" or value.strip().lower() != b"h2c"
+    ]
+    if len(headers) == len(event.headers):
         return event
+    return h11.Request(
+        method=event.method,
+        target=event.target,
+        headers=headers,
+        http_version=event.http_version,
+    )
 
 
 class LibraryConnection(tcp_server.TCPServer):
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -215,6 +215,8 @@
                 scope[caller_stream.SCOPE_KEY] = caller
                 scope["method"] = connection.recorder.method
                 scope["raw_path"] = connection.recorder.target
+                if connection.recorder.asks_for_http_2:
+                    scope["http_version"] = "2"
             await self._inner_app(scope, receive, send)
 
         connection = library_connection.LibraryConnection(
