--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -42,6 +42,12 @@
         default=1.0,
         help="part of a site's requests that callers send, for a busy machine",
     )
+    parser.add_argument(
+        "--daemon",
+        default="",
+        metavar="CHECKOUT",
+        help="checkout whose daemon is played, for instance of an earlier version",
+    )
     parser.add_argument("--list", action="store_true", help="print the injected faults")
     options = parser.parse_args()
     failed_runs = 0
@@ -55,6 +61,7 @@
             options.site,
             options.only,
             options.rate,
+            options.daemon,
         )
         outcome = trio.run(run.execute, run_options)
         failed_runs += bool(outcome.broken)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -8,6 +8,7 @@
 import signal
 import sysconfig
 import time
+import tomllib
 from collections.abc import Callable
 
 import trio
@@ -18,9 +19,8 @@
 
 FIRST_PORT = 9100
 _ROOT = pathlib.Path(__file__).parent.parent
-_DAEMON = _ROOT / "src" / "rattanlug" / "gateway" / "__main__.py"
-# The libraries are found by their path, since ``site`` isn't loaded.
-_PYTHON_PATH = (_ROOT / "src", _ROOT, sysconfig.get_path("purelib"))
+# Where the build of the deploy file puts the package.
+_BUILD_DIRECTORY = "target/deps"
 # Time until every VM rejects a withdrawn key.
 REVOKE_SECONDS = 5.0
 # Time before an event in which a disturbance of a VM still excuses it.
@@ -39,6 +39,18 @@
 _NETWORKS = 64 * 256
 
 
+def daemon_arguments(root: pathlib.Path) -> list[str]:
+    """Return what Python starts a daemon with, by the deploy file of a checkout.
+
+    Raises
+    ------
+    OSError
+    """
+    deploy_file = tomllib.loads((root / "deploy" / "system.toml").read_text())
+    words = deploy_file["roles"]["entry"]["run"].split()[1:]
+    return [each.replace(_BUILD_DIRECTORY, str(root / "src")) for each in words]
+
+
 class Vm:
     """One VM: its address, its process and the proxy between it and the store.
 
@@ -109,6 +121,8 @@
         Number of VMs if the site does not decide it.
     rng : random.Random
         For the upstreams of a site.
+    daemon : str
+        Checkout whose daemon is started; this one if empty.
     """
 
     def __init__(
@@ -118,7 +132,9 @@
         observations: history.History,
         vms: int,
         rng: random.Random,
+        daemon: str = "",
     ) -> None:
+        self._daemon_root = pathlib.Path(daemon or _ROOT).absolute()
         self._rng = rng
         self._nursery = nursery
         self._directory = directory
@@ -333,16 +349,18 @@
     def start_process(self, vm: Vm) -> None:
         """Start a process of a VM, whose settings file may come later."""
         vm.incarnation += 1
-        # As the platform does it: without ``site``, and as a script.
-        arguments = ["-S", "-P", str(_DAEMON)]
+        arguments = daemon_arguments(self._daemon_root)
         if self.site.workers:
             arguments = ["-S", "-m", "soak.stepped_clock", str(self._clock_path(vm))]
+        # The libraries are found by their path, since ``site`` may not be loaded.
+        libraries = sysconfig.get_path("purelib")
+        python_path = (self._daemon_root / "src", _ROOT, libraries)
         self._processes.start(
             vm.process,
             arguments,
             environment={
                 "RATTANLUG_BOOT": str(self.settings_path(vm)),
-                "PYTHONPATH": os.pathsep.join(map(str, _PYTHON_PATH)),
+                "PYTHONPATH": os.pathsep.join(map(str, python_path)),
             },
         )
         vm.is_up = True
--- a/soak/run.py
+++ b/soak/run.py
@@ -57,6 +57,9 @@
         Parts of names, separated by commas; faults whose name contains one are played.
     rate : float
         Part of the site's rate of requests that callers have.
+    daemon : str
+        Checkout whose daemon is played, for instance of an earlier version; this one
+        if empty.
     """
 
     seed: int
@@ -67,6 +70,7 @@
     site: str = ""
     only: str = ""
     rate: float = 1.0
+    daemon: str = ""
 
 
 class Outcome(NamedTuple):
@@ -113,6 +117,7 @@
             options.vms,
             # A separate generator: upstreams must not change the faults of a seed.
             random.Random(f"{options.seed} upstreams"),
+            options.daemon,
         )
         try:
             await deployed.start(options.upstreams)
