Unblock the signals that a daemon handles

Callers of a daemon whose parent blocks SIGTERM would lose their requests: it goes on as if nothing had been sent, and is killed at the end of the grace period.

Cause: a process inherits the mask of its parent, and nothing in the daemon sets it; a handler doesn't unblock its signal.

Each daemon unblocks the signals it handles once their handlers are installed. A signal sent meanwhile is pending and handled then.

--- a/src/rattanlug/daemon/run.py
+++ b/src/rattanlug/daemon/run.py
@@ -44,7 +44,10 @@
 
 async def _main(settings: daemon_settings.DaemonSettings) -> None:
     entry = node.Node(settings)
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    handled = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*handled) as signals:
+        # A process inherits the signals that its parent blocks.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, handled)
         async with trio.open_nursery() as nursery:
             stop = trio.Event()
             nursery.start_soon(_set_on_signal, signals, stop)
--- a/src/rattanlug/gateway/__main__.py
+++ b/src/rattanlug/gateway/__main__.py
@@ -22,6 +22,10 @@
     _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
     _signal.signal(_signal.SIGTERM, _exit)
     _signal.signal(_signal.SIGINT, _exit)
+    # A process inherits the signals that its parent blocks.
+    _signal.pthread_sigmask(
+        _signal.SIG_UNBLOCK, (_signal.SIGHUP, _signal.SIGTERM, _signal.SIGINT)
+    )
     prepared_at = time.clock_gettime(time.CLOCK_BOOTTIME)
     _add_import_root()
     from rattanlug.commands import import_patches
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -123,6 +123,8 @@
             # Until now, SIGHUP was ignored.
             daemon = GatewayDaemon(_read_again(settings, settings_path))
             stop_times = _record_stop_signals(daemon.node)
+            # A process inherits the signals that its parent blocks.
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, handled)
             # Signals are handled while the daemon waits for its ports.
             nursery.start_soon(_serve, daemon)
             async for signal_number in signals:
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
@@ -133,11 +134,13 @@
         time.sleep(0.02)
 
 
-def start_in_background(tmp_path, bounds=STOP, **options):
+def start_in_background(
+    tmp_path, bounds=STOP, program=("rattanlug.gateway",), **options
+):
     path = tmp_path / "local.toml"
     path.write_text(boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds=bounds))
     return subprocess.Popen(
-        [sys.executable, "-m", "rattanlug.gateway"],
+        [sys.executable, "-m", *program],
         env={**os.environ, "RATTANLUG_BOOT": str(path)},
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
@@ -220,6 +223,56 @@
         assert process.wait(10) == 0
 
 
+def block_signals():
+    signal.pthread_sigmask(
+        signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+    )
+
+
+# Guards against a daemon that never sees its signals, and is killed with its requests,
+# because its parent had blocked them when it started it.
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("program", [("rattanlug.gateway",), ("rattanlug", "gateway")])
+def test_a_daemon_handles_signals_that_its_parent_blocks(tmp_path, program, number):
+    process = start_in_background(tmp_path, program=program, preexec_fn=block_signals)
+    # Ends the wait for a line.
+    end = threading.Timer(10.0, process.kill)
+    try:
+        wait_until_serving()
+        (tmp_path / "local.toml").write_text("a = ")
+        process.send_signal(signal.SIGHUP)
+        end.start()
+        while "rejected" not in (line := process.stdout.readline()):
+            assert line, "the daemon did not reload its settings"
+        process.send_signal(number)
+        assert process.wait(3) == 0
+    finally:
+        end.cancel()
+        process.kill()
+        process.wait()
+
+
+# Guards against a start that can't be ended but by force, because its parent had
+# blocked the signals.
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_daemon_without_settings_handles_signals_that_its_parent_blocks(
+    tmp_path, number
+):
+    process = subprocess.Popen(
+        [sys.executable, "-m", "rattanlug.gateway"],
+        env={**os.environ, "RATTANLUG_BOOT": str(tmp_path / "missing.toml")},
+        stdout=subprocess.DEVNULL,
+        preexec_fn=block_signals,
+    )
+    try:
+        wait_for_signal_handlers(process)
+        process.send_signal(number)
+        assert process.wait(3) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
 @pytest.mark.parametrize("at", [0.2, 0.45, 0.7])
 def test_a_reload_during_a_shutdown_is_ignored(tmp_path, at):
     path = tmp_path / "local.toml"
