Let every user read what a build makes

With umask 077, a build left target/ readable by its owner alone, and a daemon of another user couldn't read its program.

Cause: the modes of new files were left to the umask. The build now applies only the umask's write bits, also to the installer that it runs, and makes readable what an earlier build left.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -2,7 +2,8 @@
 
 Daemons may start while this runs, for instance those of another deployment that uses
 the same checkout. So no file of the package is ever missing or incomplete: each one is
-replaced in one step, and only if it has changed.
+replaced in one step, and only if it has changed. What is built is readable for other
+users, whatever the umask, since a daemon may run as another user than the build.
 """
 
 import compileall
@@ -13,12 +14,17 @@
 import pathlib
 import platform
 import shutil
+import stat
 import subprocess
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PACKAGE = "rattanlug"
 _CACHE = "__pycache__"
+_READ = stat.S_IRUSR | stat.S_IRGRP | stat.S_IROTH
+_READ_DIRECTORY = _READ | stat.S_IXUSR | stat.S_IXGRP | stat.S_IXOTH
+# Of the caller's umask, only these bits apply.
+_WRITE_BY_OTHERS = stat.S_IWGRP | stat.S_IWOTH
 
 
 def sync(source: pathlib.Path, target: pathlib.Path) -> None:
@@ -82,8 +88,27 @@
     built.write_text(wanted)
 
 
+def make_readable(root: pathlib.Path) -> None:
+    """Let every user read a directory and all that it contains.
+
+    Only modes that don't allow it are changed, since another user may own the others.
+
+    Raises
+    ------
+    OSError
+    """
+    for each in (root, *root.rglob("*")):
+        if each.is_symlink():
+            continue
+        mode = stat.S_IMODE(each.stat().st_mode)
+        wanted = mode | (_READ_DIRECTORY if each.is_dir() else _READ)
+        if mode != wanted:
+            os.chmod(each, wanted)
+
+
 def main() -> None:
     """Build; wait while another build of this checkout is running."""
+    os.umask(os.umask(_WRITE_BY_OTHERS) & _WRITE_BY_OTHERS)
     target = ROOT / "target" / "deps"
     target.mkdir(parents=True, exist_ok=True)
     with (target.parent / "build.lock").open("w") as lock:
@@ -91,6 +116,8 @@
         install_libraries(ROOT / "deploy" / "requirements.txt", target)
         sync(ROOT / "src" / PACKAGE, target / PACKAGE)
         compileall.compile_dir(str(target / PACKAGE), quiet=1)
+        # Files of an earlier build may have other modes.
+        make_readable(target.parent)
 
 
 if __name__ == "__main__":
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -1,8 +1,10 @@
 """Tests of the build, which daemons may run beside."""
 
 import importlib.util
+import os
 import pathlib
 import shutil
+import stat
 import subprocess
 import tomllib
 
@@ -29,17 +31,28 @@
     return source
 
 
-# Guards against daemons that fail to import the package while it is built again.
-def test_a_daemon_can_start_while_the_package_is_built_again(tmp_path):
-    checkout = tmp_path / "checkout"
+@pytest.fixture
+def checkout(tmp_path):
+    """Copy of the files that a build needs, without libraries to install."""
+    root = tmp_path / "checkout"
     for name in ("deploy", "src"):
         shutil.copytree(
             ROOT / name,
-            checkout / name,
+            root / name,
             ignore=shutil.ignore_patterns("__pycache__", "*.egg-info"),
         )
-    (checkout / "deploy" / "requirements.txt").write_text("")
-    command = tomllib.loads((checkout / "deploy" / "system.toml").read_text())["build"]
+    (root / "deploy" / "requirements.txt").write_text("")
+    return root
+
+
+def read_command(checkout):
+    """Return the command of the build."""
+    return tomllib.loads((checkout / "deploy" / "system.toml").read_text())["build"]
+
+
+# Guards against daemons that fail to import the package while it is built again.
+def test_a_daemon_can_start_while_the_package_is_built_again(checkout):
+    command = read_command(checkout)
     subprocess.run(command, shell=True, cwd=checkout, check=True)
     package = checkout / "target" / "deps" / "rattanlug"
     files = sorted(package.rglob("*.py"))
@@ -55,6 +68,50 @@
     assert [each.stat().st_ino for each in files] == before
 
 
+def is_readable_by_others(path):
+    wanted = stat.S_IRGRP | stat.S_IROTH
+    if path.is_dir():
+        wanted |= stat.S_IXGRP | stat.S_IXOTH
+    return path.stat().st_mode & wanted == wanted
+
+
+# Guards against a daemon that can't read its own program, since it runs as another
+# user than the build.
+@pytest.mark.parametrize("sources_mode", [0o600, 0o644])
+def test_a_build_is_readable_by_others_whatever_the_umask(checkout, sources_mode):
+    for each in (checkout / "src").rglob("*"):
+        each.chmod(sources_mode | (0o100 if each.is_dir() else 0))
+    # In place of a library that the installer writes.
+    library = checkout / "target" / "deps" / "library"
+    library.mkdir(parents=True)
+    (library / "__init__.py").write_text("")
+    for path, mode in (
+        (library / "__init__.py", 0o600),
+        (library, 0o700),
+        (library.parent, 0o700),
+        (library.parent.parent, 0o700),
+    ):
+        path.chmod(mode)
+
+    subprocess.run(
+        read_command(checkout), shell=True, cwd=checkout, check=True, umask=0o077
+    )
+
+    target = checkout / "target"
+    built = [target, *target.rglob("*")]
+    assert any(each.suffix == ".pyc" for each in built)
+    assert [each for each in built if not is_readable_by_others(each)] == []
+
+
+# Guards against a build that ends because another user built some of the files.
+def test_files_that_are_readable_keep_their_mode(build, tree, monkeypatch):
+    build.make_readable(tree)
+    changed = []
+    monkeypatch.setattr(os, "chmod", lambda *args, **_: changed.append(args))
+    build.make_readable(tree)
+    assert changed == []
+
+
 def test_sync_replaces_changed_files_and_removes_old_ones(build, tree, tmp_path):
     target = tmp_path / "target"
     build.sync(tree, target)
