Take the soak's own stalls off the times that it judges

Seen: beside load, runs broke nothing_runs_for_callers_that_left, leaving_upstreams_get_nothing, started_vms_get_ready and requests_end_by_their_time_limit, though the daemons had acted in time.

Cause: the run plays store, upstreams and callers; when its process gets no processor, a request waits unread in a socket and its arrival is recorded late, a change of the store reaches the VMs late, a starting VM waits for the store, and a caller reads its answer late. The stalls were recorded, but only every_request_is_answered took them into account.

Each of the four checks now takes off exactly the time in which the process that was observing stalled inside the interval, and stalls of two processes at once count once. No bound changes, and a run without stalls is judged as before: the new tests have such cases for each check.

--- a/soak/caller_worker.py
+++ b/soak/caller_worker.py
@@ -71,7 +71,7 @@
         """Return exchanges, disconnects and stalls."""
         seen = self.observations
         stalls.attribute(seen)
-        return seen.exchanges, seen.disconnects, seen.stalls
+        return seen.exchanges, seen.disconnects, seen.stalls[history.RUN]
 
 
 class CallerWorkers:
@@ -126,11 +126,11 @@
     async def collect(self) -> None:
         """Add what the callers observed to the observations of the run."""
         seen = self._deployed.observations
-        for each in self._workers:
+        for index, each in enumerate(self._workers):
             exchanges, disconnects, stalled = await each.call("collect")
             seen.exchanges.extend(exchanges)
             seen.disconnects.update(disconnects)
-            seen.stalls.extend(stalled)
+            seen.stalls[f"callers {index}"] = stalled
 
     def end(self) -> None:
         """End the processes."""
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Callable, Iterable, Mapping
 
-from soak import deployment, history
+from soak import deployment, history, stalls
 from trial.shared_platform import upstream
 
 ExecutionsById = Mapping[str, list[upstream.Execution]]
@@ -151,16 +151,22 @@
 def leaving_upstreams_get_nothing(
     observations: history.History, executions: ExecutionsById
 ) -> Iterable[str]:
-    """Check that undisturbed VMs send nothing to a leaving upstream."""
+    """Check that undisturbed VMs send nothing to a leaving upstream.
+
+    Without the time in which the process of the store or of the upstream stalled.
+    """
     vm_of = {each.request_id: each.vm for each in observations.exchanges}
     vm_of.update({name: vm for name, (_, vm) in observations.disconnects.items()})
     for event in observations.events:
         if event.kind != "upstream leaving":
             continue
-        limit = event.at + observations.site.bounds["drain_timeout_s"]
+        limit = observations.site.bounds["drain_timeout_s"]
         for request_id, runs in executions.items():
             for each in runs:
-                if each.upstream != event.subject or each.at <= limit:
+                if each.upstream != event.subject or each.at - event.at <= limit:
+                    continue
+                delay = _delay(observations, event.at, each, history.RUN, each.process)
+                if delay <= limit:
                     continue
                 since = event.at - deployment.CONTACT_SECONDS
                 if observations.undisturbed(vm_of.get(request_id, ""), since, each.at):
@@ -221,7 +227,10 @@
 def nothing_runs_for_callers_that_left(
     observations: history.History, executions: ExecutionsById
 ) -> Iterable[str]:
-    """Check that undisturbed VMs rarely forward requests of disconnected callers."""
+    """Check that undisturbed VMs rarely forward requests of disconnected callers.
+
+    Without the time in which the upstream's process stalled.
+    """
     late = []
     for request_id, (disconnected_at, vm) in observations.disconnects.items():
         since = disconnected_at - deployment.CONTACT_SECONDS
@@ -229,7 +238,8 @@
             f"{request_id} ran {each.at - disconnected_at:.2f} s after its caller "
             f"disconnected from {vm}"
             for each in executions.get(request_id, ())
-            if each.at > disconnected_at + DISCONNECT_GRACE_SECONDS
+            if _delay(observations, disconnected_at, each, each.process)
+            > DISCONNECT_GRACE_SECONDS
             and observations.undisturbed(vm, since, each.at)
         ]
     if len(late) > MAX_LATE_EXECUTIONS:
@@ -276,5 +286,17 @@
             yield f"{name}, {owed:.1f} owed: {what}" if name else what
 
 
+def _delay(
+    observations: history.History,
+    since: float,
+    execution: upstream.Execution,
+    *processes: str,
+) -> float:
+    """Return how long after a moment a request ran, without stalls of processes."""
+    stalled = stalls.joined(*(observations.stalls[each] for each in set(processes)))
+    until = execution.at
+    return until - since - stalls.seconds_within(stalled, since, until)
+
+
 def _organisation_of(key: str) -> str:
     return f"organisation-{key.split('-')[1]}"
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,6 +7,8 @@
 
 # Prefixes of the routes whose requests must be executed at most once.
 AT_MOST_ONCE = ("/claim/", "/settle/")
+# The process of the run itself, which plays the store, and by default all else.
+RUN = ""
 
 
 class Exchange(NamedTuple):
@@ -100,8 +102,11 @@
         self.broken_off: set[str] = set()
         # Service of each upstream.
         self.services: dict[str, str] = {}
-        # Intervals in which the run itself did not get a processor.
-        self.stalls: list[tuple[float, float]] = []
+        # Intervals in which a process of the run's own did not get a processor, by
+        # process and in order.
+        self.stalls: dict[str, list[tuple[float, float]]] = collections.defaultdict(
+            list
+        )
         # Peak memory of each process.
         self.memory_mb: dict[str, float] = {}
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -29,8 +29,9 @@
             for begin, end in intervals:
                 until = None if end == float("inf") else end
                 yield {"at": begin, "event": kind, "subject": subject, "until": until}
-    for begin, end in observations.stalls:
-        yield {"at": begin, "event": "stall", "until": end}
+    for process, intervals in observations.stalls.items():
+        for begin, end in intervals:
+            yield {"at": begin, "event": "stall", "process": process, "until": end}
     for each in observations.exchanges:
         fields = each._asdict()
         del fields["body"]
--- a/soak/run.py
+++ b/soak/run.py
@@ -196,7 +196,9 @@
     counts.update(f"status {each.status}" for each in observations.exchanges)
     counts.update(site_guarantees.unjudged_closes(observations, executions))
     counts["stalls"] = sum(
-        end - begin > stalls.STALL_SECONDS for begin, end in observations.stalls
+        end - begin > stalls.STALL_SECONDS
+        for intervals in observations.stalls.values()
+        for begin, end in intervals
     )
     counts["peak MB"] = round(max(observations.memory_mb.values(), default=0))
     if options.site:
--- a/soak/site_guarantees.py
+++ b/soak/site_guarantees.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Iterator, Sequence
 
-from soak import deployment, guarantees, history, site_faults, site_upstream
+from soak import deployment, guarantees, history, site_faults, site_upstream, stalls
 from trial.shared_platform import upstream
 
 _WINDOW_SECONDS = 1.0
@@ -196,7 +196,8 @@
 ) -> Iterable[str]:
     """Check that most requests that reach their route's time limit end soon after it.
 
-    Judged for VMs in touch, if callers still waited then.
+    Judged for VMs in touch, if callers still waited then, without the time in which the
+    callers' process stalled.
     """
     limits = {f"/{each.name}/": each for each in observations.site.routes}
     reached, late = 0, []
@@ -205,7 +206,7 @@
         since = each.sent_at - deployment.CONTACT_SECONDS
         if route is None or not observations.undisturbed(each.vm, since, each.ended_at):
             continue
-        taken = each.ended_at - each.sent_at
+        taken = each.ended_at - each.sent_at - each.stalled
         reached += taken >= route.timeout_seconds
         if taken > route.timeout_seconds + _END_SECONDS:
             late.append(f"{each.request_id} at {each.vm} took {taken:.2f} s")
@@ -232,7 +233,9 @@
             first, last = most[0].at, most[-1].at
             sent = sum(sent_at.get(each.request_id, first) >= first for each in most)
             stalled = any(
-                begin <= last and end >= first for begin, end in observations.stalls
+                begin <= last and end >= first
+                for intervals in observations.stalls.values()
+                for begin, end in intervals
             )
             yield (
                 f"{name} got {len(most)} requests in {last - first:.2f} s, {limit:g} "
@@ -274,18 +277,24 @@
 def started_vms_get_ready(
     observations: history.History, executions: guarantees.ExecutionsById
 ) -> Iterable[str]:
-    """Check that a VM is ready in time after a start, while the store answers."""
+    """Check that a VM is ready in time after a start, while the store answers.
+
+    Without the time in which the process of the store stalled.
+    """
     for event in observations.events:
         if event.kind != "vm started":
             continue
         vm, taken = event.subject.split()
         until = event.at + site_faults.START_SECONDS
+        stalled = stalls.seconds_within(
+            observations.stalls[history.RUN], event.at, event.at + float(taken)
+        )
         excuses = [
             each
             for name in ("store", history.store_of(vm))
             for each in observations.disturbances[name]
         ]
-        if float(taken) > site_faults.START_SECONDS and not history.overlap(
+        if float(taken) - stalled > site_faults.START_SECONDS and not history.overlap(
             excuses, event.at, until
         ):
             yield f"{vm} was ready {taken} s after its start at {event.at:.2f}"
--- a/soak/upstream_worker.py
+++ b/soak/upstream_worker.py
@@ -69,7 +69,7 @@
             for number, each in self._stand_ins.items()
         }
         intervals = {key: each.disturbances for key, each in self._gates.items()}
-        return records, intervals, self.observations.stalls
+        return records, intervals, self.observations.stalls[history.RUN]
 
 
 class _Forwarded:
@@ -191,12 +191,16 @@
 
     async def collect(self, observations: history.History) -> None:
         """Fetch what the upstreams recorded."""
-        for each in self._workers:
+        for index, each in enumerate(self._workers):
             records, intervals, stalled = await each.call("collect")
-            observations.stalls.extend(stalled)
+            process = f"upstreams {index}"
+            observations.stalls[process] = stalled
             for number, values in records.items():
                 stand_in, gate = self._started[number]
                 vars(stand_in).update(values)
+                stand_in.executions = [
+                    run._replace(process=process) for run in stand_in.executions
+                ]
                 gate.disturbances = intervals[number]
 
     def end(self) -> None:
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -134,3 +134,51 @@
     assert "nothing_runs_for_callers_that_left" not in guarantees.broken(
         observations, by_request
     )
+
+
+# Guards against late requests that only the run saw late, because it stalled.
+@pytest.mark.parametrize(
+    ("stalled", "process", "broken"),
+    [
+        ([], "", True),
+        # Before the disconnect, too short, and of a process that only sends.
+        ([(98.0, 100.0)], "", True),
+        ([(100.1, 100.19)], "", True),
+        ([(100.1, 100.59)], "callers 0", True),
+        ([(100.1, 100.22)], "", False),
+    ],
+)
+def test_stalls_are_no_delay_of_requests_of_callers_that_left(stalled, process, broken):
+    observations = history.History()
+    by_request = {}
+    for index in range(4):
+        name = f"left-{index}"
+        observations.disconnects[name] = (100.0, "vm-1")
+        by_request[name] = [execution(name, at=100.6)]
+    observations.stalls[process] = stalled
+    violated = guarantees.broken(observations, by_request)
+    assert ("nothing_runs_for_callers_that_left" in violated) is broken
+
+
+# Guards against a drain that looks late because the store told of it late.
+@pytest.mark.parametrize(
+    ("stalled", "broken"),
+    [
+        ({}, True),
+        ({"": [(99.0, 100.4)], "callers 0": [(100.4, 103.0)]}, True),
+        ({"": [(100.5, 100.59)]}, True),
+        ({"": [(100.5, 100.7)]}, False),
+        # Both at once count once.
+        ({"": [(100.5, 100.56)], "upstreams 0": [(100.5, 100.56)]}, True),
+        ({"": [(100.5, 100.56)], "upstreams 0": [(100.6, 100.66)]}, False),
+    ],
+)
+def test_stalls_are_no_delay_of_a_drain(stalled, broken):
+    observations = history.History()
+    observations.exchanges.append(exchange())
+    observations.record_event(100.4, "upstream leaving", "u1")
+    observations.stalls.update(stalled)
+    runs = {"r1": [execution(at=103.0, process="upstreams 0")]}
+    assert (
+        "leaving_upstreams_get_nothing" in guarantees.broken(observations, runs)
+    ) is (broken)
--- a/tests/soak/test_site_guarantees.py
+++ b/tests/soak/test_site_guarantees.py
@@ -125,6 +125,17 @@
     assert found == ({"requests_end_by_their_time_limit"} if broken else set())
 
 
+# Guards against requests that a stalled process of callers saw end late.
+@pytest.mark.parametrize(
+    ("stalled", "broken"), [(0.0, True), (0.05, True), (0.2, False)]
+)
+def test_stalls_of_callers_are_no_time_of_requests(stalled, broken):
+    observations = site_history()
+    late = CUT._replace(ended_at=101.8, closed_by_vm=False, stalled=stalled)
+    observations.exchanges.extend([late] * 8)
+    assert ("requests_end_by_their_time_limit" in violated(observations)) is broken
+
+
 def test_runs_at_another_service_are_found():
     observations = site_history()
     observations.services["u1"] = "service-1"
@@ -151,6 +162,23 @@
     assert violated(observations) == set()
 
 
+# Guards against starts that were late because the run, which plays the store, stalled.
+@pytest.mark.parametrize(
+    ("stalled", "broken"),
+    [
+        ([], True),
+        ([(90.0, 100.0), (112.0, 115.0)], True),
+        ([(101.0, 102.9)], True),
+        ([(101.0, 102.0), (103.0, 104.1)], False),
+    ],
+)
+def test_stalls_are_no_time_of_a_start(stalled, broken):
+    observations = site_history()
+    observations.record_event(100.0, "vm started", "vm-1 12.00")
+    observations.stalls[history.RUN] = stalled
+    assert ("started_vms_get_ready" in violated(observations)) is broken
+
+
 def test_processes_beyond_their_memory_are_found():
     observations = site_history()
     observations.memory_mb = {"vm-1-1": 301.0}
--- a/trial/shared_platform/upstream.py
+++ b/trial/shared_platform/upstream.py
@@ -22,6 +22,8 @@
     # Start time in seconds, and name of the upstream.
     at: float
     upstream: str
+    # Process that plays the upstream, if it isn't the run's.
+    process: str = ""
 
 
 class Upstream:
