--- a/soak/site_guarantees.py
+++ b/soak/site_guarantees.py
@@ -1,6 +1,8 @@
 """Guarantees of a site's run: no lost request, no flood, starts and memory."""
 
-from collections.abc import Iterable, Iterator, Sequence
+import bisect
+import operator
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from soak import deployment, guarantees, history, site_faults, site_upstream, stalls
 from trial.shared_platform import upstream
@@ -19,6 +21,7 @@
 # later ones from which on they are a violation.
 _END_SECONDS = 0.5
 _FEW_LATE = 8
+_arrived_at = operator.attrgetter("at")
 
 
 @guarantees.guarantee
@@ -220,6 +223,8 @@
 ) -> Iterable[str]:
     """Check the arrivals at cold upstreams in any second, from all VMs together.
 
+    Counted are requests that were sent and arrived inside that second, as the rules
+    count them; a request whose sending wasn't recorded was sent when it arrived.
     Arrivals before an upstream has reported that it turned cold are not judged; the
     shares that `most_cold_share` returns contain them.
     """
@@ -228,10 +233,10 @@
     for name, arrivals in observations.cold_arrivals.items():
         rate = observations.cold_limits[name]
         limit = rate * bounds["cold_over"] + bounds["cold_slack"]
-        most = _most_in_window([each for each in arrivals if each.reported])
+        reported = [each for each in arrivals if each.reported]
+        most = _most_in_window(reported, sent_at)
         if len(most) > limit:
             first, last = most[0].at, most[-1].at
-            sent = sum(sent_at.get(each.request_id, first) >= first for each in most)
             stalled = any(
                 begin <= last and end >= first
                 for intervals in observations.stalls.values()
@@ -239,18 +244,18 @@
             )
             yield (
                 f"{name} got {len(most)} requests in {last - first:.2f} s, {limit:g} "
-                f"allowed, {sent} of them sent in that time, cold for "
-                f"{most[0].cold_for:.2f} s at {first:.2f}"
+                f"allowed, cold for {most[0].cold_for:.2f} s at {first:.2f}"
                 f"{', the run stalled' if stalled else ''}"
             )
 
 
 def most_cold_share(observations: history.History) -> float:
     """Return the most arrivals in any second at a cold upstream, in limits."""
+    sent_at = {each.request_id: each.sent_at for each in observations.exchanges}
     bounds = observations.site.bounds
     return max(
         (
-            len(_most_in_window(arrivals))
+            len(_most_in_window(arrivals, sent_at))
             / (
                 observations.cold_limits[name] * bounds["cold_over"]
                 + bounds["cold_slack"]
@@ -262,14 +267,19 @@
 
 
 def _most_in_window(
-    arrivals: list[site_upstream.Arrival],
+    arrivals: list[site_upstream.Arrival], sent_at: Mapping[str, float]
 ) -> list[site_upstream.Arrival]:
-    first, most = 0, []
-    for index, each in enumerate(arrivals):
-        while each.at - arrivals[first].at > _WINDOW_SECONDS:
-            first += 1
-        if index + 1 - first > len(most):
-            most = arrivals[first : index + 1]
+    """Return the most requests that were sent and arrived inside one window."""
+    most: list[site_upstream.Arrival] = []
+    for begin in (sent_at.get(each.request_id, each.at) for each in arrivals):
+        first = bisect.bisect_left(arrivals, begin, key=_arrived_at)
+        last = bisect.bisect(arrivals, begin + _WINDOW_SECONDS, key=_arrived_at)
+        inside = [
+            each
+            for each in arrivals[first:last]
+            if sent_at.get(each.request_id, each.at) >= begin
+        ]
+        most = max(most, inside, key=len)
     return most
 
 
--- a/tests/soak/test_site_guarantees.py
+++ b/tests/soak/test_site_guarantees.py
@@ -136,6 +136,23 @@
     assert ("requests_end_by_their_time_limit" in violated(observations)) is broken
 
 
+# Guards against counting requests that were sent before the second in question.
+@pytest.mark.parametrize(("early", "broken"), [(0, True), (1, False)])
+def test_floods_are_of_requests_that_were_sent_in_that_second(early, broken):
+    observations = site_history()
+    observations.cold_limits["u1"] = 7.4
+    observations.cold_arrivals["u1"] = [
+        site_upstream.Arrival(f"r{index}", 100.0 + index / 20.0, 0.5)
+        for index in range(17)
+    ]
+    observations.exchanges = [
+        CUT._replace(request_id=f"r{index}", sent_at=99.5 if index < early else 99.85)
+        for index in range(17)
+    ]
+    found = violated(observations)
+    assert ("cold_upstreams_are_not_flooded" in found) is broken
+
+
 def test_runs_at_another_service_are_found():
     observations = site_history()
     observations.services["u1"] = "service-1"
