Let the faults of upstreams end before recovery is judged

All but four of the 23 times 504 were of u3 and u18, where requests took 1.0 to 2.0 s from 4.5 s before the calm until 2.3 s into it.

Cause: on sites, a second series of faults of upstreams plays beside the first. It was cancelled at the end of the first, together with the bursts of callers, in the middle of its faults, which then never took back what they had set.

Both series now end by themselves; only the bursts are cancelled.

--- a/soak/run.py
+++ b/soak/run.py
@@ -146,29 +146,7 @@
                     )
                     nursery.start_soon(caller.run)
             await trio.sleep(2.0)
-            async with trio.open_nursery() as bursts:
-                # A separate generator: bursts must not change the faults of a seed.
-                burst_rng = random.Random(f"{options.seed} bursts")
-                bursts.start_soon(_send_bursts, deployed, burst_rng)
-                if options.site:
-                    # Beside the faults of VMs, so that cold periods and restarts meet.
-                    upstream_rng = random.Random(f"{options.seed} upstream faults")
-                    names = {
-                        name: each
-                        for name, each in playable.items()
-                        if name.startswith("upstream")
-                    }
-                    if names:
-                        bursts.start_soon(
-                            _inject,
-                            deployed,
-                            upstream_rng,
-                            options.seconds,
-                            names,
-                            injected,
-                        )
-                await _inject(deployed, rng, options.seconds, playable, injected)
-                bursts.cancel_scope.cancel()
+            await play_faults(deployed, options, rng, playable, injected)
             await trio.sleep(RECOVERY_SECONDS)
             observations.record_event(trio.current_time(), "calm")
             await trio.sleep(FAULT_FREE_SECONDS - RECOVERY_SECONDS)
@@ -257,6 +235,35 @@
         counts["broken off"] += len(each.stand_in.broken_off)
 
 
+async def play_faults(
+    deployed: deployment.Deployment,
+    options: Options,
+    rng: random.Random,
+    playable: dict[str, faults.Fault],
+    injected: list[str],
+) -> None:
+    """Inject faults, and bursts of callers meanwhile; return when all have ended."""
+    async with trio.open_nursery() as bursts:
+        # A separate generator: bursts must not change the faults of a seed.
+        burst_rng = random.Random(f"{options.seed} bursts")
+        bursts.start_soon(_send_bursts, deployed, burst_rng)
+        async with trio.open_nursery() as injections:
+            seconds = options.seconds
+            injections.start_soon(_inject, deployed, rng, seconds, playable, injected)
+            # Beside the faults of VMs, so that cold periods and restarts meet.
+            upstream_rng = random.Random(f"{options.seed} upstream faults")
+            names = {
+                name: each
+                for name, each in playable.items()
+                if options.site and name.startswith("upstream")
+            }
+            if names:
+                injections.start_soon(
+                    _inject, deployed, upstream_rng, seconds, names, injected
+                )
+        bursts.cancel_scope.cancel()
+
+
 async def _send_bursts(deployed: deployment.Deployment, rng: random.Random) -> None:
     while True:
         await trio.sleep(rng.expovariate(1.0 / MEAN_BURST_INTERVAL_SECONDS))
