--- a/tests/soak/test_site_guarantees.py
+++ b/tests/soak/test_site_guarantees.py
@@ -125,6 +125,34 @@
     assert found == ({"requests_end_by_their_time_limit"} if broken else set())
 
 
+# Guards against requests that a stalled process of callers saw end late.
+@pytest.mark.parametrize(
+    ("stalled", "broken"), [(0.0, True), (0.05, True), (0.2, False)]
+)
+def test_stalls_of_callers_are_no_time_of_requests(stalled, broken):
+    observations = site_history()
+    late = CUT._replace(ended_at=101.8, closed_by_vm=False, stalled=stalled)
+    observations.exchanges.extend([late] * 8)
+    assert ("requests_end_by_their_time_limit" in violated(observations)) is broken
+
+
+# Guards against counting requests that were sent before the second in question.
+@pytest.mark.parametrize(("early", "broken"), [(0, True), (1, False)])
+def test_floods_are_of_requests_that_were_sent_in_that_second(early, broken):
+    observations = site_history()
+    observations.cold_limits["u1"] = 7.4
+    observations.cold_arrivals["u1"] = [
+        site_upstream.Arrival(f"r{index}", 100.0 + index / 20.0, 0.5)
+        for index in range(17)
+    ]
+    observations.exchanges = [
+        CUT._replace(request_id=f"r{index}", sent_at=99.5 if index < early else 99.85)
+        for index in range(17)
+    ]
+    found = violated(observations)
+    assert ("cold_upstreams_are_not_flooded" in found) is broken
+
+
 def test_runs_at_another_service_are_found():
     observations = site_history()
     observations.services["u1"] = "service-1"
@@ -151,6 +179,23 @@
     assert violated(observations) == set()
 
 
+# Guards against starts that were late because the run, which plays the store, stalled.
+@pytest.mark.parametrize(
+    ("stalled", "broken"),
+    [
+        ([], True),
+        ([(90.0, 100.0), (112.0, 115.0)], True),
+        ([(101.0, 102.9)], True),
+        ([(101.0, 102.0), (103.0, 104.1)], False),
+    ],
+)
+def test_stalls_are_no_time_of_a_start(stalled, broken):
+    observations = site_history()
+    observations.record_event(100.0, "vm started", "vm-1 12.00")
+    observations.stalls[history.RUN] = stalled
+    assert ("started_vms_get_ready" in violated(observations)) is broken
+
+
 def test_processes_beyond_their_memory_are_found():
     observations = site_history()
     observations.memory_mb = {"vm-1-1": 301.0}
