Let the limits of store calls run on waits only

Cause: the limits, 0.35 s for a connection and 0.8 s for a call, also ran while the event loop did other work. Opening a connection and reading a response take several iterations; with iterations of 0.1 s no call succeeds, though the store answers at once.

Connections to the store now use the sockets of the upstreams, whose limits apply to waits. Of six new tests, three failed before (reads in iterations of 0.1 and 0.2 s, and a silent store, given up too early); all pass, with tests/platform, tests/gateway/test_store_reader.py and tests/soak/test_slow_store.py.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -19,7 +19,7 @@
 from rattanlug.retries import service_retry_budget
 from rattanlug.settings import gateway_settings
 from rattanlug.tables import table_set
-from rattanlug.upstream import connection_pools, memory_budget
+from rattanlug.upstream import connection_pools, deadline_backend, memory_budget
 
 _MILLISECONDS = 1000
 # A VM counts as alive until it has been silent for this fraction of ``bounds.contact``,
@@ -77,6 +77,7 @@
             clock.now,
             self._counters,
             self._histograms,
+            deadline_backend.DeadlineBackend(clock.now),
         )
         self._memory = memory_budget.MemoryBudget(settings.memory_bytes)
         self._pools = connection_pools.ConnectionPools(
--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -8,7 +8,6 @@
 from urllib import parse
 
 import httpcore
-import trio
 
 from rattanlug.encoding import json_text
 from rattanlug.metrics import counters, histograms
@@ -61,6 +60,8 @@
         Returns the current time, monotonic seconds.
     all_counters : counters.Counters
     all_histograms : histograms.Histograms
+    backend : httpcore.AsyncNetworkBackend, optional
+        Opens the connections; that of the library by default.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         clock: Callable[[], float],
         all_counters: counters.Counters,
         all_histograms: histograms.Histograms,
+        backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
         self._target = target
         self._clock = clock
@@ -81,6 +83,7 @@
             max_keepalive_connections=_MAX_CONNECTIONS,
             keepalive_expiry=IDLE_TIMEOUT_SECONDS,
             retries=0,
+            network_backend=backend,
         )
         self._read_timeout = CALL_TIMEOUT_SECONDS
 
@@ -244,19 +247,21 @@
         if content is not None:
             headers["Content-Type"] = "application/json"
         is_write = content is not None
+        # No limit on the whole call: it would also run while this process is busy.
+        limits = dict.fromkeys(("read", "write", "pool"), timeout)
+        limits["connect"] = CONNECT_TIMEOUT_SECONDS
         try:
-            with trio.fail_after(timeout):
-                async with self._pool.stream(
-                    method,
-                    url,
-                    headers=headers,
-                    content=content,
-                    extensions={"timeout": {"connect": CONNECT_TIMEOUT_SECONDS}},
-                ) as response:
-                    body = await _read_body(response, is_write)
+            async with self._pool.stream(
+                method,
+                url,
+                headers=headers,
+                content=content,
+                extensions={"timeout": limits},
+            ) as response:
+                body = await _read_body(response, is_write)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise store_error.StoreError("cannot connect to the store") from exc
-        except trio.TooSlowError as exc:
+        except (httpcore.ReadTimeout, httpcore.WriteTimeout) as exc:
             raise store_error.StoreError(
                 f"the store did not respond within {timeout:g} s", is_write
             ) from exc
