Wait for an upstream that is alive but stops reading

Callers got 502, executed unknown, for an upload whose upstream read nothing for 2.5 s, though the deadline was 9 s away.

Cause: TCP_USER_TIMEOUT (1.5 s), which is there for dead upstreams, also counts the time in which the window of the peer is closed, although the peer acknowledges the kernel's probes.

The sender of a large request now looks every 0.25 s at the state of the connection. If nothing is unacknowledged and the peer was heard of within the last 1.5 s, the kernel's limit moves on; else it stays, and the kernel ends the connection. A dead peer leaves data or probes unacknowledged.

The client of the tests takes a time limit, since its own was 5 s.

--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -13,6 +13,7 @@
 from rattanlug.errors import error, executed, kind
 from rattanlug.metrics import counters
 from rattanlug.upstream import (
+    acknowledgement_timeout,
     memory_budget,
     pooled_connection,
     response,
@@ -26,11 +27,8 @@
 # Share of an announced idle timeout that is used, and the upper limit.
 IDLE_SHARE = 0.7
 MAX_IDLE_SECONDS = 20.0
-# The kernel breaks a connection when sent data is unacknowledged for this time.
-TCP_USER_TIMEOUT_SECONDS = 1.5
 # Interval between checks of the idle connections.
 SWEEP_SECONDS = 2.0
-_MILLISECONDS_PER_SECOND = 1000
 
 
 class Exchange(NamedTuple):
@@ -224,11 +222,7 @@
     ) -> pooled_connection.PooledConnection:
         options = [
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                int(TCP_USER_TIMEOUT_SECONDS * _MILLISECONDS_PER_SECOND),
-            ),
+            acknowledgement_timeout.option(),
         ]
         try:
             raw = await upstream_socket.connect(
--- a/src/rattanlug/upstream/upstream_socket.py
+++ b/src/rattanlug/upstream/upstream_socket.py
@@ -2,15 +2,20 @@
 
 import errno
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import httpcore
 import trio
 
-_MILLISECONDS_PER_SECOND = 1000
+from rattanlug.upstream import acknowledgement_timeout
+
 # Bytes that still arrive this long after the deadline are not part of a response that
 # was ready in time.
 DEADLINE_GRACE_SECONDS = 0.25
+# A smaller request fits into the receive buffer of its upstream.
+_LARGE_REQUEST_BYTES = 16 * 1024
+# Interval between checks whether the upstream of a large request is alive.
+_CHECK_SECONDS = 0.25
 
 
 class UpstreamSocket:
@@ -33,7 +38,11 @@
         self._stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
         self._clock = clock
         self._deadline = 0.0
+        self._request_bytes = 0
         self._write_failed = False
+        self._acknowledgement_timeout = acknowledgement_timeout.AcknowledgementTimeout(
+            raw
+        )
 
     @property
     def is_readable(self) -> bool:
@@ -43,6 +52,7 @@
     def set_deadline(self, deadline: float) -> None:
         """Set the deadline of the next request, seconds on the clock of the socket."""
         self._deadline = deadline
+        self._request_bytes = 0
 
     async def read(self, max_bytes: int) -> bytes:
         """Receive bytes; empty at the end of the connection.
@@ -76,33 +86,65 @@
         ------
         httpcore.WriteTimeout, httpcore.WriteError
         """
-        remaining = self._deadline - self._clock()
+        self._request_bytes += len(data)
         try:
-            with trio.move_on_after(max(0.0, remaining)) as scope:
-                await self._stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            await self._send_all(memoryview(data))
+        except (OSError, trio.ClosedResourceError) as exc:
             self._write_failed = True
             raise httpcore.WriteError(str(exc)) from exc
-        if scope.cancelled_caught:
-            raise httpcore.WriteTimeout("the upstream did not read the request")
 
     async def aclose(self) -> None:
         """Close the connection."""
         await self._stream.aclose()
 
+    async def _send_all(self, data: memoryview) -> None:
+        await trio.lowlevel.checkpoint_if_cancelled()
+        if self._clock() >= self._deadline:
+            raise httpcore.WriteTimeout("no time was left to send the request")
+        while data:
+            try:
+                data = data[self._raw.send(data) :]
+            except BlockingIOError:
+                if not await self._wait(trio.lowlevel.wait_writable):
+                    raise httpcore.WriteTimeout(
+                        "the upstream did not read the request"
+                    ) from None
+                self._acknowledgement_timeout.restore()
+        # Without this checkpoint, an upstream that reads continuously blocks the event
+        # loop.
+        await trio.lowlevel.cancel_shielded_checkpoint()
+
     async def _wait_and_read(self, max_bytes: int) -> bytes:
-        remaining = self._deadline - self._clock()
+        is_ready = False
         try:
-            with trio.move_on_after(max(0.0, remaining)) as scope:
-                await trio.lowlevel.wait_readable(self._raw)
-            if scope.cancelled_caught:
-                raise httpcore.ReadTimeout("no response by the deadline")
+            is_ready = await self._wait(trio.lowlevel.wait_readable)
             return self._raw.recv(max_bytes)
         except BlockingIOError:
+            if not is_ready:
+                raise httpcore.ReadTimeout("no response by the deadline") from None
             return await self._wait_and_read(max_bytes)
         except (OSError, trio.ClosedResourceError) as exc:
             raise httpcore.ReadError(str(exc)) from exc
 
+    async def _wait(self, wait: Callable[[socket.socket], Awaitable[None]]) -> bool:
+        """Wait for the socket; return whether it became ready by the deadline.
+
+        Raises
+        ------
+        trio.ClosedResourceError
+        """
+        is_large = self._request_bytes > _LARGE_REQUEST_BYTES
+        while True:
+            remaining = max(0.0, self._deadline - self._clock())
+            seconds = min(remaining, _CHECK_SECONDS) if is_large else remaining
+            with trio.move_on_after(seconds) as scope:
+                await wait(self._raw)
+            if not scope.cancelled_caught:
+                return True
+            if seconds == remaining:
+                return False
+            self._acknowledgement_timeout.extend_if_alive()
+
 
 async def connect(
     host: str,
--- a/tests/gateway/caller.py
+++ b/tests/gateway/caller.py
@@ -26,7 +26,9 @@
     return wrapper
 
 
-async def send(daemon, path, method="GET", data=None, key=fleet.KEY, **headers):
+async def send(
+    daemon, path, method="GET", data=None, key=fleet.KEY, timeout=5.0, **headers
+):
     """Send a request to a daemon; return the request id and the response."""
     request_id = f"request-{next(_NUMBERS)}"
     sent = {
@@ -40,7 +42,7 @@
     sent.update({name.replace("_", "-"): value for name, value in headers.items()})
     local = daemon.node.settings.callers
     response = await http_client.request(
-        local.host, local.port, method, path, data, headers=sent
+        local.host, local.port, method, path, data, headers=sent, timeout=timeout
     )
     return request_id, response
 
--- a/tests/gateway/test_slow_upstreams.py
+++ b/tests/gateway/test_slow_upstreams.py
@@ -3,15 +3,14 @@
 import functools
 import re
 
+import pytest
 import trio
 
 from tests.gateway import caller, test_large_bodies
 from trial.shared_platform import fleet
 
-_SIZE = 20 << 20
 
-
-async def answer_late(stream, seconds):
+async def answer_late(stream, seconds, size):
     """Answer an upload, of which little but the head is read at first."""
     async with stream:
         data = await stream.receive_some(4096)
@@ -21,7 +20,7 @@
         identifier = re.search(rb"rattanlug-request-id: ([^\r]+)", head.lower())[1]
         received = len(body)
         await trio.sleep(seconds)
-        while received < _SIZE:
+        while received < size:
             piece = await stream.receive_some(65536)
             if not piece:
                 return
@@ -34,12 +33,14 @@
 
 # Guards against an upload that is broken off, though it may have run, because its
 # upstream stops reading for a moment.
+@pytest.mark.parametrize("size", [1 << 20, 20 << 20])
+@pytest.mark.parametrize("seconds", [1.0, 2.5, 5.0])
 @caller.in_trio
-async def test_an_upstream_may_stop_reading_until_the_deadline():
+async def test_an_upstream_may_stop_reading_until_the_deadline(seconds, size):
     async with fleet.open_fleet() as deployment, trio.open_nursery() as nursery:
 
         async def serve(stream):
-            await answer_late(stream, 2.5)
+            await answer_late(stream, seconds, size)
 
         listen = functools.partial(trio.serve_tcp, serve, 0, host="127.0.0.1")
         (listening,) = await nursery.start(listen)
@@ -53,7 +54,12 @@
         deployment.add_upstream = add_late
         vm = await test_large_bodies.start(deployment)
         _, answer = await caller.send(
-            vm, "/claim/1", "POST", bytes(_SIZE), Rattanlug_Deadline_Ms="9000"
+            vm,
+            "/claim/1",
+            "POST",
+            bytes(size),
+            timeout=10.0,
+            Rattanlug_Deadline_Ms="9000",
         )
         assert answer.status == 200
         nursery.cancel_scope.cancel()
