Wait without limit for a port that another program has

Callers saw no VM: a daemon ended by itself, with code 1, after 30 s in which another program had one of its ports, and so did each process that the platform started after it.

--- a/src/rattanlug/caller/local_endpoint.py
+++ b/src/rattanlug/caller/local_endpoint.py
@@ -1,6 +1,7 @@
 """Opens endpoints that may not be available yet."""
 
 import errno
+import math
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -9,10 +10,9 @@
 from rattanlug.logs import state_log
 from rattanlug.settings import address
 
-# The previous process of a VM may hold its ports until the end of its graceful
-# shutdown, and a VM that boots may get its address after the process starts.
-MAX_WAIT_SECONDS = 30.0
 RETRY_SECONDS = 0.1
+# The previous process of a VM, or another program, may hold its ports, and a VM that
+# boots may get its address after the process starts.
 _UNAVAILABLE = frozenset(
     {
         errno.EADDRINUSE,
@@ -31,17 +31,20 @@
 async def open_when_available(
     open_endpoint: Callable[[], Endpoint],
     local: address.Address,
-    max_wait: float = MAX_WAIT_SECONDS,
+    max_wait: float = math.inf,
 ) -> Endpoint:
     """Open an endpoint; wait while its address or the resources are not available.
 
+    The wait has no limit by default: a process that ended would be started again, and
+    would meet the same.
+
     Parameters
     ----------
     open_endpoint : callable
         Opens the endpoint, such as a listening socket.
     local : address.Address
         Address of the endpoint, for the log.
-    max_wait : float
+    max_wait : float, optional
         Time limit, seconds.
 
     Raises
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -101,7 +101,7 @@
     async def open(
         self,
         local: address.Address,
-        max_wait: float = local_endpoint.MAX_WAIT_SECONDS,
+        max_wait: float = math.inf,
     ) -> listener.Listener:
         """Open the listener for `run`; wait while its address is not available.
 
@@ -109,7 +109,7 @@
         ----------
         local : address.Address
             Where to listen; port 0 picks a free one.
-        max_wait : float
+        max_wait : float, optional
             Time limit, seconds.
 
         Raises
