Don't send negative ages in the digest of a data centre

No caller was seen to be hit. With real processes, one digest of a data centre was refused by the VMs of all five others (peer_reports_unreadable 1 at each). The reporter takes the time, sends its own digest, and computes the ages of the members after that; a member heard meanwhile has an age below 0, which receivers refuse with the whole digest. In a busy loop that is likelier.

The new test failed for a member heard 4 ms and 1.5 s later (UnreadableDigestError: a number is negative or not finite). An age is now at least 0 at the sender.

--- a/src/rattanlug/fleet/peer_table.py
+++ b/src/rattanlug/fleet/peer_table.py
@@ -154,7 +154,8 @@
                 report.port,
                 report.leaving,
                 report.overloaded,
-                now - received_at,
+                # It may have been received after the caller took the time.
+                max(0.0, now - received_at),
             )
             for _, (report, received_at) in sorted(self._peers.items())
             if report.data_centre == self._own_data_centre
--- a/tests/fleet/test_data_centre_digest.py
+++ b/tests/fleet/test_data_centre_digest.py
@@ -81,6 +81,19 @@
     assert [each.vm for each in remote_table.recent_digests(3.4, 5.1)] == ["a1"]
 
 
+# Guards against digests that all other data centres drop: a member's digest may arrive
+# while the reporter, which took the time before, sends others.
+@pytest.mark.parametrize("late", [0.0, 0.004, 1.5])
+def test_a_member_that_was_heard_after_the_report_began_has_no_negative_age(late):
+    table = empty_table("a1", "d1")
+    table.record_digest(report("a2", "d1", {}), 1.0 + late)
+    total = aggregate(table, report("a1", "d1", {}), 1.0)
+    received, _ = digest_codec.decode(digest_codec.encode(total))
+    assert [(each.vm, each.age) for each in received.members] == [
+        ("a1", 0.0), ("a2", 0.0),
+    ]  # fmt: skip
+
+
 def test_the_first_live_vm_is_the_reporter_and_the_next_one_takes_over():
     table = empty_table("a2", "d1")
     table.record_digest(report("a1", "d1", {}), 0.0)
