Don't end the process when closing one connection reports an error

Callers lost the few requests that a process served when it ended by itself, with code 1. The last thing that the task of a connection does is to close it, after its errors have been handled; an error of the close went to the tasks of all connections. At the exit, it was the same for upstreams and the store, and an error at the close of an upstream's connection replaced its answer by 500.

The socket is closed whatever the call reports, so the error is logged, each kind once, and nothing else happens.

--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -7,7 +7,7 @@
 import trio
 
 from rattanlug.caller import listener, memory_reservation, reply, request_head
-from rattanlug.daemon import clock
+from rattanlug.daemon import clock, socket_close
 from rattanlug.errors import error
 from rattanlug.metrics import counters
 
@@ -416,7 +416,8 @@
 
     async def aclose(self) -> None:
         """Close the connection."""
-        await self._stream.aclose()
+        socket_close.close(self._stream.socket)
+        await trio.lowlevel.checkpoint()
 
     def abort(self, cause: str) -> None:
         """Close the connection at once; pending calls on it fail.
@@ -427,4 +428,4 @@
             Label of the counter of unanswered requests.
         """
         self._close_cause = self._close_cause or cause
-        self._stream.socket.close()
+        socket_close.close(self._stream.socket)
--- a/src/rattanlug/caller/listener.py
+++ b/src/rattanlug/caller/listener.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from rattanlug.daemon import socket_close
 from rattanlug.logs import state_log
 from rattanlug.metrics import counters
 from rattanlug.settings import address
@@ -133,7 +134,7 @@
     def close(self) -> None:
         """Stop listening."""
         trio.lowlevel.notify_closing(self._socket)
-        self._socket.close()
+        socket_close.close(self._socket)
 
     def _to_connection(self, raw: socket.socket) -> AcceptedConnection:
         stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -21,7 +21,7 @@
     local_endpoint,
     memory_reservation,
 )
-from rattanlug.daemon import background_tasks, clock
+from rattanlug.daemon import background_tasks, clock, socket_close
 from rattanlug.desired import limits
 from rattanlug.metrics import counters
 from rattanlug.settings import address
@@ -249,7 +249,7 @@
     async def _serve_connection(self, accepted: listener.AcceptedConnection) -> None:
         if len(self._streams) >= self._max_connections:
             self._counters.add("connections_refused")
-            await trio.aclose_forcefully(accepted.stream)
+            await socket_close.aclose(accepted.stream)
             return
         with self._inner_app.reserve_memory() as head_memory:
             await self._serve_accepted(accepted, head_memory)
@@ -270,7 +270,7 @@
         except OSError:
             # The caller reset the connection before it was served.
             self._counters.add("connections_broken")
-            await trio.aclose_forcefully(accepted.stream)
+            await socket_close.aclose(accepted.stream)
             return
         self._streams.add(caller)
         failure = ""
@@ -293,7 +293,7 @@
                 self._counters.add(
                     "connections_unanswered", cause=cause, phase=caller.phase
                 )
-            await trio.aclose_forcefully(accepted.stream)
+            await socket_close.aclose(accepted.stream)
 
     def _record_failure(self, name: str, phase: str, now: float) -> None:
         self._counters.add("connection_failures", error=name, phase=phase)
--- a/src/rattanlug/gateway/table_client.py
+++ b/src/rattanlug/gateway/table_client.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from rattanlug.daemon import socket_close
 from rattanlug.peer import error, framing
 from rattanlug.tables import follow_codec, follow_messages
 
@@ -70,7 +71,7 @@
         """Close the connection."""
         stream, self._stream = self._stream, None
         if stream is not None:
-            await trio.aclose_forcefully(stream)
+            await socket_close.aclose(stream)
 
     async def _connection(self, host: str) -> trio.SocketStream:
         if self._stream is None or host != self._host:
--- a/src/rattanlug/gateway/table_server.py
+++ b/src/rattanlug/gateway/table_server.py
@@ -3,7 +3,7 @@
 import trio
 
 from rattanlug.caller import listener, local_endpoint
-from rattanlug.daemon import background_tasks, clock
+from rattanlug.daemon import background_tasks, clock, socket_close
 from rattanlug.gateway import node as node_module
 from rattanlug.peer import error, framing
 from rattanlug.settings import address
@@ -68,4 +68,4 @@
     except Exception:
         background_tasks.record_failure("table_follower_connection", node.counters)
     finally:
-        await trio.aclose_forcefully(stream)
+        await socket_close.aclose(stream)
--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -86,7 +86,10 @@
 
     async def aclose(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        try:
+            await self._pool.aclose()
+        except OSError as exc:
+            _LOG.warning("closing a connection", extra={"reason": str(exc)})
 
     async def read_table(self, table: str) -> store_read.StoreRead:
         """Read all rows of a table, page by page.
@@ -264,6 +267,8 @@
             httpcore.NetworkError,
             httpcore.TimeoutException,
             httpcore.ProtocolError,
+            # Closing the connection may report an error.
+            OSError,
         ) as exc:
             raise store_error.StoreError(
                 f"the connection to the store broke: {type(exc).__name__}", is_write
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -4,6 +4,7 @@
 
 import httpcore
 
+from rattanlug.daemon import socket_close
 from rattanlug.upstream import response_head, upstream_socket
 
 _HEAD_END = b"\r\n\r\n"
@@ -130,7 +131,7 @@
 
     async def aclose(self) -> None:
         """Close the connection."""
-        await self._inner.aclose()
+        await socket_close.aclose(self._inner)
 
     def get_extra_info(self, info: str) -> object:
         """Return for ``is_readable`` whether bytes are waiting, else None."""
