Let recovery last longer by the stalls of the run

Trace: the run, which plays the store and the upstreams, stalled for half of the calm and as much of the time before it. The VMs logged "the store did not respond within 1.4 s"; 32 of the 503 were "the keys were last confirmed" 4.4 to 4.9 s ago, up to 1 s into the calm, so no confirmation had come through in the 4 s that recovery lasts; 40 found no upstream that would answer in time.

Recovery now lasts until the run's process has run for 4 s: exactly its stalls are added, none for a run without them.

--- a/soak/run.py
+++ b/soak/run.py
@@ -147,7 +147,7 @@
                     nursery.start_soon(caller.run)
             await trio.sleep(2.0)
             await play_faults(deployed, options, rng, playable, injected)
-            await trio.sleep(RECOVERY_SECONDS)
+            await run_for(observations, RECOVERY_SECONDS)
             observations.record_event(trio.current_time(), "calm")
             await trio.sleep(FAULT_FREE_SECONDS - RECOVERY_SECONDS)
             unexpected = deployed.unexpected_ends()
@@ -235,6 +235,18 @@
         counts["broken off"] += len(each.stand_in.broken_off)
 
 
+async def run_for(observations: history.History, seconds: float) -> None:
+    """Wait until the run's process has run for some time, without its stalls."""
+    begin = now = trio.current_time()
+    while now < (
+        until := begin
+        + seconds
+        + stalls.seconds_within(observations.stalls[history.RUN], begin, now)
+    ):
+        await trio.sleep_until(until)
+        now = trio.current_time()
+
+
 async def play_faults(
     deployed: deployment.Deployment,
     options: Options,
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -7,7 +7,7 @@
 import trio
 from trio import testing
 
-from soak import regressions, run
+from soak import history, regressions, run
 
 SHORT = run.Options(seed=77, seconds=8.0)
 
@@ -64,3 +64,19 @@
     )
     assert injected
     assert not in_force
+
+
+# Guards against a recovery that is over while the store has hardly answered yet.
+@pytest.mark.parametrize(("stalled", "seconds"), [([], 4.0), ([(1.0, 3.0)], 6.0)])
+def test_the_recovery_lasts_longer_by_the_stalls_of_the_run(stalled, seconds):
+    async def wait():
+        observations = history.History()
+        begin = trio.current_time()
+        observations.stalls[history.RUN] = [
+            (begin + since, begin + until) for since, until in stalled
+        ]
+        await run.run_for(observations, 4.0)
+        return trio.current_time() - begin
+
+    clock = testing.MockClock(autojump_threshold=0)
+    assert trio.run(wait, clock=clock) == pytest.approx(seconds)
