Don't count requests as late that a disturbed way held up

The proxy had read the requests from the daemon, which had given them up ("the upstream did not answer in time"), and delivered them when it opened again.

The new test has one that ended before the close and one of another upstream, which excuse nothing; its other two cases failed before.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -229,7 +229,8 @@
 ) -> Iterable[str]:
     """Check that undisturbed VMs rarely forward requests of disconnected callers.
 
-    Without the time in which the upstream's process stalled.
+    Without the time in which the upstream's process stalled. A request isn't judged if
+    the way to its upstream was disturbed after the caller had left, which holds it up.
     """
     late = []
     for request_id, (disconnected_at, vm) in observations.disconnects.items():
@@ -241,6 +242,9 @@
             if _delay(observations, disconnected_at, each, each.process)
             > DISCONNECT_GRACE_SECONDS
             and observations.undisturbed(vm, since, each.at)
+            and not history.overlap(
+                observations.disturbances[each.upstream], disconnected_at, each.at
+            )
         ]
     if len(late) > MAX_LATE_EXECUTIONS:
         yield from late
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -182,3 +182,25 @@
     assert (
         "leaving_upstreams_get_nothing" in guarantees.broken(observations, runs)
     ) is (broken)
+
+
+# Guards against requests that a silent network delivered after their callers had left.
+@pytest.mark.parametrize(
+    ("upstream_name", "begin", "end", "broken"),
+    [
+        ("u1", 97.0, 100.6, False),
+        ("u1", 100.1, 100.2, False),
+        ("u1", 97.0, 99.9, True),
+        ("u2", 97.0, 100.6, True),
+    ],
+)
+def test_a_disturbed_way_holds_requests_up(upstream_name, begin, end, broken):
+    observations = history.History()
+    by_request = {}
+    for index in range(4):
+        name = f"left-{index}"
+        observations.disconnects[name] = (100.0, "vm-1")
+        by_request[name] = [execution(name, at=100.6)]
+    observations.disturbances[upstream_name].append([begin, end])
+    violated = guarantees.broken(observations, by_request)
+    assert ("nothing_runs_for_callers_that_left" in violated) is broken
