--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -56,11 +56,8 @@
 FULL_RATIO = 3.0
 # With an upstream of at least this value, further data centres aren't considered.
 SUFFICIENT_VALUE = 0.85
-# Below this value, a request is sent to idle upstreams only.
+# Below this value, a request is rejected instead of sent.
 MIN_VALUE = 0.0
-# Below this estimated share of responses without a failure, an upstream isn't expected
-# to finish a request.
-MIN_SUCCESS_SHARE = 0.2
 # Upstreams of another data centre that are considered besides those that may have the
 # object cached; two random ones suffice to find a short queue.
 REMOTE_SAMPLE_SIZE = 2
@@ -232,8 +229,6 @@
             if candidate is None:
                 continue
             if not allowed(self._region_of.get(data_centre, "")):
-                if candidate.value < MIN_VALUE and self._has_region(groups):
-                    continue
                 candidate = candidate._replace(
                     value=candidate.value - REGION_SHIFT_PENALTY
                 )
@@ -249,10 +244,6 @@
             for record in group:
                 yield region, record
 
-    def _has_region(self, groups: candidate_groups.Groups) -> bool:
-        """Tell whether a request may be served in this VM's region."""
-        return any(self._region_of.get(each) == self._region for each in groups)
-
     def _is_remote(self, data_centre: str) -> bool:
         return data_centre != self._data_centre
 
@@ -273,47 +264,12 @@
             candidate = self._evaluate(
                 request, times, record, home, len(group), remote_data_centre, now
             )
-            if candidate is None:
-                continue
-            if best is not None and candidate.value <= best.value:
+            if candidate is None or candidate.value < MIN_VALUE:
                 continue
-            if candidate.value >= MIN_VALUE or self._is_idle_for(
-                request, candidate, groups, now
-            ):
+            if best is None or candidate.value > best.value:
                 best = candidate
         return best
 
-    def _is_idle_for(
-        self,
-        request: placement_request.PlacementRequest,
-        candidate: placement.Placement,
-        groups: candidate_groups.Groups,
-        now: float,
-    ) -> bool:
-        """Tell whether an upstream can finish a request in a slot that no other needs.
-
-        The costs in a value stand for other requests that could have the slot, so they
-        are no reason to reject a request if there are none. If the VM's own data centre
-        is full, there are, and a late response isn't worth the slot.
-        """
-        record = candidate.record
-        if candidate.busy + 1.0 > record.slots or candidate.seconds > request.time_left:
-            return False
-        if 1.0 - self.load(record, now).failure_share(now) < MIN_SUCCESS_SHARE:
-            return False
-        if candidate.seconds <= request.time_to_target:
-            return True
-        own_group = groups.get(self._data_centre, ())
-        return not own_group or any(
-            self._has_free_slot(each, now) for each in own_group
-        )
-
-    def _has_free_slot(
-        self, record: upstream_record.UpstreamRecord, now: float
-    ) -> bool:
-        unreported = self._startup_load.unreported(self._region)
-        return self.load(record, now).busy(now, unreported) + 1.0 <= record.slots
-
     def begin(
         self, record: upstream_record.UpstreamRecord, object_id: str | None, now: float
     ) -> int:
