Answer requests on connections over the limit

Callers over the limit of connections got a closed connection, which promises nothing, so that a request that may run only once can't be repeated elsewhere.

Cause: the limit was checked before anything was read.

The head of the first request is awaited for 0.1 s, on a thirty-second of the limit's connections at once, and answered with 503, not run, Retry-After and Connection: close. Beyond that, only what has arrived is answered.

--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -20,6 +20,7 @@
     listener,
     local_endpoint,
     memory_reservation,
+    refused_connection,
 )
 from rattanlug.daemon import background_tasks, clock
 from rattanlug.desired import limits
@@ -35,6 +36,9 @@
 # Time for the first request on a connection that is accepted when the server stops.
 FIRST_REQUEST_SECONDS = 0.2
 MAX_CONNECTIONS = 2048
+# Of the limit of connections, the fraction that may wait beyond it for a request to be
+# refused.
+_REFUSING_FRACTION = 32
 # Pieces of a body, of at most 16 KiB, that wait for the application.
 _MAX_QUEUED_PIECES = 1
 # Log lines for connections that failed are at least this far apart.
@@ -83,6 +87,8 @@
         self._config = _config()
         self._context = worker_context.WorkerContext(None)
         self._streams: set[caller_stream.CallerStream] = set()
+        # Connections beyond the limit whose first request is awaited.
+        self._refusing = 0
         self._stopping = False
         self._has_stopped = False
         self._logged_at = -math.inf
@@ -249,11 +255,21 @@
     async def _serve_connection(self, accepted: listener.AcceptedConnection) -> None:
         if len(self._streams) >= self._max_connections:
             self._counters.add("connections_refused")
-            await trio.aclose_forcefully(accepted.stream)
+            await self._refuse(accepted)
             return
         with self._inner_app.reserve_memory() as head_memory:
             await self._serve_accepted(accepted, head_memory)
 
+    async def _refuse(self, accepted: listener.AcceptedConnection) -> None:
+        may_wait = self._refusing < max(1, self._max_connections // _REFUSING_FRACTION)
+        wait_seconds = refused_connection.WAIT_SECONDS if may_wait else 0.0
+        self._refusing += 1
+        try:
+            if await refused_connection.refuse(accepted, wait_seconds):
+                self._counters.add("requests_rejected", reason="connections")
+        finally:
+            self._refusing -= 1
+
     async def _serve_accepted(
         self,
         accepted: listener.AcceptedConnection,
