Open the port for callers after all others

A VM whose port for readiness, look-ups or datagrams another program had accepted callers' connections and didn't read them, while its digests let the look-ups of other VMs name it. Since the wait for a port has no limit any more, neither had this.

Each server now opens its listener before the callers' one is opened, and digests begin after that. Of four cases of the test, three failed before (readiness, look-ups, datagrams).

--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -70,12 +70,23 @@
         self._rounds = 0
         self._logged_live_vms: set[str] = set()
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Receive and send until cancelled."""
+    async def open(self) -> socket.socket:
+        """Open the socket for `run`; wait while its address is not available.
+
+        Raises
+        ------
+        OSError
+        """
         local = address.Address(self._node.settings.host, self._port)
-        with await local_endpoint.open_when_available(
+        return await local_endpoint.open_when_available(
             functools.partial(_open_socket, local), local
-        ) as sock:
+        )
+
+    async def run(
+        self, opened: socket.socket, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Receive and send until cancelled."""
+        with opened as sock:
             self._socket = trio.socket.from_stdlib_socket(sock)
             tasks = {
                 "digest_receiver": functools.partial(self._receive, sock),
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -5,7 +5,6 @@
 import functools
 import gc
 import logging
-import math
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -237,37 +236,21 @@
                 nursery, "rollouts", functools.partial(rollouts.run, node, reader)
             )
             await nursery.start(table_server.run, node)
-            # Opened after the port for other VMs, which the previous process releases
-            # last, since callers would wait meanwhile; and before the first digest,
-            # after which the look-ups of other VMs name this one.
+            digest_socket = await self._digest_exchange.open()
+            internal_listeners = [
+                (server, await server.open(local))
+                for server, local in self._internal_servers(handlers)
+            ]
+            # Opened after all other ports, since callers would wait meanwhile; and
+            # before the first digest, after which the look-ups of other VMs name this
+            # one.
             callers_listener = await self._caller_server.open(settings.callers)
             node.placer.start(clock.now())
             self._start_task(nursery, "loop_lag", node.lag.run)
             self._start_task(nursery, "upstream_sweeps", node.pools.run_sweeps)
-            await nursery.start(self._digest_exchange.run)
-            connections = self._connection_limits
-            for handler, local, limit, local_reply in (
-                (
-                    handlers.serve_readiness,
-                    settings.readiness,
-                    connections.readiness,
-                    None,
-                ),
-                (
-                    handlers.serve_lookup,
-                    settings.lookups,
-                    connections.lookups,
-                    handlers.local_lookup_reply,
-                ),
-            ):
-                app = application.Application(
-                    handler, node.counters, memory=node.memory
-                )
-                internal_server = caller_server.Server(
-                    app, node.counters, max_connections=limit, local_reply=local_reply
-                )
-                start = functools.partial(internal_server.run, local, trio.Event(), 0.0)
-                await nursery.start(start)
+            await nursery.start(self._digest_exchange.run, digest_socket)
+            for server, opened in internal_listeners:
+                await nursery.start(server.run, opened, trio.Event(), 0.0)
             serve_metrics = functools.partial(self._serve_metrics, handlers)
             self._start_task(nursery, "metrics", serve_metrics)
             # From here on, callers' requests are read, and a stop has to finish them.
@@ -280,6 +263,31 @@
             )
             task_status.started()
 
+    def _internal_servers(
+        self, handlers: endpoints.Endpoints
+    ) -> list[tuple[caller_server.Server, address.Address]]:
+        """Return the servers for readiness and look-ups, with their addresses."""
+        node, connections = self._node, self._connection_limits
+        readiness = caller_server.Server(
+            application.Application(
+                handlers.serve_readiness, node.counters, memory=node.memory
+            ),
+            node.counters,
+            max_connections=connections.readiness,
+        )
+        lookups = caller_server.Server(
+            application.Application(
+                handlers.serve_lookup, node.counters, memory=node.memory
+            ),
+            node.counters,
+            max_connections=connections.lookups,
+            local_reply=handlers.local_lookup_reply,
+        )
+        return [
+            (readiness, node.settings.readiness),
+            (lookups, node.settings.lookups),
+        ]
+
     def _start_task(
         self, nursery: trio.Nursery, name: str, run: Callable[[], Awaitable[None]]
     ) -> None:
@@ -295,7 +303,7 @@
             handlers.serve_metrics, node.counters, memory=node.memory
         )
         server = caller_server.Server(app, node.counters)
-        listening = await server.open(local, math.inf)
+        listening = await server.open(local)
         await server.run(listening, trio.Event(), 0.0)
 
     async def stop(self, signalled_at: float | None = None) -> None:
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -194,16 +194,26 @@
 
 # Guards against callers that wait for a VM which cannot serve them yet: after a refused
 # connection, they try another VM at once.
-def test_callers_are_refused_while_the_port_for_other_vms_is_missing(tmp_path):
-    with hold(FIRST_PORT + boot_file.PEERS):
+@pytest.mark.parametrize(
+    ("offset", "kind"),
+    [
+        (boot_file.READINESS, socket.SOCK_STREAM),
+        (boot_file.LOOKUPS, socket.SOCK_STREAM),
+        (boot_file.PEERS, socket.SOCK_STREAM),
+        (boot_file.PEERS, socket.SOCK_DGRAM),
+    ],
+)
+def test_callers_are_refused_while_another_port_is_missing(tmp_path, offset, kind):
+    with hold(FIRST_PORT + offset, kind):
         process = start_in_background(tmp_path)
         while "unavailable" not in (line := process.stdout.readline()):
             assert line, "the daemon ended"
         time.sleep(0.3)
-        assert not is_serving()
+        was_serving = is_serving()
     wait_until_serving()
     process.terminate()
     assert process.wait(10) == 0
+    assert not was_serving
 
 
 def test_a_daemon_that_waits_for_a_port_can_be_stopped(tmp_path):
