--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -178,3 +178,19 @@
 
     assert (target / "__pycache__").exists()
     assert not list((target / "inner" / "__pycache__").glob("changed.*"))
+
+
+# Guards against a build that fails because a daemon that starts meanwhile replaces a
+# compiled file.
+def test_files_may_vanish_while_modes_are_set(build, tmp_path, monkeypatch):
+    incomplete = tmp_path / "module.pyc.1234"
+    incomplete.write_bytes(b"")
+    find = pathlib.Path.rglob
+
+    def find_then_replace(path, pattern):
+        found = list(find(path, pattern))
+        incomplete.replace(tmp_path / "module.pyc")
+        return found
+
+    monkeypatch.setattr(pathlib.Path, "rglob", find_then_replace)
+    build.make_readable(tmp_path)
