--- a/tests/platform/test_failing_store_close.py
+++ b/tests/platform/test_failing_store_close.py
@@ -17,7 +17,7 @@
 from rattanlug.upstream import deadline_backend
 from tests.gateway import caller
 
-_CALLS = 10
+_CALLS = 18
 
 
 class Store(http.server.BaseHTTPRequestHandler):
