Close a connection to the store whatever the close reports

Of eight errors at the close of idle connections to the store, each kept its place in the library's pool for ever: it closes expired connections after it has assigned a place, and then no call was made any more.

--- a/src/rattanlug/upstream/deadline_backend.py
+++ b/src/rattanlug/upstream/deadline_backend.py
@@ -8,6 +8,7 @@
 
 import httpcore
 
+from rattanlug.daemon import socket_close
 from rattanlug.upstream import upstream_socket
 
 _NO_DELAY = (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -108,8 +109,8 @@
             await self._connected.write(buffer)
 
     async def aclose(self) -> None:
-        """Close the connection."""
-        await self._connected.aclose()
+        """Close the connection; the library would lose a place of its pool otherwise."""
+        await socket_close.aclose(self._connected)
 
     async def start_tls(
         self,
