--- a/src/rattanlug/caller/listener.py
+++ b/src/rattanlug/caller/listener.py
@@ -73,11 +73,7 @@
         earliest_ready_at: Callable[[], float],
         all_counters: counters.Counters,
     ) -> None:
-        family = socket.AF_INET6 if ":" in local.host else socket.AF_INET
-        self._socket = socket.create_server(
-            (local.host, local.port), family=family, backlog=BACKLOG
-        )
-        self._socket.setblocking(False)
+        self._socket = _listen(local)
         self._target = f"{local.host}:{local.port}"
         self._earliest_ready_at = earliest_ready_at
         self._counters = all_counters
@@ -177,3 +173,27 @@
         if error != self._error:
             state_log.log_change("accept", self._error, error, address=self._target)
             self._error = error
+
+
+def _listen(local: address.Address) -> socket.socket:
+    """Return a listening socket.
+
+    Raises
+    ------
+    OSError
+    """
+    is_ipv6 = ":" in local.host
+    family = socket.AF_INET6 if is_ipv6 else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if is_ipv6:
+            listening.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        listening.bind((local.host, local.port))
+        listening.listen(BACKLOG)
+        listening.setblocking(False)
+    except BaseException:
+        # An error of the close must not hide that the address is taken.
+        socket_close.close(listening)
+        raise
+    return listening
--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -12,7 +12,7 @@
 import trio
 
 from rattanlug.caller import local_endpoint
-from rattanlug.daemon import background_tasks, clock
+from rattanlug.daemon import background_tasks, clock, socket_close
 from rattanlug.encoding import json_text
 from rattanlug.fleet import digest, digest_codec
 from rattanlug.gateway import node as node_module
@@ -48,7 +48,7 @@
     try:
         sock.bind((local.host, local.port))
     except BaseException:
-        sock.close()
+        socket_close.close(sock)
         raise
     return sock
 
@@ -86,19 +86,21 @@
         self, opened: socket.socket, task_status=trio.TASK_STATUS_IGNORED
     ) -> None:
         """Receive and send until cancelled."""
-        with opened as sock:
-            self._socket = trio.socket.from_stdlib_socket(sock)
-            tasks = {
-                "digest_receiver": functools.partial(self._receive, sock),
-                "registration": self._register,
-                "digest_sender": self._send_periodically,
-            }
+        self._socket = trio.socket.from_stdlib_socket(opened)
+        tasks = {
+            "digest_receiver": functools.partial(self._receive, opened),
+            "registration": self._register,
+            "digest_sender": self._send_periodically,
+        }
+        try:
             async with trio.open_nursery() as nursery:
                 for name, task in tasks.items():
                     nursery.start_soon(
                         background_tasks.keep_running, name, task, self._node.counters
                     )
                 task_status.started()
+        finally:
+            socket_close.close(opened)
 
     async def send_digest(self) -> None:
         """Send a digest to all VMs that need one in this round."""
--- a/src/rattanlug/upstream/deadline_backend.py
+++ b/src/rattanlug/upstream/deadline_backend.py
@@ -109,7 +109,10 @@
             await self._connected.write(buffer)
 
     async def aclose(self) -> None:
-        """Close the connection; the library would lose a place of its pool otherwise."""
+        """Close the connection.
+
+        An error would take a place of the library's pool for ever.
+        """
         await socket_close.aclose(self._connected)
 
     async def start_tls(
