Don't let an error while refusing a connection end the others

Unlike the serving of a connection, its refusal let unexpected errors pass to the server. None is known to occur; the review injected one. The test failed before.

--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -267,6 +267,9 @@
         try:
             if await refused_connection.refuse(accepted, wait_seconds):
                 self._counters.add("requests_rejected", reason="connections")
+        except Exception as exc:
+            # An error in one connection must not end the others.
+            self._record_failure(_name_of_error(exc), "refusing", clock.now())
         finally:
             self._refusing -= 1
 
