Restore the limit for acknowledgements when a response arrives

The limit that was extended for a large request stayed on a connection that was used again, 3.2 s instead of 1.5 s, if the request had fitted into the send buffer.

--- a/src/rattanlug/upstream/upstream_socket.py
+++ b/src/rattanlug/upstream/upstream_socket.py
@@ -99,6 +99,7 @@
             # The kernel reports a reset once, here to the write. After that, reading
             # gives the bytes received before and then an ordinary end.
             raise httpcore.ReadError("the connection was reset")
+        self._restore_acknowledgement_timeout()
         return data
 
     async def write(self, data: bytes) -> None:
@@ -119,6 +120,18 @@
         """Close the connection."""
         await self._stream.aclose()
 
+    def _restore_acknowledgement_timeout(self) -> None:
+        """Restore the time limit for acknowledgements, if it was extended.
+
+        Raises
+        ------
+        httpcore.ReadError
+        """
+        try:
+            self._acknowledgement_timeout.restore()
+        except OSError as exc:
+            raise httpcore.ReadError(str(exc)) from exc
+
     async def _send_all(self, data: memoryview) -> None:
         await trio.lowlevel.checkpoint_if_cancelled()
         if self._clock() >= self._deadline:
