--- a/deploy/build.py
+++ b/deploy/build.py
@@ -7,6 +7,7 @@
 """
 
 import compileall
+import contextlib
 import fcntl
 import filecmp
 import importlib.util
@@ -98,12 +99,18 @@
     OSError
     """
     for each in (root, *root.rglob("*")):
-        if each.is_symlink():
-            continue
-        mode = stat.S_IMODE(each.stat().st_mode)
-        wanted = mode | (_READ_DIRECTORY if each.is_dir() else _READ)
-        if mode != wanted:
-            os.chmod(each, wanted)
+        # A daemon that starts replaces compiled files meanwhile.
+        with contextlib.suppress(FileNotFoundError):
+            if not each.is_symlink():
+                _make_readable(each)
+
+
+def _make_readable(path: pathlib.Path) -> None:
+    mode = path.stat().st_mode
+    is_directory = stat.S_ISDIR(mode)
+    wanted = stat.S_IMODE(mode) | (_READ_DIRECTORY if is_directory else _READ)
+    if stat.S_IMODE(mode) != wanted:
+        os.chmod(path, wanted)
 
 
 def main() -> None:
