Record how early a daemon breaks off a request, and in which phase

The log and the counters of a daemon didn't show how long before the end of a caller's time its own 504 was sent, nor that a stop was under way; callers' records alone had shown the 504s of the last incident.

`send failed` gets the time that was left, the phase of the daemon and its uptime; `requests_broken_off` counts by phase, early or not. A process is in the phase "starting" while a stop of the VM's previous process may be under way.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -10,7 +10,12 @@
 from rattanlug.desired import freshness, holder
 from rattanlug.discovery import upstream_registry
 from rattanlug.fleet import data_centre_digest, digest, peer_table
-from rattanlug.gateway import decision_log, loop_lag, loop_utilisation
+from rattanlug.gateway import (
+    decision_log,
+    loop_lag,
+    loop_utilisation,
+    process_phase,
+)
 from rattanlug.logs import state_log
 from rattanlug.metrics import counters, histograms
 from rattanlug.placement import placer
@@ -55,6 +60,7 @@
 
     def __init__(self, settings: gateway_settings.GatewaySettings) -> None:
         self._settings = settings
+        self._started_at = clock.now()
         self._incarnation = int(clock.wall_now() * _MILLISECONDS)
         self._rng = random.Random(f"{settings.vm}:{self._incarnation}")
         self._counters = counters.Counters()
@@ -240,6 +246,16 @@
             and self._upstreams_read
         )
 
+    def phase(self, now: float) -> process_phase.ProcessPhase:
+        """Return the phase of this daemon between its start and its end."""
+        return process_phase.process_phase(
+            self._started_at, self._leaving, self._settings.bounds.stop, now
+        )
+
+    def uptime(self, now: float) -> float:
+        """Return the time since the start of this daemon, seconds."""
+        return now - self._started_at
+
     def set_follow_rollouts(self, enabled: bool) -> None:
         """Set whether the rollout records are kept up to date."""
         self._follows_rollouts = enabled
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -244,6 +244,8 @@
     ) -> None:
         node = self._node
         load = node.placer.load(record, now)
+        phase = node.phase(now)
+        time_left = admitted.latest_end_at_shutdown - now
         node.counters.add("sends_failed", kind=exc.kind.value)
         if exc.kind is kind.ErrorKind.UPSTREAM_FAILED:
             load.note_unreachable(now)
@@ -254,6 +256,11 @@
             load.note_slowdown(
                 (now - admitted.arrived_at) / self.route_times(admitted.route).cold, now
             )
+            node.counters.add(
+                "requests_broken_off",
+                early=str(time_left > 0.0).lower(),
+                phase=phase.value,
+            )
         node.log.write(
             "send failed",
             now,
@@ -263,6 +270,9 @@
             kind=exc.kind.value,
             ran=exc.response.executed.value,
             failures=round(load.failure_share(now), 2),
+            time_left=round(time_left, 3),
+            phase=phase.value,
+            uptime=round(node.uptime(now), 1),
         )
 
     def _record_response(
