Add a failing test of early responses at a VM's next process

After a stop, the next process of a VM answers 504 before the callers' deadlines, with 0.2 s of margin in the test 0.4 s after a request with 0.6 s.

--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -158,3 +158,22 @@
             assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
             assert earliest <= trio.current_time() - sent_at < latest
             nursery.cancel_scope.cancel()
+
+
+# Guards against a daemon that breaks off requests before their callers' deadlines while
+# the stop of its VM's previous process is under way, of which it doesn't know.
+@pytest.mark.parametrize("path", ["/claim/x", "/view/x"])
+@caller.in_trio
+async def test_the_next_process_waits_until_the_caller_s_deadline(path, monkeypatch):
+    monkeypatch.setattr(admission, "RESPONSE_MARGIN_SECONDS", 0.2)
+    async with fleet.open_fleet() as deployment:
+        added = await deployment.add_upstream("u1")
+        added.silent = True
+        vm = await deployment.add_vm(bounds={"grace_s": 4})
+        await deployment.settle()
+        local = vm.node.settings.callers
+        stream = await trio.open_tcp_stream(local.host, local.port)
+        sent_at = trio.current_time()
+        await stream.send_all(caller.encode(path, "waiting", "POST", milliseconds=600))
+        assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
+        assert 0.6 <= trio.current_time() - sent_at < 1.0
