Don't break off requests early at a VM's next process

After a stop, callers got the daemon's own 504 in place of a response at which an upstream was working, 0.02 s before their deadline, from the process that the VM starts next.

Cause: a daemon waits until the caller's deadline only while it shuts down itself. It can't know of a SIGTERM that its predecessor got, but only that it came before its own start. So it now does the same for the grace period and 1 s from its start on.

The test of a daemon that runs for longer now says so, as all daemons of the tests have just started.

--- a/src/rattanlug/gateway/admission.py
+++ b/src/rattanlug/gateway/admission.py
@@ -156,8 +156,8 @@
     ) -> tuple[float, float]:
         """Return the times until which an upstream may work on a request, seconds.
 
-        A caller should get its response before its own deadline. But a VM that shuts
-        down must not break off a request before it; the second time is for that.
+        A caller should get its response before its own deadline. But around a stop of
+        the VM, a request must not be broken off before it; the second time is for that.
         """
         latest_arrival = min(now, arrived_at + MAX_LATE_SECONDS)
         latest_end = latest_arrival + matched_route.timeout
--- a/src/rattanlug/gateway/admitted_request.py
+++ b/src/rattanlug/gateway/admitted_request.py
@@ -27,8 +27,9 @@
     latest_end : float
         Time until which an upstream may work on the request, monotonic seconds. Before
         it, a request that was sent must not be broken off.
-    latest_end_at_shutdown : float
-        The same while this VM shuts down, also if the request came before that.
+    time_up_at : float
+        Time from which on the caller's time or the route's timeout is over for certain,
+        monotonic seconds. Around a stop of the VM, an upstream may work until then.
     admitted_at : float
         Monotonic seconds.
     """
@@ -41,7 +42,7 @@
     arrived_at: float
     deadline: float
     latest_end: float
-    latest_end_at_shutdown: float
+    time_up_at: float
     admitted_at: float
 
     @property
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -7,7 +7,7 @@
 from rattanlug.desired import route
 from rattanlug.discovery import upstream_record
 from rattanlug.errors import error, executed, kind
-from rattanlug.gateway import admitted_request, rejections
+from rattanlug.gateway import admitted_request, process_phase, rejections
 from rattanlug.gateway import node as node_module
 from rattanlug.placement import placement, service_times
 from rattanlug.platform import request_headers, response_headers
@@ -149,9 +149,9 @@
             node.histograms.record("request_unsent", now - admitted.admitted_at)
 
         def latest_end() -> float:
-            if node.leaving:
-                return admitted.latest_end_at_shutdown
-            return admitted.latest_end
+            if node.phase(clock.now()) is process_phase.ProcessPhase.SERVING:
+                return admitted.latest_end
+            return admitted.time_up_at
 
         try:
             return await node.pools.send(
@@ -245,7 +245,7 @@
         node = self._node
         load = node.placer.load(record, now)
         phase = node.phase(now)
-        time_left = admitted.latest_end_at_shutdown - now
+        time_left = admitted.time_up_at - now
         node.counters.add("sends_failed", kind=exc.kind.value)
         if exc.kind is kind.ErrorKind.UPSTREAM_FAILED:
             load.note_unreachable(now)
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -6,7 +6,7 @@
 import trio
 
 from rattanlug.caller import listener
-from rattanlug.gateway import admission, run
+from rattanlug.gateway import admission, process_phase, run
 from rattanlug.gateway import node as node_module
 from tests.gateway import caller
 from trial.shared_platform import fleet
@@ -138,6 +138,8 @@
     path, stop_after, earliest, latest, monkeypatch
 ):
     monkeypatch.setattr(admission, "RESPONSE_MARGIN_SECONDS", 0.2)
+    # No stop of a previous process can be under way.
+    monkeypatch.setattr(process_phase, "STOP_MARGIN_SECONDS", -4.0)
     async with fleet.open_fleet() as deployment:
         added = await deployment.add_upstream("u1")
         added.silent = True
