--- a/src/rattanlug/upstream/pooled_connection.py
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -73,6 +73,7 @@
 
     def mark_idle(self, now: float) -> None:
         """Record that the connection has become idle."""
+        self._stream.end_request()
         self._idle_since = now
 
     async def exchange(
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -106,6 +106,11 @@
         self._body.clear()
         self._received = 0
 
+    def end_request(self) -> None:
+        """End the current request; nothing is kept of it while the stream is idle."""
+        self._inner.set_deadline(0.0)
+        self._check_send = None
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read bytes of the current response; empty at the end of the connection.
 
--- a/tests/gateway/test_large_bodies.py
+++ b/tests/gateway/test_large_bodies.py
@@ -1,12 +1,13 @@
 """Tests of requests with large bodies."""
 
 import contextlib
+import gc
 import socket
 
 import pytest
 import trio
 
-from rattanlug.gateway import node
+from rattanlug.gateway import admitted_request, node
 from rattanlug.upstream import memory_budget
 from tests.gateway import caller
 from trial import http_client
@@ -280,3 +281,20 @@
             _, answer = await caller.send(vm, "/claim/1", "POST")
             executed = len(deployment.upstreams["u1"].executions) - executions
             assert (answer.status, executed) == (200, 1)
+
+
+# Guards against idle connections to upstreams that keep the last request of each, with
+# its body, in memory that isn't counted.
+@caller.in_trio
+async def test_an_idle_connection_to_an_upstream_holds_no_request():
+    async with fleet.open_fleet() as deployment:
+        vm = await start(deployment)
+        _, answer = await upload(vm, memory_budget.SMALL_BODY_BYTES)
+        assert answer.status == 200
+        await released(vm)
+        gc.collect()
+        assert not [
+            each
+            for each in gc.get_objects()
+            if type(each) is admitted_request.AdmittedRequest
+        ]
