Record errors that come together with a cancellation

A request that is cut at the end of a stop, or whose caller leaves, may raise an error in one part while the others are cancelled. Such a group is no `Exception`, so it passed both the handler of the application and that of the connection; then closing the stream replaced it by the cancellation, or the HTTP library dropped it. The error was neither counted nor logged.

Both places now split the group: the error counts as `internal_errors` or `connection_failures` with its line, and the cancellation goes on.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -233,14 +233,22 @@
             return await self._handler(incoming)
         except error.RattanlugError:
             raise
+        except BaseExceptionGroup as exc:
+            # A part of the request may fail while the others are cancelled.
+            errors, cancellations = exc.split(Exception)
+            if errors is not None:
+                self._record_unexpected_error()
+            if cancellations is not None:
+                raise cancellations from None
+            raise _internal_error() from exc
         except Exception as exc:
-            self._counters.add("internal_errors")
-            _LOG.exception("unexpected error while serving a request")
-            raise error.RattanlugError(
-                kind.ErrorKind.UPSTREAM_FAILED,
-                "an internal error ended the request",
-                executed.Executed.UNKNOWN,
-            ) from exc
+            self._record_unexpected_error()
+            raise _internal_error() from exc
+
+    def _record_unexpected_error(self) -> None:
+        """Count and log the error that is being handled."""
+        self._counters.add("internal_errors")
+        _LOG.exception("unexpected error while serving a request")
 
     async def _call_until_disconnect(
         self, incoming: request.Request, stream: caller_stream.CallerStream
@@ -254,6 +262,14 @@
         return None
 
 
+def _internal_error() -> error.RattanlugError:
+    return error.RattanlugError(
+        kind.ErrorKind.UPSTREAM_FAILED,
+        "an internal error ended the request",
+        executed.Executed.UNKNOWN,
+    )
+
+
 async def _discard_messages(receive: Callable) -> None:
     while True:
         await receive()
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -301,6 +301,14 @@
                 await self._run_library(caller)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._counters.add("connections_broken")
+        except BaseExceptionGroup as exc:
+            # A part of the connection may fail while the others are cancelled.
+            errors, cancellations = exc.split(Exception)
+            if errors is not None:
+                failure = _name_of_error(errors)
+                self._record_failure(failure, caller.phase, clock.now())
+            if cancellations is not None:
+                raise cancellations from None
         except Exception as exc:
             # An error in one connection must not end the others.
             failure = _name_of_error(exc)
--- a/tests/gateway/test_ends_by_clean_up.py
+++ b/tests/gateway/test_ends_by_clean_up.py
@@ -2,6 +2,7 @@
 
 import errno
 import functools
+import logging
 import socket
 
 import pytest
@@ -9,6 +10,7 @@
 
 from rattanlug.caller import (
     application,
+    fast_path,
     listener,
     refused_connection,
     reply,
@@ -21,6 +23,9 @@
 from trial.shared_platform import fleet
 
 _BY_FAST_PATH = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+_BY_LIBRARY = (
+    b"GET /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+)
 
 
 # Guards against a process that ends its stop with an error because closing the socket
@@ -93,3 +98,62 @@
                 else:
                     listener.Listener(local, lambda: 0.0, counters.Counters())
     assert caught.value.errno == errno.EADDRINUSE
+
+
+async def _fail_when_cancelled(*arguments):
+    try:
+        await trio.sleep_forever()
+    finally:
+        raise ValueError("clean-up failed")
+
+
+# Guards against an error of a request that is cut at the end of a stop and is neither
+# counted nor logged, as another part of the request is cancelled beside it.
+@pytest.mark.parametrize(
+    ("data", "is_in_handler", "counter"),
+    [
+        (_BY_FAST_PATH, True, "internal_errors"),
+        (_BY_LIBRARY, True, "internal_errors"),
+        (_BY_FAST_PATH, False, "connection_failures"),
+    ],
+)
+@pytest.mark.parametrize("is_watched", [False, True])
+@caller.in_trio
+async def test_an_error_beside_a_cancellation_is_recorded(
+    data, is_in_handler, counter, is_watched, monkeypatch, caplog
+):
+    async def respond(incoming):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.sleep_forever)
+            if is_in_handler:
+                nursery.start_soon(_fail_when_cancelled)
+        return reply.from_text("x")
+
+    async def serve_in_parts(served_by, *arguments):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_fail_when_cancelled)
+            await serve(served_by, *arguments)
+
+    serve = fast_path.FastPath.serve
+    if not is_in_handler:
+        monkeypatch.setattr(fast_path.FastPath, "serve", serve_in_parts)
+    all_counters = counters.Counters()
+    app = application.Application(
+        respond, all_counters, ignores_disconnect=lambda incoming: not is_watched
+    )
+    served = server.Server(app, all_counters)
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        local = address.Address("127.0.0.1", 0)
+        (listening,) = await nursery.start(
+            functools.partial(served.run, local, stop, 0.2)
+        )
+        stream = await trio.open_tcp_stream(*listening.socket.getsockname())
+        await stream.send_all(data)
+        await trio.sleep(0.1)
+        stop.set()
+    assert served.has_stopped
+    counted = [(name, value) for name, _, value in all_counters.items()]
+    assert (counter, 1) in counted
+    (line,) = [each for each in caplog.records if each.levelno >= logging.WARNING]
+    assert line.exc_info[1].split(ValueError)[0] is not None
