Judge what a request handler answers without the load of the machine

test_a_cut_refusal_does_not_refuse_a_request_that_ran failed once beside load (39): 0 executions in place of 1. Traced: in 2,233 plays of it on the same machine, each miss was a 503 "this VM is overloaded: requests are delayed by 0.12 to 1.38 s" of a request that did not run, which is what a busy VM promises.

All tests of the file but two now run without the delay of the machine, as five of them did before.

--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -308,3 +308,61 @@
             nursery.start_soon(stall_event_loop, 0.02)
         assert max(answered_after) < table_client.RESPONSE_TIMEOUT_SECONDS
         nursery.cancel_scope.cancel()
+
+
+@caller.in_trio
+async def test_a_burst_beyond_the_processor_capacity_is_rejected_early():
+    # Load pattern: an organisation sends many times its usual load to the only VM of a
+    # data centre; hundreds of requests wait for the same iteration of the event loop.
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        await deployment.add_upstream("u2")
+        await deployment.add_upstream("u3")
+        vm = await deployment.add_vm()
+        admitted = []
+        admission = vm._request_handler._admission
+        admit = admission.admit
+
+        def slow_admit(*arguments):
+            admitted.append(trio.current_time())
+            time.sleep(0.02)
+            return admit(*arguments)
+
+        admission.admit = slow_admit
+        local = vm.node.settings.callers
+        streams = [
+            await trio.open_tcp_stream(local.host, local.port) for _ in range(100)
+        ]
+        await trio.sleep(0.1)
+        for index, stream in enumerate(streams):
+            data = caller.encode("/view/x", f"burst-{index}")
+            # The event loop does not run between one request and the next.
+            assert stream.socket._sock.send(data) == len(data)
+        heads = [await stream.receive_some(4096) for stream in streams]
+        rejected = sum(head.startswith(b"HTTP/1.1 503") for head in heads)
+        # Without rejections in the same iteration, all 100 are admitted over 2 s.
+        assert len(admitted) <= 40
+        assert rejected >= 60
+
+
+@caller.in_trio
+async def test_a_single_stall_of_the_process_rejects_nothing():
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        vm = await deployment.add_vm()
+        admission = vm._request_handler._admission
+        reject_early = admission.reject_early
+        stalls = []
+
+        def stalled(*arguments):
+            began = time.monotonic()
+            time.sleep(0.2)
+            response = reject_early(*arguments)
+            stalls.append(time.monotonic() - began)
+            return response
+
+        vm._caller_server._local_reply = stalled
+        # Repeat if the machine was too busy and the stall took longer than intended.
+        while not stalls or stalls[-1] > 0.23:
+            _, response = await caller.send(vm, "/view/x")
+        assert response.status == 200, response.body
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -13,7 +13,7 @@
 from trial.shared_platform import fleet
 
 
-@pytest.fixture
+@pytest.fixture(autouse=True)
 def no_overload(monkeypatch):
     """Make responses independent of the load of the machine that runs the test."""
     monkeypatch.setattr(
@@ -104,7 +104,6 @@
             assert len(caller.executions(deployment, request_id)) == 1
 
 
-@pytest.mark.usefixtures("no_overload")
 @caller.in_trio
 async def test_a_request_that_was_shed_runs_elsewhere():
     async with open_vm("u1", "u2") as (deployment, vm):
@@ -117,7 +116,6 @@
 
 # Guards against a rejection, while another upstream is idle, of a request whose first
 # choice became cold before the first byte was sent.
-@pytest.mark.usefixtures("no_overload")
 @caller.in_trio
 async def test_a_request_held_back_from_a_cold_upstream_runs_elsewhere():
     async with open_vm("u1", "u2") as (deployment, vm):
@@ -136,7 +134,6 @@
 
 # Guards against an internal error, whose answer leaves open whether the request ran,
 # when an organisation is removed while an upstream sheds one of its requests.
-@pytest.mark.usefixtures("no_overload")
 @caller.in_trio
 async def test_a_shed_request_of_a_removed_organisation_is_rejected_as_not_run():
     async with open_vm("u1") as (deployment, vm):
@@ -207,7 +204,6 @@
         assert len(caller.executions(deployment, request_id)) == 1
 
 
-@pytest.mark.usefixtures("no_overload")
 @caller.in_trio
 async def test_draining_upstreams_and_evacuated_data_centres_receive_no_requests():
     async with open_vm("u1", "u2", "u3") as (deployment, vm):
@@ -355,59 +351,6 @@
         assert caller.executions(deployment, "late") == []
 
 
-@caller.in_trio
-async def test_a_burst_beyond_the_processor_capacity_is_rejected_early():
-    # Load pattern: an organisation sends many times its usual load to the only VM of a
-    # data centre; hundreds of requests wait for the same iteration of the event loop.
-    async with open_vm("u1", "u2", "u3") as (deployment, vm):
-        admitted = []
-        admission = vm._request_handler._admission
-        admit = admission.admit
-
-        def slow_admit(*arguments):
-            admitted.append(trio.current_time())
-            time.sleep(0.02)
-            return admit(*arguments)
-
-        admission.admit = slow_admit
-        local = vm.node.settings.callers
-        streams = [
-            await trio.open_tcp_stream(local.host, local.port) for _ in range(100)
-        ]
-        await trio.sleep(0.1)
-        for index, stream in enumerate(streams):
-            data = caller.encode("/view/x", f"burst-{index}")
-            # The event loop does not run between one request and the next.
-            assert stream.socket._sock.send(data) == len(data)
-        heads = [await stream.receive_some(4096) for stream in streams]
-        rejected = sum(head.startswith(b"HTTP/1.1 503") for head in heads)
-        # Without rejections in the same iteration, all 100 are admitted over 2 s.
-        assert len(admitted) <= 40
-        assert rejected >= 60
-
-
-@caller.in_trio
-async def test_a_single_stall_of_the_process_rejects_nothing():
-    async with open_vm("u1") as (deployment, vm):
-        admission = vm._request_handler._admission
-        reject_early = admission.reject_early
-        stalls = []
-
-        def stalled(*arguments):
-            began = time.monotonic()
-            time.sleep(0.2)
-            response = reject_early(*arguments)
-            stalls.append(time.monotonic() - began)
-            return response
-
-        vm._caller_server._local_reply = stalled
-        # Repeat if the machine was too busy and the stall took longer than intended.
-        while not stalls or stalls[-1] > 0.23:
-            _, response = await caller.send(vm, "/view/x")
-        assert response.status == 200, response.body
-
-
-@pytest.mark.usefixtures("no_overload")
 @pytest.mark.parametrize(
     ("path", "key", "organisation"),
     [
