Follow a grace period that grew since the start

The limit for requests in flight after the listener's close was the grace period at the daemon's start, while the stop counts with the one in force. After a SIGHUP that raised it from 1 to 6 s, a request at work was cut without a response 3.9 s after the SIGTERM.

The stop alone now ends the requests in flight. The test failed before, with a connection closed without a response.

--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -5,6 +5,7 @@
 import functools
 import gc
 import logging
+import math
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -259,7 +260,8 @@
                 self._caller_server.run,
                 callers_listener,
                 self._stop_caller_server,
-                settings.bounds.stop,
+                # The stop ends by the grace period that is in force when it begins.
+                math.inf,
             )
             task_status.started()
 
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -179,3 +179,28 @@
         await stream.send_all(caller.encode(path, "waiting", "POST", milliseconds=600))
         assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
         assert 0.6 <= trio.current_time() - sent_at < 1.0
+
+
+# Guards against requests that are cut in the middle of a grace period because it was
+# shorter when the daemon started.
+@caller.in_trio
+async def test_a_shutdown_has_the_grace_period_in_force():
+    async with fleet.open_fleet() as deployment:
+        state = fleet.desired_state(3)
+        for each in state["virtual_hosts"][0]["paths"]:
+            each["timeout_s"] = 4.0
+        deployment.store.put("op", "config", state)
+        added = await deployment.add_upstream("u1")
+        vm = await deployment.add_vm(bounds={"grace_s": 1})
+        await deployment.settle()
+        added.cold_seconds = added.warm_seconds = 2.0
+        settings = vm.node.settings
+        vm.node.reload(settings._replace(bounds=settings.bounds._replace(stop=6.0)))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(vm.stop)
+            # The listener closes 2.9 s after the signal.
+            await trio.sleep(2.6)
+            _, response = await caller.send(
+                vm, "/claim/x", "POST", b"b", Rattanlug_Deadline_Ms="2900"
+            )
+        assert response.status == 200
