Respond before the deadline once a started VM is connected

Since each process, also the first of a VM, one that follows a kill, or an added one, waits until its callers' deadlines for the grace period and 1 s (7 s with the bounds of both sites). With a time of contact of 4 s, a VM is in touch for 3 of these 7 s.

The phase now ends with the time of contact, if that is earlier. By the code, a stop of a serving daemon takes at least 2.9 s of a grace period of 6 s, 3.45 s with timeouts of 2 s, so the stop's time ends 4.1 s, or 3.6 s, after the next start at the latest. Not covered: a process that ends at once since it was signalled before it served.

The new test failed before, with a response 1.29 s after a request with a deadline of 1 s. The test of the phases keeps all of its cases, with a longer time of contact for those at 107 s, and gets two more.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -248,8 +248,9 @@
 
     def phase(self, now: float) -> process_phase.ProcessPhase:
         """Return the phase of this daemon between its start and its end."""
+        bounds = self._settings.bounds
         return process_phase.process_phase(
-            self._started_at, self._leaving, self._settings.bounds.stop, now
+            self._started_at, self._leaving, bounds.stop, bounds.contact, now
         )
 
     def uptime(self, now: float) -> float:
--- a/src/rattanlug/gateway/process_phase.py
+++ b/src/rattanlug/gateway/process_phase.py
@@ -16,13 +16,18 @@
 
 
 def process_phase(
-    started_at: float, leaving: bool, grace_seconds: float, now: float
+    started_at: float,
+    leaving: bool,
+    grace_seconds: float,
+    contact_seconds: float,
+    now: float,
 ) -> ProcessPhase:
     """Return the phase of a daemon.
 
     A stop is a matter of the VM: its grace period counts from the signal, also after
     its process has ended early and the next one has started. That one doesn't know when
-    the signal came, only that it was before its own start.
+    the signal came, only that it was before its own start. Once the VM counts as
+    connected again, callers are owed a response at the timeout of their route.
 
     Parameters
     ----------
@@ -32,11 +37,14 @@
         Whether a graceful shutdown has begun.
     grace_seconds : float
         Time within which a process has to end after the signal.
+    contact_seconds : float
+        Time after its start from which on the VM counts as connected.
     now : float
         Monotonic seconds.
     """
     if leaving:
         return ProcessPhase.STOPPING
-    if now - started_at < grace_seconds + STOP_MARGIN_SECONDS:
+    starting_seconds = min(grace_seconds + STOP_MARGIN_SECONDS, contact_seconds)
+    if now - started_at < starting_seconds:
         return ProcessPhase.STARTING
     return ProcessPhase.SERVING
--- a/tests/gateway/test_process_phase.py
+++ b/tests/gateway/test_process_phase.py
@@ -14,17 +14,22 @@
 
 
 @pytest.mark.parametrize(
-    ("now", "leaving", "expected"),
+    ("now", "leaving", "contact", "expected"),
     [
-        (100.0, False, _PHASES.STARTING),
-        (106.9, False, _PHASES.STARTING),
-        (107.0, False, _PHASES.SERVING),
-        (100.0, True, _PHASES.STOPPING),
-        (107.0, True, _PHASES.STOPPING),
+        (100.0, False, 9.0, _PHASES.STARTING),
+        (106.9, False, 9.0, _PHASES.STARTING),
+        (107.0, False, 9.0, _PHASES.SERVING),
+        (103.9, False, 4.0, _PHASES.STARTING),
+        (104.0, False, 4.0, _PHASES.SERVING),
+        (100.0, True, 4.0, _PHASES.STOPPING),
+        (107.0, True, 9.0, _PHASES.STOPPING),
     ],
 )
-def test_a_daemon_starts_until_a_stop_before_it_is_over(now, leaving, expected):
-    assert process_phase.process_phase(100.0, leaving, 6.0, now) is expected
+def test_a_daemon_starts_until_a_stop_before_it_is_over(
+    now, leaving, contact, expected
+):
+    phase = process_phase.process_phase(100.0, leaving, 6.0, contact, now)
+    assert phase is expected
 
 
 # Guards against responses of a daemon in place of an upstream at work of which neither
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -204,3 +204,23 @@
                 vm, "/claim/x", "POST", b"b", Rattanlug_Deadline_Ms="2900"
             )
         assert response.status == 200
+
+
+# Guards against a daemon that has long been connected and leaves callers without a
+# response at the end of their time, because a stop may have preceded its start.
+@caller.in_trio
+async def test_a_connected_daemon_responds_before_the_caller_s_deadline(monkeypatch):
+    monkeypatch.setattr(admission, "RESPONSE_MARGIN_SECONDS", 0.3)
+    async with fleet.open_fleet() as deployment:
+        added = await deployment.add_upstream("u1")
+        added.silent = True
+        vm = await deployment.add_vm(bounds={"grace_s": 6, "contact_s": 1})
+        await deployment.settle()
+        await trio.sleep(1.0)
+        local = vm.node.settings.callers
+        stream = await trio.open_tcp_stream(local.host, local.port)
+        sent_at = trio.current_time()
+        data = caller.encode("/claim/x", "waiting", "POST", milliseconds=1000)
+        await stream.send_all(data)
+        assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
+        assert trio.current_time() - sent_at < 1.0
