Judge the silence of an upstream by the requests in progress there

Idle upstreams that each ran one long request counted as silent 0.56 s after it was sent, and requests of a route with a target latency of 0.4 s were refused.

Cause: the silence was compared with the service time of the route of the next request. Now each request in progress has the expected service time of its own route, and an upstream is silent while one of them has waited for twice that. Silence counts from twice the next request's service time at the earliest, as before.

--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -64,7 +64,12 @@
         node, record = self._node, chosen.record
         load = node.placer.load(record, clock.now())
         started_at = clock.now()
-        token = node.placer.begin(record, admitted.object_id, started_at)
+        token = node.placer.begin(
+            record,
+            admitted.object_id,
+            started_at,
+            self.route_times(admitted.route).cold,
+        )
         busy = chosen.busy
         try:
             exchange = await self._exchange(admitted, record, started_at)
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -47,9 +47,6 @@
 # larger than the usual difference between the values of two upstreams, and smaller than
 # the loss from a rejected request.
 REGION_SHIFT_PENALTY = 0.6
-# An upstream without a response for longer than this multiple of the cold service time
-# is considered stuck.
-SILENCE_RATIO = 2.0
 # The number of VMs is cached for this time; VMs start and stop within seconds.
 SENDER_COUNT_TTL_SECONDS = 0.5
 # Ratio of requests to slots at which an upstream receives no more requests.
@@ -271,15 +268,29 @@
         return best
 
     def begin(
-        self, record: upstream_record.UpstreamRecord, object_id: str | None, now: float
+        self,
+        record: upstream_record.UpstreamRecord,
+        object_id: str | None,
+        now: float,
+        expected_seconds: float = 0.0,
     ) -> int:
-        """Record that a request is sent; return the token for `UpstreamLoad.end`."""
+        """Record that a request is sent; return the token for `UpstreamLoad.end`.
+
+        Parameters
+        ----------
+        record : upstream_record.UpstreamRecord
+        object_id : str or None
+        now : float
+            Time on the VM's monotonic clock, seconds.
+        expected_seconds : float
+            Expected service time without the object in the upstream's cache.
+        """
         load = self.load(record, now)
         self._cold_budget(record).count(now)
         self._region_shift.count(self._region_of.get(record.data_centre, ""), now)
         if object_id is not None:
             load.objects.touch(object_id)
-        return load.begin(now)
+        return load.begin(now, expected_seconds)
 
     def may_send(
         self, record: upstream_record.UpstreamRecord, begun_at: float, now: float
@@ -469,6 +480,6 @@
         typical = 0.5 * (times.warm + times.cold) * slowdown
         wait = (busy + 1.0 - load.slots) * typical / load.slots
     silence = load.silence(now)
-    if silence > SILENCE_RATIO * times.cold:
+    if silence > upstream_load.OVERDUE_RATIO * times.cold:
         wait += silence
     return wait
--- a/src/rattanlug/placement/upstream_load.py
+++ b/src/rattanlug/placement/upstream_load.py
@@ -18,6 +18,9 @@
 # Backoff after a failed connection; it doubles with each further failure.
 INITIAL_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 4.0
+# A request is overdue after this multiple of its expected service time without any
+# response of the upstream.
+OVERDUE_RATIO = 2.0
 
 
 class UpstreamLoad:
@@ -33,7 +36,8 @@
 
     def __init__(self, slots: int, now: float) -> None:
         self._slots = slots
-        self._sent_at: dict[int, float] = {}
+        # Time of sending and expected service time of each request, by token.
+        self._sent: dict[int, tuple[float, float]] = {}
         self._next_token = 0
         self._others_in_flight = 0.0
         self._reported_at = now
@@ -56,7 +60,7 @@
     @property
     def in_flight(self) -> int:
         """Requests of this VM that the upstream has not responded to."""
-        return len(self._sent_at)
+        return len(self._sent)
 
     @property
     def answers(self) -> int:
@@ -98,24 +102,39 @@
         return self._failures * 0.5 ** (elapsed / FAILURE_HALF_LIFE_SECONDS)
 
     def silence(self, now: float) -> float:
-        """Return for how long requests have waited without any response, seconds."""
-        if not self._sent_at:
-            return 0.0
-        return now - max(min(self._sent_at.values()), self._last_answer_at)
+        """Return for how long overdue requests have waited for any response, seconds.
+
+        The time counts from the last response; 0 if no request is overdue.
+        """
+        since_answer = now - self._last_answer_at
+        longest = 0.0
+        for sent_at, expected_seconds in self._sent.values():
+            waited = min(now - sent_at, since_answer)
+            if waited > longest and waited > OVERDUE_RATIO * expected_seconds:
+                longest = waited
+        return longest
 
     def is_paused(self, now: float) -> bool:
         """Tell whether the backoff after a failed connection is still running."""
         return now < self._backoff_until
 
-    def begin(self, now: float) -> int:
-        """Record that a request is sent; return the token to pass to `end`."""
+    def begin(self, now: float, expected_seconds: float = 0.0) -> int:
+        """Record that a request is sent; return the token to pass to `end`.
+
+        Parameters
+        ----------
+        now : float
+            Time on the VM's monotonic clock, seconds.
+        expected_seconds : float
+            Expected service time.
+        """
         self._next_token += 1
-        self._sent_at[self._next_token] = now
+        self._sent[self._next_token] = (now, expected_seconds)
         return self._next_token
 
     def end(self, token: int) -> None:
         """Record that a request has ended."""
-        del self._sent_at[token]
+        del self._sent[token]
 
     def note_report(self, busy: int, now: float) -> None:
         """Record the load that the upstream reported in a response.
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -134,6 +134,28 @@
             assert [each.upstream for each in runs] == ["u2"]
 
 
+# Guards against an upstream that counts as silent while it runs a request that takes
+# long.
+@caller.in_trio
+async def test_a_request_in_progress_counts_with_the_service_time_of_its_route():
+    async with open_vm("u1") as (deployment, vm):
+        began, begin = [], vm.node.placer.begin
+
+        def record_begin(record, object_id, now, expected_seconds):
+            began.append(expected_seconds)
+            return begin(record, object_id, now, expected_seconds)
+
+        vm.node.placer.begin = record_begin
+        route = next(
+            each for each in vm.node.desired.state.routes if each.name == "view"
+        )
+        expected = vm.node.placer.times("view", route.target_latency, route.affinity)
+        seconds = expected.cold
+        _, response = await caller.send(vm, "/view/x")
+        assert response.status == 200
+        assert began == [seconds]
+
+
 # Guards against an internal error, whose answer leaves open whether the request ran,
 # when an organisation is removed while an upstream sheds one of its requests.
 @pytest.mark.usefixtures("no_overload")
--- a/tests/placement/test_upstream_load.py
+++ b/tests/placement/test_upstream_load.py
@@ -51,6 +51,20 @@
     assert load.silence(3.0) == 0.5
 
 
+def test_only_overdue_requests_count_as_silence():
+    load = upstream_load.UpstreamLoad(5, 0.0)
+    long = load.begin(0.0, 3.0)
+    assert load.silence(6.0) == 0.0
+    assert load.silence(6.5) == 6.5
+    short = load.begin(5.0, 0.2)
+    assert load.silence(5.3) == 0.0
+    assert load.silence(5.5) == 0.5
+    load.end(short)
+    assert load.silence(5.5) == 0.0
+    load.end(long)
+    assert load.silence(9.0) == 0.0
+
+
 def test_backoff_after_failed_connections_grows_and_is_reset_by_a_response():
     load = upstream_load.UpstreamLoad(5, 0.0)
     load.note_unreachable(0.0)
