--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -251,6 +251,7 @@
         load = node.placer.load(record, now)
         phase = node.phase(now)
         time_left = admitted.time_up_at - now
+        early = time_left > 0.0
         node.counters.add("sends_failed", kind=exc.kind.value)
         if exc.kind is kind.ErrorKind.UPSTREAM_FAILED:
             load.note_unreachable(now)
@@ -263,7 +264,7 @@
             )
             node.counters.add(
                 "requests_broken_off",
-                early=str(time_left > 0.0).lower(),
+                early=str(early).lower(),
                 phase=phase.value,
             )
         node.log.write(
@@ -276,6 +277,7 @@
             ran=exc.response.executed.value,
             failures=round(load.failure_share(now), 2),
             time_left=round(time_left, 3),
+            early=early,
             phase=phase.value,
             uptime=round(node.uptime(now), 1),
         )
--- a/tests/gateway/test_process_phase.py
+++ b/tests/gateway/test_process_phase.py
@@ -61,6 +61,8 @@
     ]
     assert line["phase"] == phase.value
     assert -0.5 < line["time_left"] < 0.1
+    # The time is rounded.
+    assert line["early"] is (line["time_left"] > 0.0) or line["time_left"] == 0.0
     assert 0.5 < line["uptime"] < 10.0
     counted = {
         (labels["early"], labels["phase"]): value
@@ -68,4 +70,4 @@
         if name == "requests_broken_off"
         for labels in [dict(labels)]
     }
-    assert counted == {(str(line["time_left"] > 0.0).lower(), phase.value): 1}
+    assert counted == {(str(line["early"]).lower(), phase.value): 1}
