--- a/soak/record.py
+++ b/soak/record.py
@@ -14,7 +14,7 @@
     observations: history.History,
     deployed: deployment_module.Deployment,
 ) -> None:
-    """Write events, disturbances, requests and arrivals as JSON lines, by time."""
+    """Write events, states, disturbances, requests and arrivals as JSON lines."""
     lines = sorted(_lines(observations, deployed), key=lambda each: each["at"])
     path.write_text("".join(json.dumps(each) + "\n" for each in lines))
 
