Stop listening in time for timeouts that are raised during a stop

What callers saw: a VM got SIGTERM, a desired state raised the timeouts 0.5 s later, and repeatable requests that came in the last 0.1 s before the VM stopped listening ended without an answer, 5.8 s after the SIGTERM, while their upstreams were at work.

Cause: the time at which the VM stops listening was computed once, when the stop began, from the longest timeout at that moment. Requests that came after the change had the new one.

Change: while it waits to stop listening, the VM looks at the timeouts in force every 0.02 s.

The new test failed before: the VM still took connections.

Ruled out: refusing all repeatable requests whose deadline is after the end would refuse those that are likely to end in time.

--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -37,6 +37,8 @@
 MAX_FINISH_FRACTION = 0.5
 # Time for reading a request and sending its response, beyond its route's timeout.
 FINISH_MARGIN_SECONDS = 0.3
+# Interval between checks of a daemon that is stopping.
+STOP_CHECK_SECONDS = 0.02
 # The process exits this long before it would be killed.
 EXIT_MARGIN_SECONDS = 0.25
 # The oldest generation is rarely collected, since most objects live as long as the
@@ -321,14 +323,13 @@
         earliest_end = grace + (started_at if signalled_at is None else signalled_at)
         node.leave(earliest_end)
         state_log.log_change("process", "running", "stopping")
-        finish_seconds = min(
-            node.longest_timeout() + FINISH_MARGIN_SECONDS, MAX_FINISH_FRACTION * grace
-        )
         async with trio.open_nursery() as nursery:
             # A slow store must not delay the end of the listener.
             has_left = trio.Event()
             nursery.start_soon(self._leave_look_ups, has_left)
-            await trio.sleep(max(0.0, earliest_end - finish_seconds - clock.now()))
+            # The desired state may raise the timeouts meanwhile.
+            while (left := earliest_end - self._finish_seconds() - clock.now()) > 0.0:
+                await trio.sleep(min(left, STOP_CHECK_SECONDS))
             # From here on, no connection is accepted, and each one is closed after its
             # next response.
             self._stop_caller_server.set()
@@ -337,7 +338,7 @@
             while clock.now() - started_at < grace and not (
                 has_left.is_set() and self._caller_server.has_stopped
             ):
-                await trio.sleep(0.02)
+                await trio.sleep(STOP_CHECK_SECONDS)
             nursery.cancel_scope.cancel()
         state_log.log_change(
             "process",
@@ -350,6 +351,14 @@
             ],
         )
 
+    def _finish_seconds(self) -> float:
+        """Return the time for requests in flight after the listener closes, seconds."""
+        grace = self._node.settings.bounds.stop - EXIT_MARGIN_SECONDS
+        return min(
+            self._node.longest_timeout() + FINISH_MARGIN_SECONDS,
+            MAX_FINISH_FRACTION * grace,
+        )
+
     async def _leave_look_ups(self, has_left: trio.Event) -> None:
         """Announce the shutdown; an error must not end the requests in flight."""
         try:
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -68,6 +68,39 @@
         assert set(statuses) == {200}
 
 
+# Guards against requests that are accepted too late in a shutdown to end before it: the
+# desired state has raised the timeouts since the shutdown began.
+@caller.in_trio
+async def test_a_shutdown_stops_accepting_in_time_for_timeouts_that_were_raised():
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        deployment.store.put("op", "config", _state_with_timeout(3, 0.5))
+        vm = await deployment.add_vm(bounds={"grace_s": 4})
+        await deployment.settle()
+        local = vm.node.settings.callers
+        async with trio.open_nursery() as nursery:
+            began = trio.current_time()
+            nursery.start_soon(vm.stop)
+            await trio.sleep(0.05)
+            _, response = await caller.send(vm, "/view/x")
+            assert response.status == 200
+            deployment.store.put("op", "config", _state_with_timeout(4, 1.5))
+            # A request must come earlier than its timeout before the end.
+            await trio.sleep_until(began + 4.0 - run.EXIT_MARGIN_SECONDS - 1.5 + 0.2)
+            assert vm.node.longest_timeout() == 1.5
+            await trio.sleep(0.05)
+            with pytest.raises(OSError):
+                await trio.open_tcp_stream(local.host, local.port)
+            nursery.cancel_scope.cancel()
+
+
+def _state_with_timeout(version, seconds):
+    state = fleet.desired_state(version)
+    for each in state["virtual_hosts"][0]["paths"]:
+        each["timeout_s"] = seconds
+    return state
+
+
 # Guards against a daemon that breaks off a request, at which its upstream is at work,
 # before the timeout of the route: after a stall it doesn't know when the request came,
 # and counts from the earliest possible time.
