Read the store in time if all VMs that one follows lose it

Cause: a VM that reaches the store followed three VMs that had lost it. It noticed that 2.6 s after their loss, and had read the store itself 0.25 s later. The wait of a feed call, from which the age of copies follows, came from the bound for withdrawn keys; and a follow request could wait on while the copy became too old.

The wait now comes from the bound of each rule that the table serves, less the time for reading the store, 0.8 s in place of 0.9 s and 1.25 s; a follow request ends when the copy gets too old.

The new test failed before, 3 of 3, with 2.96 s, and passes, 2 of 2.

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -24,12 +24,12 @@
 # must stop working. A copy is confirmed as of the sending of a call until the next call
 # ends, so its age reaches two waits; following a VM and changing the source add to it.
 KEY_WAIT_FRACTION = 0.18
-# The same for upstreams, as a fraction of the time within which a draining upstream
-# must stop receiving requests. A dead connection hides the change for one wait.
-DRAIN_WAIT_FRACTION = 0.5
 MAX_WAIT_SECONDS = 1.5
 # Allowance for round trips and late timers, beyond two waits.
 AGE_MARGIN_SECONDS = 0.4
+# Time for reading the store once a copy is too old to follow: in another region, a
+# connection and a call take two round trips.
+SWITCH_SECONDS = 0.5
 # Minimum time between feed calls, which batches changes in quick succession. It delays
 # a change by a small part of the bounds.
 FEED_INTERVAL_SECONDS = 0.2
@@ -206,7 +206,7 @@
 
     async def _follow_once(self, source: str, host: str, now: float) -> None:
         """Request the changes of a VM, and apply its response."""
-        request = self._follow_request()
+        request = self._follow_request(now)
         try:
             response = await self._client.follow(host, request)
         except table_client.UnreachableError as exc:
@@ -221,7 +221,7 @@
             self._source_choice.record_failure(source, clock.now())
         self._apply_response(response, now)
 
-    def _follow_request(self) -> follow_messages.FollowRequest:
+    def _follow_request(self, now: float) -> follow_messages.FollowRequest:
         node = self._node
         tables = list(_FOLLOWED)
         if node.follows_rollouts:
@@ -229,10 +229,17 @@
         versions = {each: node.tables.copy(each).version for each in tables}
         # While this VM reads the store itself, it only checks whether the other VM can
         # be followed instead.
-        wait = FOLLOW_WAIT_FRACTION * self._waits[names.OPERATOR_TABLE]
         if self._source is None:
-            wait = 0.0
-        return follow_messages.FollowRequest(versions, wait)
+            return follow_messages.FollowRequest(versions, 0.0)
+        # The response comes before a copy is too old, to change the source in time.
+        fresh_seconds = min(
+            max_age(self._waits[each]) - node.tables.copy(each).age(now)
+            for each in _FOLLOWED
+        )
+        wait = FOLLOW_WAIT_FRACTION * self._waits[names.OPERATOR_TABLE]
+        return follow_messages.FollowRequest(
+            versions, max(0.0, min(wait, fresh_seconds))
+        )
 
     def _set_source(self, source: str | None) -> None:
         state_log.log_change("table_source", self._source or "store", source or "store")
@@ -345,8 +352,12 @@
 
 def feed_waits(limits: bounds.Bounds) -> dict[str, float]:
     """Return the longest wait of a feed call for each table, seconds."""
-    key_wait = min(MAX_WAIT_SECONDS, KEY_WAIT_FRACTION * limits.key_withdrawal)
-    drain_wait = min(MAX_WAIT_SECONDS, DRAIN_WAIT_FRACTION * limits.drain)
+    key_wait = min(
+        MAX_WAIT_SECONDS,
+        KEY_WAIT_FRACTION * limits.key_withdrawal,
+        _longest_wait(limits.apply),
+    )
+    drain_wait = min(MAX_WAIT_SECONDS, _longest_wait(limits.drain))
     return {
         names.OPERATOR_TABLE: key_wait,
         names.UPSTREAM_TABLE: drain_wait,
@@ -354,6 +365,20 @@
     }
 
 
+def _longest_wait(bound: float) -> float:
+    """Return the longest wait with which a change gets in force in time, seconds.
+
+    The VM that is followed may lose the store right before the change.
+
+    Parameters
+    ----------
+    bound : float
+        Time within which the change has to be in force, seconds.
+    """
+    wait = 0.5 * (bound - AGE_MARGIN_SECONDS - SWITCH_SECONDS)
+    return max(FEED_INTERVAL_SECONDS, wait)
+
+
 def max_age(wait: float) -> float:
     """Return the maximum age of a table copy in normal operation, seconds."""
     return 2.0 * wait + AGE_MARGIN_SECONDS
--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -12,6 +12,7 @@
 from tests.gateway import caller
 from trial.shared_platform import fleet
 
+_FOLLOWED = (names.OPERATOR_TABLE, names.UPSTREAM_TABLE)
 # By then, digests and follow responses have been exchanged.
 SETTLE_SECONDS = 1.6
 
@@ -130,6 +131,41 @@
     assert freshness.keys_usable(age, bound)
 
 
+# Guards against changes that followers put in force too late because the VM that they
+# follow has lost the store, as have the other VMs that they could follow.
+@caller.in_trio
+async def test_changes_get_in_force_in_time_if_the_sources_lose_the_store(monkeypatch):
+    lost = set()
+    apply_read = store_reader.StoreReader.apply_read
+
+    def apply_unless_lost(self, table, read, whole):
+        return self._node in lost or apply_read(self, table, read, whole)
+
+    monkeypatch.setattr(store_reader.StoreReader, "apply_read", apply_unless_lost)
+    async with three_vms() as (deployment, vms):
+        await deployment.add_upstream("u2")
+        # A copy counts as of the sending of a call, so one that ends at once is new.
+        version, tables = 4, vms[0].node.tables
+        while max(tables.copy(each).age(clock.now()) for each in _FOLLOWED) > 0.1:
+            version += 1
+            deployment.store.put("op", "config", new_state(version, "key-5"))
+            deployment.register("u2", sequence=version)
+            await trio.sleep(0.03)
+        lost.update(each.node for each in vms[:2])
+        last, lost_at = vms[2].node, trio.current_time()
+        version += 1
+        deployment.store.put("op", "config", new_state(version, "key-5"))
+        deployment.register("u1", state="draining", sequence=2)
+        while (
+            last.desired.version != version
+            or len(last.registry.of_service(fleet.SERVICE)) > 1
+        ):
+            await trio.sleep(0.01)
+        # The rest is for connecting to a store in another region, and for its response.
+        limits = last.settings.bounds
+        assert trio.current_time() - lost_at < min(limits.apply, limits.drain) - 0.3
+
+
 @caller.in_trio
 async def test_changes_in_quick_succession_are_batched():
     # Load pattern: hundreds of upstreams register or change within a second.
