--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -41,7 +41,7 @@
         deployment.store.callers.clear()
         await trio.sleep(3.0)
         assert set(deployment.store.callers) == {host(vms[0])}
-        # Two feeds, which are called again after their waits of 0.9 s and 1.3 s.
+        # Two feeds, which are called again after their waits of 0.8 s.
         assert len(deployment.store.callers) <= 8
         assert all(each.node.keys_usable(clock.now()) for each in vms)
 
