Start the daemon by a program that blocks its signals first

What an operator saw: a VM that had just been started ended with -1 or -15, without a log line, when it was told to reload or to stop.

Cause: the deploy file started python3 by the search path. Where that is a script of a version manager, it runs for 0.1 s before it becomes the interpreter, which takes 10 ms more to reach the daemon's first line; until then, the default action of SIGHUP and SIGTERM applies.

The build makes target/python3, which blocks the three signals, loads the interpreter's shared library and runs it in the same process. Without a compiler it is a link to the interpreter.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,4 +1,4 @@
-"""Builds the daemon into ``target/deps``: its libraries and the package itself.
+"""Builds the daemon into ``target``: its interpreter, its libraries and the package.
 
 Daemons may start while this runs, for instance those of another deployment that uses
 the same checkout. So no file of the package is ever missing or incomplete: each one is
@@ -18,9 +18,12 @@
 import stat
 import subprocess
 import sys
+import sysconfig
+import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PACKAGE = "rattanlug"
+LAUNCHER = ROOT / "deploy" / "launcher.c"
 _CACHE = "__pycache__"
 _READ = stat.S_IRUSR | stat.S_IRGRP | stat.S_IROTH
 _READ_DIRECTORY = _READ | stat.S_IXUSR | stat.S_IXGRP | stat.S_IXOTH
@@ -89,6 +92,56 @@
     built.write_text(wanted)
 
 
+def install_interpreter(target: pathlib.Path) -> None:
+    """Make the program that runs the daemon.
+
+    It blocks the daemon's signals before it loads the interpreter. Without a compiler,
+    or the interpreter's shared library, it is a link to the interpreter, which handles
+    them some milliseconds later. In neither case is it a script that is found by the
+    search path, which would take longer to start the interpreter.
+
+    Parameters
+    ----------
+    target : pathlib.Path
+        The program; it is replaced in one step.
+
+    Raises
+    ------
+    OSError
+    """
+    with tempfile.TemporaryDirectory(dir=target.parent) as directory:
+        program = pathlib.Path(directory) / target.name
+        try:
+            _compile_launcher(program)
+        except (OSError, subprocess.SubprocessError) as exc:
+            print(f"no launcher, the interpreter itself is used: {exc}")
+            program.unlink(missing_ok=True)
+            program.symlink_to(pathlib.Path(sys.executable).resolve())
+        os.replace(program, target)
+
+
+def _compile_launcher(program: pathlib.Path) -> None:
+    """Compile the launcher, and check that it runs Python.
+
+    Raises
+    ------
+    OSError, subprocess.SubprocessError
+    """
+    directory = pathlib.Path(sysconfig.get_config_var("LIBDIR") or "")
+    library = directory / (sysconfig.get_config_var("INSTSONAME") or "")
+    if not library.is_file():
+        raise FileNotFoundError(f"{library} is no shared library")
+    command = [*(sysconfig.get_config_var("CC") or "cc").split(), "-O2"]
+    command += [f'-DPYTHON_LIBRARY="{library}"', str(LAUNCHER), "-ldl"]
+    subprocess.run([*command, "-o", str(program)], check=True, stdin=subprocess.DEVNULL)
+    check = "import sys; sys.exit(sys.version != sys.argv[1])"
+    subprocess.run(
+        [str(program), "-S", "-c", check, sys.version],
+        check=True,
+        stdin=subprocess.DEVNULL,
+    )
+
+
 def make_readable(root: pathlib.Path) -> None:
     """Let every user read a directory and all that it contains.
 
@@ -120,6 +173,7 @@
     target.mkdir(parents=True, exist_ok=True)
     with (target.parent / "build.lock").open("w") as lock:
         fcntl.flock(lock, fcntl.LOCK_EX)
+        install_interpreter(target.parent / "python3")
         install_libraries(ROOT / "deploy" / "requirements.txt", target)
         sync(ROOT / "src" / PACKAGE, target / PACKAGE)
         compileall.compile_dir(str(target / PACKAGE), quiet=1)
--- a/tests/gateway/test_early_signals.py
+++ b/tests/gateway/test_early_signals.py
@@ -38,7 +38,7 @@
     with (ROOT / "deploy" / "system.toml").open("rb") as file:
         run = tomllib.load(file)["roles"]["entry"]["run"]
     program, *options, script = run.split()
-    assert program == "python3"
+    assert program == "target/python3"
     return options, ROOT / "src" / pathlib.Path(script).relative_to("target/deps")
 
 
