Record each answer of a daemon's own in place of an upstream's

requests_broken_off now counts where the request handler gives up a request that may have run, by kind, phase and whether it was early; the line "refused: KIND" of such a request has time_left, early, phase and uptime; errors of the daemon itself have a line "internal error" with the same. "send failed" and sends_failed come for uploads that stop too, without a mark against the upstream. No logic changes.

--- a/src/rattanlug/gateway/admission.py
+++ b/src/rattanlug/gateway/admission.py
@@ -279,7 +279,7 @@
         headers: request_headers.RequestHeaders,
         exc: error.RattanlugError,
         now: float,
-        **fields: str,
+        **fields: str | float | bool,
     ) -> None:
         """Log a request that was rejected or failed."""
         owner = self._node.desired.keys.owner(headers.key)
--- a/src/rattanlug/gateway/request_handler.py
+++ b/src/rattanlug/gateway/request_handler.py
@@ -8,6 +8,7 @@
 from rattanlug.gateway import (
     admission,
     admitted_request,
+    broken_off,
     iteration_gate,
     rejections,
     sender,
@@ -61,11 +62,27 @@
         try:
             return await self._send_with_retries(admitted)
         except error.RattanlugError as exc:
+            now = clock.now()
             self._node.counters.add(
                 "requests_failed", kind=exc.kind.value, route=admitted.route.name
             )
+            fields = {}
+            if exc.response.executed is not executed.Executed.NO:
+                fields = broken_off.count(self._node, admitted, exc.kind.value, now)
             self._admission.log_rejection(
-                headers, exc, clock.now(), route=admitted.route.name
+                headers, exc, now, route=admitted.route.name, **fields
+            )
+            raise
+        except Exception:
+            # The application logs the error itself and answers 502.
+            now = clock.now()
+            fields = broken_off.count(self._node, admitted, "internal_error", now)
+            self._node.log.write(
+                "internal error",
+                now,
+                id=headers.request_id,
+                route=admitted.route.name,
+                **fields,
             )
             raise
 
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -7,7 +7,12 @@
 from rattanlug.desired import route
 from rattanlug.discovery import upstream_record
 from rattanlug.errors import error, executed, kind
-from rattanlug.gateway import admitted_request, process_phase, rejections
+from rattanlug.gateway import (
+    admitted_request,
+    broken_off,
+    process_phase,
+    rejections,
+)
 from rattanlug.gateway import node as node_module
 from rattanlug.placement import placement, service_times
 from rattanlug.platform import request_headers, response_headers
@@ -79,6 +84,12 @@
             now = clock.now()
             self._record_failure(admitted, record, exc, now)
             raise
+        except error.RefusedError as exc:
+            if exc.response.executed is not executed.Executed.NO:
+                # The caller stopped inside its body, which is no failure of the
+                # upstream.
+                self._log_failure(admitted, record, exc, clock.now())
+            raise
         finally:
             load.end(token)
         now = clock.now()
@@ -249,10 +260,6 @@
     ) -> None:
         node = self._node
         load = node.placer.load(record, now)
-        phase = node.phase(now)
-        time_left = admitted.time_up_at - now
-        early = time_left > 0.0
-        node.counters.add("sends_failed", kind=exc.kind.value)
         if exc.kind is kind.ErrorKind.UPSTREAM_FAILED:
             load.note_unreachable(now)
         else:
@@ -262,11 +269,18 @@
             load.note_slowdown(
                 (now - admitted.arrived_at) / self.route_times(admitted.route).cold, now
             )
-            node.counters.add(
-                "requests_broken_off",
-                early=str(early).lower(),
-                phase=phase.value,
-            )
+        self._log_failure(admitted, record, exc, now)
+
+    def _log_failure(
+        self,
+        admitted: admitted_request.AdmittedRequest,
+        record: upstream_record.UpstreamRecord,
+        exc: error.RattanlugError,
+        now: float,
+    ) -> None:
+        """Count and log a send after which the request may have run."""
+        node = self._node
+        node.counters.add("sends_failed", kind=exc.kind.value)
         node.log.write(
             "send failed",
             now,
@@ -275,11 +289,8 @@
             data_centre=record.data_centre,
             kind=exc.kind.value,
             ran=exc.response.executed.value,
-            failures=round(load.failure_share(now), 2),
-            time_left=round(time_left, 3),
-            early=early,
-            phase=phase.value,
-            uptime=round(node.uptime(now), 1),
+            failures=round(node.placer.load(record, now).failure_share(now), 2),
+            **broken_off.fields(node, admitted, now),
         )
 
     def _record_response(
