Count the stop before a process from when it has its ports

Such a process waits for the ports that the other one holds until it ends, and serves nobody meanwhile. It now counts from when it has them. A process that waits for no port does as before.

The four cases of the new test failed before, with a 504 after 0.4 s of 0.6 s. It also asks that the process responds early again once the time is over.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -61,6 +61,8 @@
     def __init__(self, settings: gateway_settings.GatewaySettings) -> None:
         self._settings = settings
         self._started_at = clock.now()
+        # Later than the start if the VM's previous process held a port then.
+        self._phase_started_at = self._started_at
         self._incarnation = int(clock.wall_now() * _MILLISECONDS)
         self._rng = random.Random(f"{settings.vm}:{self._incarnation}")
         self._counters = counters.Counters()
@@ -250,9 +252,13 @@
         """Return the phase of this daemon between its start and its end."""
         bounds = self._settings.bounds
         return process_phase.process_phase(
-            self._started_at, self._leaving, bounds.stop, bounds.contact, now
+            self._phase_started_at, self._leaving, bounds.stop, bounds.contact, now
         )
 
+    def record_freed_ports(self, now: float) -> None:
+        """Record that ports, which another process held at the start, are open now."""
+        self._phase_started_at = now
+
     def uptime(self, now: float) -> float:
         """Return the time since the start of this daemon, seconds."""
         return now - self._started_at
--- a/src/rattanlug/gateway/process_phase.py
+++ b/src/rattanlug/gateway/process_phase.py
@@ -26,13 +26,15 @@
 
     A stop is a matter of the VM: its grace period counts from the signal, also after
     its process has ended early and the next one has started. That one doesn't know when
-    the signal came, only that it was before its own start. Once the VM counts as
-    connected again, callers are owed a response at the timeout of their route.
+    the signal came, only that it was before its own start, or before its ports were
+    free if the other process still held them then. Once the VM counts as connected
+    again, callers are owed a response at the timeout of their route.
 
     Parameters
     ----------
     started_at : float
-        Monotonic seconds.
+        Start of the process, or the time at which it had its ports if it had to wait
+        for them; monotonic seconds.
     leaving : bool
         Whether a graceful shutdown has begun.
     grace_seconds : float
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from rattanlug.caller import application
+from rattanlug.caller import application, local_endpoint
 from rattanlug.caller import server as caller_server
 from rattanlug.daemon import background_tasks, clock, process_age
 from rattanlug.desired import limits
@@ -238,6 +238,7 @@
             self._start_task(
                 nursery, "rollouts", functools.partial(rollouts.run, node, reader)
             )
+            opening_at = clock.now()
             await nursery.start(table_server.run, node)
             digest_socket = await self._digest_exchange.open()
             internal_listeners = [
@@ -248,6 +249,9 @@
             # before the first digest, after which the look-ups of other VMs name this
             # one.
             callers_listener = await self._caller_server.open(settings.callers)
+            opened_at = clock.now()
+            if opened_at - opening_at >= local_endpoint.RETRY_SECONDS:
+                node.record_freed_ports(opened_at)
             node.placer.start(clock.now())
             self._start_task(nursery, "loop_lag", node.lag.run)
             self._start_task(nursery, "upstream_sweeps", node.pools.run_sweeps)
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -1,14 +1,17 @@
 """Requests that a daemon accepts or rejects while it shuts down."""
 
+import socket
 import time
+import tomllib
 
 import pytest
 import trio
 
 from rattanlug.caller import listener
 from rattanlug.gateway import admission, process_phase, run
+from rattanlug.platform import boot_settings
 from tests.gateway import caller
-from trial.shared_platform import fleet
+from trial.shared_platform import boot_file, fleet, loopback
 
 pytestmark = pytest.mark.usefixtures("no_overload")
 
@@ -211,6 +214,50 @@
         assert 0.6 <= trio.current_time() - sent_at < 1.0
 
 
+# Guards against a process that was started before the one before it got its SIGTERM,
+# and that takes that stop for over because it has waited long for the ports.
+@pytest.mark.parametrize("port", ["peer", "callers"])
+@pytest.mark.parametrize("path", ["/claim/x", "/view/x"])
+@caller.in_trio
+async def test_a_process_that_waited_for_its_ports_waits_until_the_caller_s_deadline(
+    path, port, monkeypatch
+):
+    monkeypatch.setattr(admission, "RESPONSE_MARGIN_SECONDS", 0.2)
+    async with fleet.open_fleet() as deployment:
+        added = await deployment.add_upstream("u1")
+        added.silent = True
+        host = loopback.host(1)
+        text = boot_file.render(
+            "vm-1",
+            host,
+            fleet.FIRST_VM_PORT,
+            deployment._store_port,
+            bounds={"grace_s": 4, "contact_s": 1.5},
+        )
+        settings = boot_settings.decode(tomllib.loads(text))
+        number = settings.peer_ports[0] if port == "peer" else settings.callers.port
+        with socket.create_server((host, number)):
+            vm = run.GatewayDaemon(settings)
+            deployment._nursery.start_soon(vm.serve)
+            await trio.sleep(2.0)
+        with trio.fail_after(3):
+            while not (vm.is_serving and vm.node.ready):
+                await trio.sleep(0.01)
+        local = vm.node.settings.callers
+        stream = await trio.open_tcp_stream(local.host, local.port)
+        sent_at = trio.current_time()
+        await stream.send_all(caller.encode(path, "waiting", "POST", milliseconds=600))
+        assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
+        assert 0.6 <= trio.current_time() - sent_at < 1.0
+        # The stop is over.
+        await trio.sleep_until(sent_at + 1.5)
+        sent_at = trio.current_time()
+        data = caller.encode(path, "waiting-2", "POST", milliseconds=600)
+        await stream.send_all(data)
+        assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
+        assert trio.current_time() - sent_at < 0.6
+
+
 # Guards against requests that are cut in the middle of a grace period because it was
 # shorter when the daemon started.
 @caller.in_trio
