Count a process as started once it has the ports of the one before it

Cause: around a stop, a process waits until its callers' deadlines, also the next one in its first seconds. These counted from its start. One that is started while the one before it serves waits for the ports meanwhile, so that its first seconds were over before its first request.

Change: they count from when all ports are open.

Evidence: the new test holds the port for 1.2 s with a time of contact of 1 s; it failed before, with a 504 0.30 s after a request with a deadline of 0.6 s. The tests of shutdowns, phases and the node pass.

Ruled out: leaving the time of contact out would let VMs that are long connected respond too late.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -61,6 +61,8 @@
     def __init__(self, settings: gateway_settings.GatewaySettings) -> None:
         self._settings = settings
         self._started_at = clock.now()
+        # Infinite until the ports, which an earlier process may hold, are open.
+        self._serves_since = math.inf
         self._incarnation = int(clock.wall_now() * _MILLISECONDS)
         self._rng = random.Random(f"{settings.vm}:{self._incarnation}")
         self._counters = counters.Counters()
@@ -250,13 +252,24 @@
         """Return the phase of this daemon between its start and its end."""
         bounds = self._settings.bounds
         return process_phase.process_phase(
-            self._started_at, self._leaving, bounds.stop, bounds.contact, now
+            self._serves_since, self._leaving, bounds.stop, bounds.contact, now
         )
 
     def uptime(self, now: float) -> float:
         """Return the time since the start of this daemon, seconds."""
         return now - self._started_at
 
+    def begin_serving(self, now: float) -> None:
+        """Record that all ports are open, so that no earlier process of the VM serves.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        self._serves_since = now
+        self._placer.start(now)
+
     def set_follow_rollouts(self, enabled: bool) -> None:
         """Set whether the rollout records are kept up to date."""
         self._follows_rollouts = enabled
--- a/src/rattanlug/gateway/process_phase.py
+++ b/src/rattanlug/gateway/process_phase.py
@@ -16,7 +16,7 @@
 
 
 def process_phase(
-    started_at: float,
+    serves_since: float,
     leaving: bool,
     grace_seconds: float,
     contact_seconds: float,
@@ -25,26 +25,27 @@
     """Return the phase of a daemon.
 
     A stop is a matter of the VM: its grace period counts from the signal, also after
-    its process has ended early and the next one has started. That one doesn't know when
-    the signal came, only that it was before its own start. Once the VM counts as
-    connected again, callers are owed a response at the timeout of their route.
+    its process has ended early and the next one serves. That one doesn't know when the
+    signal came, only that it was before it began to serve: it may have been started
+    before, and waited for the ports. Once the VM counts as connected again, callers are
+    owed a response at the timeout of their route.
 
     Parameters
     ----------
-    started_at : float
-        Monotonic seconds.
+    serves_since : float
+        When it began to serve, monotonic seconds; infinite before.
     leaving : bool
         Whether a graceful shutdown has begun.
     grace_seconds : float
         Time within which a process has to end after the signal.
     contact_seconds : float
-        Time after its start from which on the VM counts as connected.
+        Time after that from which on the VM counts as connected.
     now : float
         Monotonic seconds.
     """
     if leaving:
         return ProcessPhase.STOPPING
     starting_seconds = min(grace_seconds + STOP_MARGIN_SECONDS, contact_seconds)
-    if now - started_at < starting_seconds:
+    if now - serves_since < starting_seconds:
         return ProcessPhase.STARTING
     return ProcessPhase.SERVING
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -248,7 +248,7 @@
             # before the first digest, after which the look-ups of other VMs name this
             # one.
             callers_listener = await self._caller_server.open(settings.callers)
-            node.placer.start(clock.now())
+            node.begin_serving(clock.now())
             self._start_task(nursery, "loop_lag", node.lag.run)
             self._start_task(nursery, "upstream_sweeps", node.pools.run_sweeps)
             await nursery.start(self._digest_exchange.run, digest_socket)
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -6,9 +6,12 @@
 import trio
 
 from rattanlug.caller import listener
+from rattanlug.daemon import clock
 from rattanlug.gateway import admission, process_phase, run
+from rattanlug.metrics import counters
+from rattanlug.settings import address
 from tests.gateway import caller
-from trial.shared_platform import fleet
+from trial.shared_platform import fleet, loopback
 
 pytestmark = pytest.mark.usefixtures("no_overload")
 
@@ -254,3 +257,37 @@
         await stream.send_all(data)
         assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
         assert trio.current_time() - sent_at < 1.0
+
+
+# Guards against a process that was started while the one before it still served, and
+# that breaks off requests early although the stop of that one is not over: it is old,
+# but serves only since that one has released its ports.
+@caller.in_trio
+async def test_a_process_that_waited_for_its_ports_waits_until_the_caller_s_deadline(
+    monkeypatch,
+):
+    monkeypatch.setattr(admission, "RESPONSE_MARGIN_SECONDS", 0.3)
+    async with fleet.open_fleet() as deployment:
+        added = await deployment.add_upstream("u1")
+        added.silent = True
+        earlier = listener.Listener(
+            address.Address(loopback.host(1), fleet.FIRST_VM_PORT),
+            clock.now,
+            counters.Counters(),
+        )
+        async with trio.open_nursery() as nursery:
+
+            @nursery.start_soon
+            async def release() -> None:
+                await trio.sleep(1.2)
+                earlier.close()
+
+            vm = await deployment.add_vm(bounds={"grace_s": 6, "contact_s": 1})
+        assert vm.node.uptime(clock.now()) >= 1.2
+        local = vm.node.settings.callers
+        stream = await trio.open_tcp_stream(local.host, local.port)
+        sent_at = trio.current_time()
+        data = caller.encode("/claim/x", "waiting", "POST", milliseconds=600)
+        await stream.send_all(data)
+        assert (await stream.receive_some(4096)).startswith(b"HTTP/1.1 504")
+        assert 0.6 <= trio.current_time() - sent_at < 1.0
