Don't keep the last request and response of a caller's idle connection

What users saw: nothing yet. A process that exceeds its memory is killed.

Change: a call of its own serves each request.

The new test failed before through the fast path, and passed through the library. tests/caller and test_large_bodies.py pass.

Ruled out: counting the response while the connection is idle would let idle callers use up the budget.

--- a/src/rattanlug/caller/fast_path.py
+++ b/src/rattanlug/caller/fast_path.py
@@ -52,27 +52,46 @@
             Whether the stream holds bytes for the library; if not, the connection is
             finished.
         """
-        while True:
-            data = await self._stream.receive_request()
-            if not data:
-                return False
-            head = request_head.parse_complete(data)
-            if head is None or not _is_simple(head):
-                self._stream.push_back(data)
-                return True
-            local_reply = self._stream.find_local_reply(head)
-            if local_reply is not None:
-                await self._stream.send_response(local_reply)
-                continue
-            with self._app.reserve_memory() as reservation:
-                response = await self._respond(
-                    _to_request(head, data, self._stream), reservation
-                )
-                if response is None:
-                    return False
-                await self._stream.send_response(reply.to_bytes(response))
-            if stopping() or (b"connection", b"close") in response.headers:
+        needs_library = None
+        while needs_library is None:
+            needs_library = await self._serve_one(
+                await self._stream.receive_request(), stopping
+            )
+        return needs_library
+
+    async def _serve_one(
+        self, data: bytes, stopping: Callable[[], bool]
+    ) -> bool | None:
+        """Serve the request that begins with the given bytes.
+
+        Nothing of a request may be kept while the connection waits for the next one,
+        since it isn't counted as memory any more.
+
+        Returns
+        -------
+        bool or None
+            The result of `serve`; None if the connection waits for another request.
+        """
+        if not data:
+            return False
+        head = request_head.parse_complete(data)
+        if head is None or not _is_simple(head):
+            self._stream.push_back(data)
+            return True
+        local_reply = self._stream.find_local_reply(head)
+        if local_reply is not None:
+            await self._stream.send_response(local_reply)
+            return None
+        with self._app.reserve_memory() as reservation:
+            response = await self._respond(
+                _to_request(head, data, self._stream), reservation
+            )
+            if response is None:
                 return False
+            await self._stream.send_response(reply.to_bytes(response))
+        if stopping() or (b"connection", b"close") in response.headers:
+            return False
+        return None
 
     async def _respond(
         self,
--- a/tests/gateway/test_large_bodies.py
+++ b/tests/gateway/test_large_bodies.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from rattanlug.caller import reply, request, request_head
 from rattanlug.gateway import admitted_request, node
 from rattanlug.upstream import memory_budget
 from tests.gateway import caller
@@ -15,6 +16,7 @@
 
 MIB = 1 << 20
 MEMORY_MB = 64
+_PARTS_OF_A_REQUEST = (reply.Reply, request.Request, request_head.RequestHead)
 
 
 async def start(deployment, body_limit=64 * MIB, memory_mb=MEMORY_MB):
@@ -298,3 +300,36 @@
             for each in gc.get_objects()
             if type(each) is admitted_request.AdmittedRequest
         ]
+
+
+# Guards against idle connections of callers that keep the last request and response of
+# each, in memory that isn't counted: a daemon may exceed its limit and be killed.
+@pytest.mark.usefixtures("no_overload")
+@pytest.mark.parametrize("by_library", [False, True])
+@caller.in_trio
+async def test_an_idle_connection_of_a_caller_holds_no_response(by_library):
+    async with fleet.open_fleet() as deployment:
+        vm = await start(deployment)
+        deployment.upstreams["u1"].padding = bytes(MIB)
+        local = vm.node.settings.callers
+        stream = await trio.open_tcp_stream(local.host, local.port)
+        data = caller.encode("/claim/x", "kept", "POST")
+        if by_library:
+            data = data[:-2] + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        await stream.send_all(data)
+        received = await stream.receive_some()
+        assert received.startswith(b"HTTP/1.1 200")
+        size = len(received)
+        while size <= MIB:
+            size += len(await stream.receive_some())
+        await released(vm)
+        gc.collect()
+        held = [each for each in gc.get_objects() if type(each) in _PARTS_OF_A_REQUEST]
+        assert not held
+        assert not await idle_is_closed(stream)
+
+
+async def idle_is_closed(stream):
+    with trio.move_on_after(0.1):
+        return not await stream.receive_some()
+    return False
