--- a/trial/cases/plays/__init__.py
+++ b/trial/cases/plays/__init__.py
@@ -1,5 +1,7 @@
 """All cases; importing this package registers them."""
 
+from trial.cases.plays import fuzz as fuzz
+from trial.cases.plays import starts as starts
 from trial.cases.plays import stops as stops
 from trial.cases.plays import stores as stores
 from trial.cases.plays import upstreams as upstreams
