--- a/trial/cases/plays/__init__.py
+++ b/trial/cases/plays/__init__.py
@@ -1,6 +1,8 @@
 """All cases; importing this package registers them."""
 
+from trial.cases.plays import callers as callers
 from trial.cases.plays import fuzz as fuzz
+from trial.cases.plays import resources as resources
 from trial.cases.plays import starts as starts
 from trial.cases.plays import stops as stops
 from trial.cases.plays import stores as stores
