Don't count the time in which a caller sends its body as a delay of the VM

Cause: the wait that decides on the refusal counted from the first byte of the request, also while the caller still sent. It counts from the arrival of the last byte now, for which a read that empties the socket gives a later lower bound. Deadlines are unchanged. test_the_time_in_which_a_caller_sends_its_body_is_no_delay failed in its 4 forms before.

--- a/src/rattanlug/caller/application.py
+++ b/src/rattanlug/caller/application.py
@@ -375,6 +375,7 @@
         None if stream is None else stream.arrived_at,
         lambda: stream is not None and stream.has_disconnected,
         rest,
+        None if stream is None else stream.received_at,
     )
 
 
--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -146,6 +146,11 @@
         """Earliest possible arrival of the current request, as of ``clock.now``."""
         return self._arrived_at
 
+    @property
+    def received_at(self) -> float:
+        """Earliest possible arrival of what was received last, as of ``clock.now``."""
+        return max(self._arrived_at, self._earliest_received_at)
+
     @property
     def has_disconnected(self) -> bool:
         """Whether the caller closed the connection, even if the end is still unread."""
@@ -373,14 +378,20 @@
 
     async def _receive_raw(self, max_bytes: int) -> bytes:
         self._earliest_received_at = self._earliest_next_byte_at
+        size = min(max_bytes, _READ_BYTES)
         while True:
             try:
-                return self._raw.recv(min(max_bytes, _READ_BYTES))
+                data = self._raw.recv(size)
             except BlockingIOError:
                 await trio.lowlevel.wait_readable(self._raw)
                 self._earliest_received_at = self._earliest_ready_at()
             except OSError as exc:
                 raise trio.BrokenResourceError("the connection broke") from exc
+            else:
+                if len(data) < size:
+                    # The socket was empty after that.
+                    self._earliest_next_byte_at = clock.now()
+                return data
 
     def _record_disconnect(self) -> None:
         self._has_disconnected = True
--- a/src/rattanlug/caller/request.py
+++ b/src/rattanlug/caller/request.py
@@ -36,6 +36,9 @@
         Tells whether the caller closed its connection.
     rest : body_stream.BodyStream or None
         Rest of a body that is too large to be held.
+    received_at : float or None
+        Earliest time at which the last byte that was read can have arrived, seconds on
+        ``clock.now``; None if it is that of the first.
     """
 
     method: str
@@ -47,6 +50,15 @@
     arrived_at: float | None = None
     has_disconnected: Callable[[], bool] = _has_not_disconnected
     rest: body_stream.BodyStream | None = None
+    received_at: float | None = None
+
+    @property
+    def waited_from(self) -> float | None:
+        """Earliest time from which the request can have waited for this VM, seconds.
+
+        The time that its caller takes to send it isn't a wait.
+        """
+        return self.arrived_at if self.received_at is None else self.received_at
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header, or None."""
--- a/src/rattanlug/gateway/admission.py
+++ b/src/rattanlug/gateway/admission.py
@@ -90,13 +90,14 @@
         error.RefusedError
         """
         matched_route = self.find_route(incoming)
-        if matched_route is None or incoming.arrived_at is None:
+        waited_from = incoming.waited_from
+        if matched_route is None or waited_from is None:
             return
         owner = (
             None if matched_route.public else self._node.desired.keys.owner(headers.key)
         )
-        if self._should_shed(matched_route, owner, incoming.arrived_at, now):
-            raise self._overload_rejection(incoming.arrived_at, now)
+        if self._should_shed(matched_route, owner, waited_from, now):
+            raise self._overload_rejection(waited_from, now)
 
     def admit(
         self,
@@ -131,8 +132,9 @@
         owner = None
         if state.organisations and not matched_route.public:
             owner = self._authenticate(headers, now)
-        node.histograms.record("request_unread", now - arrived_at)
-        self._check_load(matched_route, owner, arrived_at, now)
+        waited_from = now if incoming.waited_from is None else incoming.waited_from
+        node.histograms.record("request_unread", now - waited_from)
+        self._check_load(matched_route, owner, waited_from, now)
         service = split.pick_service(matched_route, node.rng)
         node.retry_budget(service).count_request(now)
         return admitted_request.AdmittedRequest(
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -366,3 +366,30 @@
         while not stalls or stalls[-1] > 0.23:
             _, response = await caller.send(vm, "/view/x")
         assert response.status == 200, response.body
+
+
+# Guards against an idle VM that refuses all callers who take some time to send a body,
+# as if that time had been its own delay.
+@pytest.mark.parametrize("pause", [0.1, 0.45])
+@pytest.mark.parametrize("is_chunked", [False, True])
+@caller.in_trio
+async def test_the_time_in_which_a_caller_sends_its_body_is_no_delay(pause, is_chunked):
+    async with fleet.open_fleet() as deployment:
+        await deployment.add_upstream("u1")
+        vm = await deployment.add_vm()
+        await deployment.settle()
+        length = "Transfer-Encoding: chunked" if is_chunked else "Content-Length: 35"
+        head = caller.encode("/claim/1", "slow-1", "POST", 3000)[:-2]
+        local = vm.node.settings.callers
+        async with await trio.open_tcp_stream(local.host, local.port) as stream:
+            await stream.send_all(head + length.encode() + b"\r\n\r\n")
+            for _ in range(int(0.5 / pause)):
+                await trio.sleep(pause)
+                await stream.send_all(b"5\r\nhello\r\n" if is_chunked else b"hello")
+            rest = b"0\r\n\r\n" if is_chunked else b"x" * (35 - 5 * int(0.5 / pause))
+            # The last byte comes right behind others.
+            await stream.send_all(rest[:-1])
+            await stream.send_all(rest[-1:])
+            answer = await stream.receive_some(65536)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert caller.executions(deployment, "slow-1")
