Wait without limit for settings that aren't written yet

Cause: the wait had a limit whose end is an error, as the one for ports once had. The limit counts from the moment when the file is complete now.

--- a/src/rattanlug/gateway/__main__.py
+++ b/src/rattanlug/gateway/__main__.py
@@ -43,7 +43,7 @@
     setup.configure("INFO", "", to_standard_output=True)
     try:
         path = boot_settings.path_from_environment()
-        settings = settings_file.read_when_complete(path)
+        settings = settings_file.read_when_complete(path, waits_for_file=True)
     except error.InvalidInputError as exc:
         standard_streams.write_error(exc.detail)
         return 2
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from rattanlug.gateway import run
+from rattanlug.gateway import run, settings_file
 from trial.shared_platform import boot_file, loopback
 
 STOP = {"grace_s": 1}
@@ -321,6 +321,26 @@
     assert process.wait(10) == 0
 
 
+# Guards against a daemon that ends by itself, and is started again only to end again,
+# while the platform can't write its settings.
+@pytest.mark.parametrize("first", [None, "", "node_name = "])
+def test_a_daemon_waits_for_settings_that_come_very_late(tmp_path, first):
+    path = tmp_path / "local.toml"
+    if first is not None:
+        path.write_text(first)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "rattanlug.gateway"],
+        env={**os.environ, "RATTANLUG_BOOT": str(path)},
+        stdout=subprocess.DEVNULL,
+    )
+    with pytest.raises(subprocess.TimeoutExpired):
+        process.wait(settings_file.MAX_WAIT_SECONDS + 2.0)
+    path.write_text(boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds=STOP))
+    wait_until_serving()
+    process.terminate()
+    assert process.wait(10) == 0
+
+
 # Guards against a reload that ends the daemon.
 def test_invalid_settings_at_a_reload_are_logged_and_ignored(tmp_path):
     process = start_in_background(tmp_path)
