Limit what connections to the ports for VMs and metrics can use up

Cause: these two ports had no share of the descriptors, and a follower's request could be as large as an answer, outside the budget of memory.

--- a/src/rattanlug/gateway/connection_limits.py
+++ b/src/rattanlug/gateway/connection_limits.py
@@ -5,14 +5,15 @@
 
 from rattanlug.caller import server
 
-# Standard streams, the event loop, listeners, connections to the store and to other
-# VMs.
+# Standard streams, the event loop, listeners, connections to the store and to the VM
+# that this one follows.
 RESERVED_DESCRIPTORS = 32
 # Descriptors that are left for connections to upstreams at most.
 MAX_UPSTREAM_DESCRIPTORS = 512
 # Each caller looks VMs up on its own connection; readiness is for the platform only.
 _LOOKUPS_FRACTION = 6
 _READINESS_FRACTION = 16
+_FOLLOWERS_FRACTION = 8
 _MIN_INTERNAL_CONNECTIONS = 4
 
 
@@ -25,11 +26,15 @@
         Connections for requests of callers.
     lookups, readiness : int
         Connections for look-ups, and for readiness checks.
+    followers, metrics : int
+        Connections of VMs that follow this one, and for its metrics.
     """
 
     callers: int
     lookups: int
     readiness: int
+    followers: int
+    metrics: int
 
 
 def connection_limits(max_descriptors: int) -> ConnectionLimits:
@@ -45,10 +50,15 @@
     free = max(0, max_descriptors - RESERVED_DESCRIPTORS)
     lookups = max(_MIN_INTERNAL_CONNECTIONS, free // _LOOKUPS_FRACTION)
     readiness = max(_MIN_INTERNAL_CONNECTIONS, free // _READINESS_FRACTION)
-    shared = free - lookups - readiness
+    followers = max(_MIN_INTERNAL_CONNECTIONS, free // _FOLLOWERS_FRACTION)
+    metrics = _MIN_INTERNAL_CONNECTIONS
+    shared = free - lookups - readiness - followers - metrics
     callers = max(1, shared // 2, shared - MAX_UPSTREAM_DESCRIPTORS)
     return ConnectionLimits(
-        *(min(server.MAX_CONNECTIONS, each) for each in (callers, lookups, readiness))
+        *(
+            min(server.MAX_CONNECTIONS, each)
+            for each in (callers, lookups, readiness, followers, metrics)
+        )
     )
 
 
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -238,7 +238,8 @@
             self._start_task(
                 nursery, "rollouts", functools.partial(rollouts.run, node, reader)
             )
-            await nursery.start(table_server.run, node)
+            max_followers = self._connection_limits.followers
+            await nursery.start(table_server.run, node, max_followers)
             digest_socket = await self._digest_exchange.open()
             internal_listeners = [
                 (server, await server.open(local))
@@ -306,7 +307,9 @@
         app = application.Application(
             handlers.serve_metrics, node.counters, memory=node.memory
         )
-        server = caller_server.Server(app, node.counters)
+        server = caller_server.Server(
+            app, node.counters, max_connections=self._connection_limits.metrics
+        )
         listening = await server.open(local)
         await server.run(listening, trio.Event(), 0.0)
 
--- a/src/rattanlug/gateway/table_server.py
+++ b/src/rattanlug/gateway/table_server.py
@@ -13,13 +13,27 @@
 SEND_TIMEOUT_SECONDS = 2.0
 # Followers send a request more than once a second.
 IDLE_TIMEOUT_SECONDS = 10.0
+# A request names the tables and their versions.
+MAX_REQUEST_BYTES = 16 * 1024
 
 
-async def run(node: node_module.Node, task_status=trio.TASK_STATUS_IGNORED) -> None:
+async def run(
+    node: node_module.Node,
+    max_followers: int,
+    task_status=trio.TASK_STATUS_IGNORED,
+) -> None:
     """Serve followers until cancelled.
 
     All queued connections are accepted together. After a restart of this VM, every VM
     of its region reconnects at the same time and gives up after a fraction of a second.
+
+    Parameters
+    ----------
+    node : node.Node
+    max_followers : int
+        Connections beyond this number are closed at once.
+    task_status : optional
+        Reports that the listener is open.
     """
     local = address.Address(node.settings.host, node.settings.peer_ports[0])
     listening = await local_endpoint.open_when_available(
@@ -32,6 +46,10 @@
             async def accept() -> None:
                 while True:
                     accepted = await listening.accept()
+                    if len(nursery.child_tasks) >= max_followers:
+                        node.counters.add("table_followers_refused")
+                        await socket_close.aclose(accepted.stream)
+                        continue
                     nursery.start_soon(_serve, node, accepted.stream)
 
             await background_tasks.keep_running("table_listener", accept, node.counters)
@@ -40,7 +58,7 @@
 
 
 async def _serve(node: node_module.Node, stream: trio.SocketStream) -> None:
-    reader = framing.FrameReader(stream)
+    reader = framing.FrameReader(stream, MAX_REQUEST_BYTES)
     try:
         while True:
             with trio.fail_after(IDLE_TIMEOUT_SECONDS):
--- a/src/rattanlug/peer/framing.py
+++ b/src/rattanlug/peer/framing.py
@@ -38,10 +38,15 @@
     Parameters
     ----------
     stream : trio.abc.ReceiveStream
+    max_bytes : int, optional
+        Largest accepted frame.
     """
 
-    def __init__(self, stream: trio.abc.ReceiveStream):
+    def __init__(
+        self, stream: trio.abc.ReceiveStream, max_bytes: int = MAX_FRAME_BYTES
+    ) -> None:
         self._stream = stream
+        self._max_bytes = max_bytes
         self._buffer = bytearray()
 
     async def receive(self) -> bytes | None:
@@ -59,7 +64,7 @@
         with trio.move_on_after(_FRAME_TIMEOUT_S):
             await self._fill_to(_LENGTH_BYTES)
             length = int.from_bytes(self._buffer[:_LENGTH_BYTES], "big")
-            if length > MAX_FRAME_BYTES:
+            if length > self._max_bytes:
                 raise error.MalformedMessageError(
                     f"a frame of {length} bytes exceeds the limit"
                 )
--- a/trial/cases/plays/resources.py
+++ b/trial/cases/plays/resources.py
@@ -156,3 +156,33 @@
             lab.notes.append(f"{15 * (step + 1)} s: {daemon.memory_mb():.1f} MB")
     await lab.stop(daemon)
     await lab.stop(second)
+
+
+@registry.case
+async def memory_of_frames(lab: lab_module.Lab) -> None:
+    """Hold 600 frames of 1 MB, all but their last byte, at the port for other VMs."""
+    await lab.start()
+    daemon = await lab.start_daemon(0, limits={"max_fds": 4100})
+    opened: list[trio.SocketStream] = []
+
+    async def hold() -> None:
+        try:
+            stream = await trio.open_tcp_stream(daemon.host, FIRST_PORT + 4)
+            opened.append(stream)
+            with trio.move_on_after(6.0):
+                await stream.send_all(b"\x00\x0f\xff\xff" + b"x" * 1_000_000)
+        except (OSError, trio.BrokenResourceError):
+            pass
+
+    async with lab.traffic([daemon], callers=4):
+        async with trio.open_nursery() as nursery:
+            for _ in range(600):
+                nursery.start_soon(hold)
+                await trio.sleep(0.003)
+        await trio.sleep(1.0)
+    lab.notes.append(f"peak {daemon.memory_mb():.0f} MB")
+    if daemon.memory_mb() > 300:
+        lab.breaches.append("over the memory limit")
+    for each in opened:
+        await trio.aclose_forcefully(each)
+    await lab.stop(daemon)
