Count a stop with the grace period in the settings file

What callers would see: a VM whose grace period was shortened without a SIGHUP is killed in the middle of its stop, with the requests it has read.

Cause: made the stop use the grace period in force, which is that of the last SIGHUP or of the start. PROTOCOL.md: the settings file may also change without any signal.

Change: the daemon reads its settings again at SIGTERM too, before its stop begins.

Evidence: the new test starts a process with a grace period of 6 s and rewrites the file to 2 s; before, the process still ran 2 s after SIGTERM. tests/gateway/ test_main.py passes, with its cases of unreadable settings.

Ruled out: watching the file all the time costs processor time.

--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -130,12 +130,14 @@
             # Signals are handled while the daemon waits for its ports.
             nursery.start_soon(_serve, daemon)
             async for signal_number in signals:
-                if signal_number != signal.SIGHUP:
-                    break
+                # Before a stop too, since the file may change without any signal, and
+                # the platform counts with the grace period in it.
                 try:
                     reload(daemon.node, settings_path)
                 except Exception:
                     background_tasks.record_failure("reload", daemon.node.counters)
+                if signal_number != signal.SIGHUP:
+                    break
             if daemon.is_serving:
                 await daemon.stop(stop_times[0])
             nursery.cancel_scope.cancel()
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -465,3 +465,20 @@
     process.terminate()
     assert expected in process.communicate(timeout=10)[0]
     assert process.returncode == 0
+
+
+# Guards against a daemon that counts with an old grace period at its stop, and is
+# killed with requests in flight, because its settings changed without a SIGHUP.
+def test_a_stop_counts_with_the_grace_period_in_the_settings_file(tmp_path):
+    process = start_in_background(tmp_path, {"grace_s": 6})
+    try:
+        wait_until_serving()
+        (tmp_path / "local.toml").write_text(
+            boot_file.render("vm-1", HOST, FIRST_PORT, 9, bounds={"grace_s": 2})
+        )
+        process.terminate()
+        assert process.wait(2.0) == 0
+        assert '"changed": ["bounds"]' in process.stdout.read()
+    finally:
+        process.kill()
+        process.wait()
