Remove only the own registration from the store

The store may perform the call later, after the VM's next process has registered, which never writes the row again.

Change: the removal expects the version of the row that was read after the registration.

Ruled out: registering again at intervals costs priced calls.

--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -67,6 +67,8 @@
         self._socket: trio.socket.SocketType | None = None
         # Hosts, by data centre and VM.
         self._addresses: dict[str, dict[str, str]] = {}
+        # Version of this VM's row in the store; None until it is known.
+        self._registered_version: int | None = None
         self._rounds = 0
         self._logged_live_vms: set[str] = set()
 
@@ -125,12 +127,15 @@
         """Announce the shutdown and remove this VM's address from the store.
 
         A VM that is replaced never registers again, so its row would never be removed.
+        The store may perform the removal late, when the next process has registered.
         """
         await self.send_digest()
-        row = store_write.StoreWrite(TABLE, self._node.settings.vm, None, None)
+        row = store_write.StoreWrite(
+            TABLE, self._node.settings.vm, None, self._registered_version
+        )
         try:
             await self._node.store.commit([row])
-        except store_error.StoreError as exc:
+        except (store_error.StoreError, store_error.ConditionFailedError) as exc:
             state_log.log_change("address", "registered", "kept", reason=str(exc))
 
     def log_membership_changes(self, now: float) -> None:
@@ -311,6 +316,8 @@
         settings = self._node.settings
         self._node.record_registered_vm(settings.data_centre, settings.vm)
         for row in read.rows:
+            if row.key == settings.vm:
+                self._registered_version = row.version
             self._record_row(row.key, row.value)
         return True
 
--- a/trial/shared_platform/fleet.py
+++ b/trial/shared_platform/fleet.py
@@ -94,6 +94,11 @@
         self.store = store.Store()
         self.upstreams: dict[str, upstream.Upstream] = {}
 
+    @property
+    def store_port(self) -> int:
+        """Port of the store."""
+        return self._store_port
+
     async def start_store(self) -> None:
         """Start the store, which holds a desired state."""
         self.store.put("op", "config", desired_state())
