--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -487,8 +487,8 @@
     assert process.returncode == 0
 
 
-# Guards against a daemon that counts with an old grace period at its stop, and is killed
-# with requests in flight, because its settings changed without a SIGHUP.
+# Guards against a daemon that counts with an old grace period at its stop, and is
+# killed with requests in flight, because its settings changed without a SIGHUP.
 def test_a_stop_counts_with_the_grace_period_in_the_settings_file(tmp_path):
     process = start_in_background(tmp_path, {"grace_s": 6})
     try:
