--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -304,13 +304,13 @@
         found = []
 
         async def ask():
-            found.append((await caller.send(vm, "/view/x"))[1].status)
+            found.append((await caller.send(vm, "/view/x"))[1])
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask)
             await trio.sleep(0.1)
             await vm.stop()
-            assert found == [200]
+            assert [each.status for each in found] == [200], found
 
 
 # Guards against cold upstreams that get no requests while the store serves reads only.
