Let the stand-in store come back from an older copy

The store may be away and come back from a copy some seconds old, in a new era that its header tells. The stand-in couldn't play this: it now gives copies, closes its connections while it is away, comes back from a copy and returns what operators and upstreams have to write again. A feed from a version that it doesn't have gets 410.

No test of before changed.

--- a/trial/shared_platform/store.py
+++ b/trial/shared_platform/store.py
@@ -8,6 +8,7 @@
 
 from trial import http_server
 
+ERA_HEADER = "Store-Era"
 _MILLISECONDS = 1000.0
 
 
@@ -18,6 +19,21 @@
     version: int
 
 
+class Copy(NamedTuple):
+    """State of the store at one transaction."""
+
+    tables: dict[str, dict[str, StoredRow]]
+    version: int
+
+
+class LostWrite(NamedTuple):
+    """Write of an operator or an upstream that a return from a copy undid."""
+
+    table: str
+    key: str
+    value: bytes | None
+
+
 class Store:
     """In-memory tables with conditional writes and change feeds.
 
@@ -25,6 +41,7 @@
     ``lose_answers`` applies calls but closes the connection without a response,
     ``silent`` leaves calls unanswered, ``drop_history`` makes feeds that ask for older
     changes fail with 410, and callers whose host is in ``refused_hosts`` get 503.
+    ``era`` is sent with each response; None sends no header.
     """
 
     def __init__(self) -> None:
@@ -32,6 +49,10 @@
         self._version = 0
         self._change_event = trio.Event()
         self._oldest_version = 0
+        # Writes of others than the system, by version.
+        self._foreign_writes: list[tuple[int, LostWrite]] = []
+        self._away = False
+        self.era: int | None = 1
         self.status: int | None = None
         self.silent = False
         self.lose_answers = False
@@ -47,11 +68,11 @@
     def put(self, table: str, key: str, value: Any) -> int:
         """Write a row unconditionally; return its version."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        return self._apply([(table, key, data)])
+        return self._write_foreign(LostWrite(table, key, data))
 
     def remove(self, table: str, key: str) -> int:
         """Remove a row; return the version of the removal."""
-        return self._apply([(table, key, None)])
+        return self._write_foreign(LostWrite(table, key, None))
 
     def value(self, table: str, key: str) -> Any:
         """Return the decoded JSON value of a row, or None if there is none."""
@@ -64,10 +85,56 @@
         self._oldest_version = self._version
         self._notify_feeds()
 
+    def copy(self) -> Copy:
+        """Return a copy from which the store may come back."""
+        tables = {name: dict(rows) for name, rows in self._tables.items()}
+        return Copy(tables, self._version)
+
+    def go_away(self) -> None:
+        """Close the connections of all calls without a response."""
+        self._away = True
+        self._notify_feeds()
+
+    def come_back(self, earlier: Copy) -> list[LostWrite]:
+        """Come back from a copy in the next era.
+
+        Returns
+        -------
+        list of LostWrite
+            Latest lost write of each row that operators and upstreams wrote since.
+        """
+        self._tables = {name: dict(rows) for name, rows in earlier.tables.items()}
+        self._version = earlier.version
+        self._oldest_version = min(self._oldest_version, earlier.version)
+        self.era = None if self.era is None else self.era + 1
+        self._away = False
+        lost = [each for each in self._foreign_writes if each[0] > earlier.version]
+        self._foreign_writes = [
+            each for each in self._foreign_writes if each[0] <= earlier.version
+        ]
+        self._notify_feeds()
+        return list({(each.table, each.key): each for _, each in lost}.values())
+
+    def write_again(self, lost: list[LostWrite]) -> None:
+        """Apply lost writes, each in a transaction of its own."""
+        for each in lost:
+            self._write_foreign(each)
+
     async def handle(self, request: http_server.Request) -> http_server.Response:
         """Handle one call."""
+        response = await self._handle(request)
+        if self._away:
+            return http_server.Response(200, fault="close")
+        if self.era is None:
+            return response
+        headers = (*response.headers, (ERA_HEADER, str(self.era)))
+        return response._replace(headers=headers)
+
+    async def _handle(self, request: http_server.Request) -> http_server.Response:
         self.calls.append(request.path[1:])
         self.callers.append(request.source)
+        if self._away:
+            return http_server.json_response({}, 503)
         if request.source in self.refused_hosts:
             return http_server.json_response({}, 503)
         if self.silent:
@@ -103,12 +170,15 @@
         after = int(request.parameter("after") or 0)
         timeout_seconds = float(request.parameter("wait_ms") or 0) / _MILLISECONDS
         with trio.move_on_after(timeout_seconds):
-            while after >= self._oldest_version and not self._changes(table, after):
+            while self._has_history(after) and not self._changes(table, after):
                 await self._change_event.wait()
-        if after < self._oldest_version:
+        if not self._has_history(after):
             return http_server.json_response({}, 410)
         return self._respond({"rows": self._changes(table, after)})
 
+    def _has_history(self, after: int) -> bool:
+        return not self._away and self._oldest_version <= after <= self._version
+
     def _changes(self, table: str, after: int) -> list[dict[str, Any]]:
         rows = self._tables.get(table, {})
         changed = [(row.version, key) for key, row in rows.items()]
@@ -134,6 +204,11 @@
         self._apply(writes)
         return self._respond({})
 
+    def _write_foreign(self, write: LostWrite) -> int:
+        version = self._apply([write])
+        self._foreign_writes.append((version, write))
+        return version
+
     def _apply(self, writes: list[tuple[str, str, bytes | None]]) -> int:
         self._version += 1
         for table, key, value in writes:
