Read the era of the store from each response, and compare versions within it

Callers saw 503 after the store came back from an older copy: versions start again below those that were read, and each read was taken for outdated.

The client reads the header of each response, also of refusals; the name is in the platform's folder. A read has an era, and a copy of a table takes a whole read of a later era whatever its version. A read of several pages begins again if the era changes between two of them. Follow messages have the eras in optional fields of their own, which the release before skips.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -23,7 +23,7 @@
 from rattanlug.rate_limits import limiter_table
 from rattanlug.retries import service_retry_budget
 from rattanlug.settings import gateway_settings
-from rattanlug.tables import table_set
+from rattanlug.tables import store_era, table_set
 from rattanlug.upstream import connection_pools, deadline_backend, memory_budget
 
 _MILLISECONDS = 1000
@@ -68,7 +68,7 @@
         self._log = decision_log.DecisionLog(self._counters)
         self._desired = holder.StateHolder()
         self._operators = operator_table.OperatorTable()
-        self._registry = upstream_registry.UpstreamRegistry()
+        self._registry = upstream_registry.UpstreamRegistry(settings.heartbeat)
         self._peers = peer_table.PeerTable(settings.vm, settings.data_centre)
         self._limiters = limiter_table.LimiterTable(settings.bounds)
         self._lag = loop_lag.LoopLag()
@@ -77,6 +77,7 @@
         )
         self._outcomes = outcome_window.OutcomeWindow()
         self._versions = version_choice.VersionChoice(self._rng)
+        self._store_era = store_era.StoreEra()
         self._store = store_client.StoreClient(
             settings.store.address,
             settings.host,
@@ -84,6 +85,7 @@
             self._counters,
             self._histograms,
             deadline_backend.DeadlineBackend(clock.now),
+            self._store_era,
         )
         self._memory = memory_budget.MemoryBudget(settings.memory_bytes)
         self._pools = connection_pools.ConnectionPools(
@@ -197,6 +199,11 @@
         """Client of the platform's store."""
         return self._store
 
+    @property
+    def store_era(self) -> store_era.StoreEra:
+        """Latest known era of the store."""
+        return self._store_era
+
     @property
     def tables(self) -> table_set.TableSet:
         """Copies of the store's tables."""
--- a/src/rattanlug/platform/decoding.py
+++ b/src/rattanlug/platform/decoding.py
@@ -7,6 +7,7 @@
 
 # Integers are exchanged between VMs as signed 64-bit numbers.
 MAX_INTEGER = 2**63 - 1
+_MAX_DIGITS = len(str(MAX_INTEGER))
 
 
 class MalformedValueError(ValueError):
@@ -51,6 +52,21 @@
     return value
 
 
+def integer_text(text: str) -> int:
+    """Return the integer that a header's decimal digits express.
+
+    Raises
+    ------
+    MalformedValueError
+    """
+    if not (text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS):
+        raise MalformedValueError("the text is not an integer")
+    value = int(text)
+    if value > MAX_INTEGER:
+        raise MalformedValueError("the integer is too large")
+    return value
+
+
 def encodable(value: str, name: str) -> str:
     """Return a string after checking that it can be encoded.
 
--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -4,16 +4,16 @@
 import json
 import logging
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 from urllib import parse
 
 import httpcore
 
 from rattanlug.encoding import json_text
 from rattanlug.metrics import counters, histograms
-from rattanlug.platform import decoding, store_error, store_write
+from rattanlug.platform import decoding, names, store_error, store_write
 from rattanlug.settings import address
-from rattanlug.tables import store_read, store_row
+from rattanlug.tables import store_era, store_read, store_row
 
 # Allows two round trips between regions, which take about 0.11 s each.
 CONNECT_TIMEOUT_SECONDS = 0.35
@@ -48,6 +48,13 @@
 }
 
 
+class _Found(NamedTuple):
+    """Content of a response and the era of the store."""
+
+    content: dict[str, Any]
+    era: int
+
+
 class StoreClient:
     """Reads tables, follows their changes and commits conditional writes.
 
@@ -62,6 +69,8 @@
     all_histograms : histograms.Histograms
     backend : httpcore.AsyncNetworkBackend, optional
         Opens the connections; that of the library by default.
+    era : store_era.StoreEra, optional
+        Observes the era of each response.
     """
 
     def __init__(
@@ -72,6 +81,7 @@
         all_counters: counters.Counters,
         all_histograms: histograms.Histograms,
         backend: httpcore.AsyncNetworkBackend | None = None,
+        era: store_era.StoreEra | None = None,
     ) -> None:
         self._target = target
         self._clock = clock
@@ -85,6 +95,7 @@
             retries=0,
             network_backend=backend,
         )
+        self._era = era or store_era.StoreEra()
         self._read_timeout = CALL_TIMEOUT_SECONDS
 
     async def aclose(self) -> None:
@@ -98,7 +109,8 @@
         """Read all rows of a table, page by page.
 
         The read has the version of its first page, so that changes between two pages
-        are found by following the table.
+        are found by following the table. It begins again if the store comes back from
+        an older copy between two pages.
 
         Raises
         ------
@@ -106,25 +118,30 @@
         """
         rows: list[store_row.StoreRow] = []
         sent_at = self._clock()
-        first: dict[str, Any] | None = None
+        first: _Found | None = None
         while True:
             query = {"table": table, "part": "", "limit": str(_ROWS_PER_CALL)}
             if rows:
                 query["from"] = rows[-1].key + "\0"
             found = await self._read_page(query)
+            if first is not None and found.era != first.era:
+                if found.era < first.era:
+                    raise store_error.StoreError("a page of an earlier era")
+                first, rows, sent_at = None, [], self._clock()
+                continue
             first = first or found
-            page = _decode_rows(found)
+            page = _decode_rows(found.content)
             if page and rows and page[0].key <= rows[-1].key:
                 raise store_error.StoreError("the store repeated rows of a page")
             rows.extend(page)
-            if not found.get("has_more"):
+            if not found.content.get("has_more"):
                 break
             if not page:
                 raise store_error.StoreError("a page of the store has no usable rows")
         first_version = _store_read(first, [], sent_at).version
         return _store_read(found, rows, sent_at)._replace(version=first_version)
 
-    async def _read_page(self, query: dict[str, str]) -> dict:
+    async def _read_page(self, query: dict[str, str]) -> _Found:
         timeout = self._read_timeout
         started_at = self._clock()
         try:
@@ -167,7 +184,7 @@
         found = await self._get(
             "rows-feed", query, wait + FEED_MARGIN_SECONDS, _FEED_ERRORS
         )
-        return _store_read(found, _decode_rows(found), sent_at)
+        return _store_read(found, _decode_rows(found.content), sent_at)
 
     async def commit(self, writes: Sequence[store_write.StoreWrite]) -> int:
         """Apply all writes in one transaction, or none.
@@ -202,7 +219,7 @@
             "POST", "/rows-tx", content, CALL_TIMEOUT_SECONDS, errors
         )
         try:
-            return _row_version(found)
+            return _row_version(found.content)
         except decoding.MalformedValueError as exc:
             raise store_error.StoreError(
                 f"the store's response: {exc}", maybe_applied=True
@@ -210,7 +227,7 @@
 
     async def _get(
         self, call: str, query: dict[str, str], timeout: float, errors: _StatusErrors
-    ) -> dict:
+    ) -> _Found:
         target = f"/{call}?{parse.urlencode(query)}"
         return await self._call("GET", target, None, timeout, errors)
 
@@ -221,12 +238,12 @@
         content: bytes | None,
         timeout: float,
         errors: _StatusErrors,
-    ) -> dict[str, Any]:
+    ) -> _Found:
         call = target.partition("?")[0][1:]
         started_at = self._clock()
         try:
-            status, body = await self._exchange(method, target, content, timeout)
-            found = _parse(status, body, content is not None, errors)
+            status, body, era = await self._exchange(method, target, content, timeout)
+            found = _Found(_parse(status, body, content is not None, errors), era)
         except store_error.ConditionFailedError:
             self._counters.add("store_calls", call=call, outcome="conflict")
             raise
@@ -239,7 +256,8 @@
 
     async def _exchange(
         self, method: str, target: str, content: bytes | None, timeout: float
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
+        """Return the status, the body and the era of the response."""
         url = httpcore.URL(
             scheme="http",
             host=self._target.host,
@@ -261,6 +279,7 @@
                 content=content,
                 extensions={"timeout": limits},
             ) as response:
+                era = self._observe_era(response)
                 body = await _read_body(response, is_write)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise store_error.StoreError("cannot connect to the store") from exc
@@ -278,7 +297,23 @@
             raise store_error.StoreError(
                 f"the connection to the store broke: {type(exc).__name__}", is_write
             ) from exc
-        return response.status, body
+        return response.status, body, era
+
+    def _observe_era(self, response: httpcore.Response) -> int:
+        """Return the era of a response; that known if the store sends none."""
+        for name, value in response.headers:
+            if name.lower() == names.STORE_ERA:
+                try:
+                    era = decoding.integer_text(value.decode("latin-1"))
+                except decoding.MalformedValueError as exc:
+                    self._counters.add("store_eras_unreadable")
+                    _LOG.warning(
+                        "ignoring the era of the store", extra={"reason": str(exc)}
+                    )
+                    break
+                self._era.observe(era)
+                return era
+        return self._era.current
 
 
 async def _read_body(response: httpcore.Response, is_write: bool) -> bytes:
@@ -351,11 +386,11 @@
 
 
 def _store_read(
-    found: dict[str, Any], rows: list[store_row.StoreRow], sent_at: float
+    found: _Found, rows: list[store_row.StoreRow], sent_at: float
 ) -> store_read.StoreRead:
     try:
-        version = _row_version(found)
-        store_now = decoding.number(found, "now_s", 0.0)
+        version = _row_version(found.content)
+        store_now = decoding.number(found.content, "now_s", 0.0)
     except decoding.MalformedValueError as exc:
         raise store_error.StoreError(f"the store's response: {exc}") from exc
     return store_read.StoreRead(
@@ -363,4 +398,5 @@
         version,
         store_now,
         sent_at,
+        found.era,
     )
--- a/src/rattanlug/tables/follow.thrift
+++ b/src/rattanlug/tables/follow.thrift
@@ -16,6 +16,8 @@
   4: i64 version,
   // Time since the table was last known to be up to date, when the response was sent.
   5: double ageSeconds,
+  // Era of the store that the version belongs to; 0 if it is unknown.
+  6: optional i64 era,
 }
 
 struct FollowRequest {
@@ -23,6 +25,8 @@
   // Version of each table that the requesting VM has; -1 for none.
   2: map<string, i64> versions,
   3: i32 waitMilliseconds,
+  // Era of the store that each version belongs to.
+  4: optional map<string, i64> eras,
 }
 
 struct FollowAnswer {
--- a/src/rattanlug/tables/follow_codec.py
+++ b/src/rattanlug/tables/follow_codec.py
@@ -29,6 +29,7 @@
             protocolVersion=PROTOCOL_VERSION,
             versions=request.versions,
             waitMilliseconds=int(request.wait * _MILLISECONDS),
+            eras=request.eras,
         )
     )
 
@@ -44,6 +45,7 @@
     return follow_messages.FollowRequest(
         dict(message.versions or {}),
         max(0, message.waitMilliseconds or 0) / _MILLISECONDS,
+        None if message.eras is None else dict(message.eras),
     )
 
 
@@ -60,6 +62,7 @@
                     [ttypes.Row(*row) for row in each.rows],
                     each.version,
                     each.age,
+                    each.era,
                 )
                 for each in answer.tables
             ],
@@ -102,6 +105,7 @@
         rows,
         int(message.version),
         max(0.0, _finite(message.ageSeconds)),
+        int(message.era or 0),
     )
 
 
--- a/src/rattanlug/tables/follow_messages.py
+++ b/src/rattanlug/tables/follow_messages.py
@@ -18,10 +18,18 @@
         Version of each table that the requesting VM has; -1 for none.
     wait : float
         Maximum time to wait for a change, seconds.
+    eras : dict of str to int or None
+        Era of the store that each version belongs to; None if the requesting VM is of
+        an earlier release, which knows no eras.
     """
 
     versions: dict[str, int]
     wait: float
+    eras: dict[str, int] | None = None
+
+    def era(self, table: str) -> int | None:
+        """Return the era that the version of a table belongs to."""
+        return None if self.eras is None else self.eras.get(table, 0)
 
 
 class Changes(NamedTuple):
@@ -38,6 +46,8 @@
     age : float
         Time since the table was last known to be up to date, when the response was
         sent, seconds.
+    era : int
+        Era of the store that the version belongs to; 0 if it is unknown.
     """
 
     table: str
@@ -45,6 +55,7 @@
     rows: tuple[store_row.StoreRow, ...]
     version: int
     age: float
+    era: int = 0
 
 
 class FollowAnswer(NamedTuple):
--- a/src/rattanlug/tables/store_read.py
+++ b/src/rattanlug/tables/store_read.py
@@ -17,9 +17,12 @@
         The store's monotonic clock, seconds.
     sent_at : float
         Time at which the read was sent, on this VM's monotonic clock, seconds.
+    era : int
+        Era of the store, within which versions are comparable; 0 if it sends none.
     """
 
     rows: list[store_row.StoreRow]
     version: int
     store_now: float
     sent_at: float
+    era: int = 0
--- a/src/rattanlug/tables/table_copy.py
+++ b/src/rattanlug/tables/table_copy.py
@@ -10,23 +10,30 @@
 
 
 class TableCopy:
-    """Keeps the latest rows of a table; its version never decreases.
+    """Keeps the latest rows of a table; its era and version never decrease.
 
-    A version is the number of a transaction of the store. Followers are VMs that copy
-    the table from this VM.
+    A version is the number of a transaction of the store. The store may come back from
+    an older copy; then its era rises, and its versions start again below those that
+    were read. Followers are VMs that copy the table from this VM.
     """
 
     def __init__(self) -> None:
         self._rows: dict[str, store_row.StoreRow] = {}
+        self._era = 0
         self._version = -1
         self._changed_version = -1
         # Earliest version whose changes since then are all known.
         self._complete_from = -1
         self._confirmed_at = -math.inf
 
+    @property
+    def era(self) -> int:
+        """Era of the store that the version belongs to."""
+        return self._era
+
     @property
     def version(self) -> int:
-        """Latest transaction of the store that is known; -1 before the first read."""
+        """Latest known transaction of the era; -1 before the first read."""
         return self._version
 
     @property
@@ -61,10 +68,16 @@
         -------
         bool or None
             Whether a row changed. None if the read was ignored, since its transaction
-            precedes that of an earlier read.
+            precedes that of an earlier read, or since it has only the changes of an era
+            whose rows aren't known.
         """
-        if read.version < self._version:
+        if (read.era, read.version) < (self._era, self._version):
+            return None
+        has_new_era = read.era > self._era
+        if has_new_era and not whole:
             return None
+        if has_new_era:
+            self._begin_era(read)
         changed = [each for each in read.rows if self._is_newer(each)]
         if whole:
             changed += self._missing(read)
@@ -79,26 +92,51 @@
         self._version = read.version
         self._confirmed_at = max(self._confirmed_at, read.sent_at)
         self._expire_removed()
-        return bool(changed)
+        return bool(changed) or has_new_era
 
-    def has_changes(self, after: int) -> bool:
-        """Tell whether any row changed after a version."""
-        return self._version >= 0 and (
-            after < self._complete_from or self._changed_version > after
-        )
+    def has_changes(self, after: int, era: int | None = None) -> bool:
+        """Tell whether any row changed after a version.
 
-    def changes(self, after: int) -> tuple[bool, list[store_row.StoreRow]]:
+        Parameters
+        ----------
+        after : int
+        era : int, optional
+            Era that the version belongs to; that of the copy by default.
+        """
+        if self._version < 0:
+            return False
+        if era is not None and era != self._era:
+            return era < self._era
+        return after < self._complete_from or self._changed_version > after
+
+    def changes(
+        self, after: int, era: int | None = None
+    ) -> tuple[bool, list[store_row.StoreRow]]:
         """Return the rows that changed after a version.
 
+        Parameters
+        ----------
+        after : int
+        era : int, optional
+            Era that the version belongs to; that of the copy by default.
+
         Returns
         -------
         tuple of (bool, list of store_row.StoreRow)
             True with the whole table if the changes since the version aren't all known.
         """
-        if after < self._complete_from:
+        if era is not None and era > self._era:
+            return False, []
+        if after < self._complete_from or (era is not None and era < self._era):
             return True, self.rows
         return False, [each for each in self._rows.values() if each.version > after]
 
+    def _begin_era(self, read: store_read.StoreRead) -> None:
+        """Drop all rows; followers at an earlier era receive the whole table."""
+        self._rows = {}
+        self._era = read.era
+        self._version = self._changed_version = self._complete_from = read.version
+
     def _is_newer(self, row: store_row.StoreRow) -> bool:
         current = self._rows.get(row.key)
         return current is None or row.version > current.version
--- a/src/rattanlug/tables/table_set.py
+++ b/src/rattanlug/tables/table_set.py
@@ -48,7 +48,8 @@
         """Wait until a requested table has changes, at most for the requested time."""
         with trio.move_on_after(request.wait):
             while not any(
-                table in self._copies and self._copies[table].has_changes(after)
+                table in self._copies
+                and self._copies[table].has_changes(after, request.era(table))
                 for table, after in request.versions.items()
             ):
                 await self._changed.wait()
@@ -62,10 +63,10 @@
             copy = self._copies.get(table)
             if copy is None or copy.version < 0:
                 continue
-            whole, rows = copy.changes(after)
+            whole, rows = copy.changes(after, request.era(table))
             tables.append(
                 follow_messages.Changes(
-                    table, whole, tuple(rows), copy.version, copy.age(now)
+                    table, whole, tuple(rows), copy.version, copy.age(now), copy.era
                 )
             )
         failed = self._store_failed_at
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -10,7 +10,7 @@
 from rattanlug.metrics import counters, histograms
 from rattanlug.platform import store_client, store_error, store_write
 from rattanlug.settings import address
-from rattanlug.tables import table_copy
+from rattanlug.tables import store_era, table_copy
 from trial import http_server
 from trial.shared_platform import store
 
@@ -93,7 +93,7 @@
     return call_server(call, functools.partial(trio.serve_tcp, serve, 0, host=HOST))
 
 
-def call_server(call, serve):
+def call_server(call, serve, era=None):
     """Call a store that ``serve`` starts; return the result or the error."""
 
     async def main():
@@ -105,6 +105,7 @@
                 trio.current_time,
                 counters.Counters(),
                 histograms.Histograms(),
+                era=era,
             )
             try:
                 with trio.fail_after(10):
@@ -209,3 +210,54 @@
     )
     assert len(states) == 600
     assert states["u000"] == "draining"
+
+
+# Guards against a table that is part of one era and part of the next.
+def test_a_read_begins_again_if_the_store_comes_back_between_two_pages():
+    stand_in = store.Store()
+    for number in range(600):
+        stand_in.put("servers", f"u{number:03}", {})
+    copy = stand_in.copy()
+    for number in range(500):
+        stand_in.remove("servers", f"u{number:03}")
+        stand_in.put("servers", f"v{number:03}", {})
+    copies = [copy, copy]
+
+    async def handle(request):
+        response = await stand_in.handle(request)
+        if request.path == "/rows-get" and request.parameter("from") is None:
+            if copies:
+                stand_in.come_back(copies.pop())
+        return response
+
+    found = call_server(
+        lambda client: client.read_table("servers"),
+        functools.partial(http_server.serve, HOST, 0, handle),
+    )
+    assert (found.era, found.version) == (3, 600)
+    assert [each.key for each in found.rows] == [f"u{n:03}" for n in range(600)]
+
+
+@pytest.mark.parametrize("call", [read_table, follow_table, commit_if_unchanged])
+@pytest.mark.parametrize("status", [None, 410, 503])
+def test_the_era_is_read_from_every_response(call, status):
+    stand_in, era = store.Store(), store_era.StoreEra()
+    stand_in.era, stand_in.status = 7, status
+    call_server(
+        call, functools.partial(http_server.serve, HOST, 0, stand_in.handle), era
+    )
+    assert era.current == 7
+
+
+@pytest.mark.parametrize("value", ["", "x", "-1", "1" * 30, "9" * 19, "\u00b2"])
+def test_an_unreadable_era_counts_as_none(value):
+    stand_in, era = store.Store(), store_era.StoreEra()
+
+    async def handle(request):
+        response = await stand_in.handle(request)
+        encoded = value.encode("latin-1")
+        return response._replace(headers=((store.ERA_HEADER, encoded),))
+
+    serve = functools.partial(http_server.serve, HOST, 0, handle)
+    found = call_server(read_table, serve, era)
+    assert (found.era, era.current) == (0, 0)
--- a/tests/tables/test_follow_codec.py
+++ b/tests/tables/test_follow_codec.py
@@ -20,6 +20,7 @@
             ),
             9,
             0.25,
+            3,
         ),
     ),
     1234.5,
@@ -28,13 +29,32 @@
 
 
 def test_messages_are_unchanged_by_encoding_and_decoding():
-    request = follow_messages.FollowRequest({"op": -1, "servers": 12}, 0.5)
-    assert follow_codec.decode_request(follow_codec.encode_request(request)) == request
+    versions = {"op": -1, "servers": 12}
+    for eras in (None, {}, {"op": 0, "servers": 3}):
+        request = follow_messages.FollowRequest(versions, 0.5, eras)
+        encoded = follow_codec.encode_request(request)
+        assert follow_codec.decode_request(encoded) == request
     for answer in (ANSWER, ANSWER._replace(store_failed=0.0)):
         encoded = follow_codec.encode_answer(answer)
         assert follow_codec.decode_answer(encoded) == answer
 
 
+# Guards against VMs of two releases that can't follow each other.
+def test_a_message_without_eras_is_read(protocol):
+    (changes,) = follow_codec.decode_answer(encode_message()).tables
+    assert changes.era == 0
+
+
+# These fields have numbers that the release before skips.
+def test_eras_have_field_numbers_of_their_own():
+    assert [each and each[2] for each in ttypes.Changes.thrift_spec] == [
+        *(None, "table", "whole", "rows", "version", "ageSeconds", "era")
+    ]
+    assert [each and each[2] for each in ttypes.FollowRequest.thrift_spec] == [
+        *(None, "protocolVersion", "versions", "waitMilliseconds", "eras")
+    ]
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_invalid_data_raises_no_other_error(data):
     for decode in (follow_codec.decode_request, follow_codec.decode_answer):
--- a/tests/tables/test_table_copy.py
+++ b/tests/tables/test_table_copy.py
@@ -11,8 +11,8 @@
     return store_row.StoreRow(key, value, version, removed)
 
 
-def read(version, *rows, sent_at=0.0):
-    return store_read.StoreRead(list(rows), version, 0.0, sent_at)
+def read(version, *rows, sent_at=0.0, era=0):
+    return store_read.StoreRead(list(rows), version, 0.0, sent_at, era)
 
 
 def test_a_read_of_an_earlier_transaction_changes_neither_rows_nor_age():
@@ -109,3 +109,45 @@
         follow(index, copies[index - 1])
         found = {each.key: (each.version, each.value) for each in copies[index].rows}
         assert found == store
+
+
+# Guards against a copy that keeps the rows of before a return of the store.
+def test_a_whole_read_of_a_new_era_replaces_all_rows():
+    copy = table_copy.TableCopy()
+    copy.apply_read(read(9, row("a", 8), row("b", 9), era=1), whole=True)
+    assert copy.apply_read(read(5, row("a", 5, b"old"), era=2), whole=True)
+    assert (copy.era, copy.version) == (2, 5)
+    assert copy.rows == [row("a", 5, b"old")]
+    assert copy.apply_read(read(9, era=1), whole=True) is None
+    assert copy.rows == [row("a", 5, b"old")]
+
+
+def test_changes_of_a_new_era_alone_are_ignored():
+    copy = table_copy.TableCopy()
+    copy.apply_read(read(9, row("a", 8), era=1), whole=True)
+    assert copy.apply_read(read(12, row("b", 12), era=2), whole=False) is None
+    assert (copy.era, copy.version) == (1, 9)
+
+
+def test_a_follower_at_an_earlier_era_gets_the_whole_table():
+    copy = table_copy.TableCopy()
+    copy.apply_read(read(9, row("a", 8), era=1), whole=True)
+    copy.apply_read(read(5, row("b", 4), era=2), whole=True)
+    assert copy.has_changes(9, 1)
+    assert copy.changes(9, 1) == (True, [row("b", 4)])
+    assert not copy.has_changes(5, 2)
+
+
+def test_a_follower_at_a_later_era_waits():
+    copy = table_copy.TableCopy()
+    copy.apply_read(read(9, row("a", 8), era=1), whole=True)
+    assert not copy.has_changes(5, 2)
+    assert copy.changes(5, 2) == (False, [])
+
+
+# A VM of the release before names no era.
+def test_a_follower_without_an_era_is_served_by_its_version():
+    copy = table_copy.TableCopy()
+    copy.apply_read(read(9, row("a", 8), era=1), whole=True)
+    assert not copy.has_changes(9)
+    assert copy.has_changes(-1)
