Keep what was in force when the store comes back from a copy

Seen with three VMs, a copy some tenths of a second old and 20 lost versions: a new desired state and a new upstream weren't in force 2.5 s after their confirmation.

A VM reads each table whole as soon as any response shows a new era, cancels its long polls, and ignores late reads of an earlier era. VMs that follow another one wait for its reads. For 2.3 s, rows that are missing stay in force, and rows that were replaced or removed don't come back; upstreams that left don't come back by a row that isn't newer by their start and sequence, until registrations of silent upstreams are removed.

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -105,7 +105,10 @@
         error. Then the next read applies the whole copy.
         """
         node, now = self._node, clock.now()
-        changed = node.tables.apply_read(table, read, whole, now)
+        changed = None
+        if read.era >= node.store_era.current:
+            self._record_era(table, read, now)
+            changed = node.tables.apply_read(table, read, whole, now)
         if changed is None:
             node.counters.add("store_reads_outdated", table=table)
             return False
@@ -125,15 +128,18 @@
         while True:
             await self._reads_store.wait()
             copy = node.tables.copy(table)
-            read_whole = read_whole or copy.version < 0 or table in self._unapplied
+            read_whole = (
+                read_whole
+                or copy.version < 0
+                or copy.era < node.store_era.current
+                or table in self._unapplied
+            )
             started_at = clock.now()
             try:
                 if read_whole:
                     read = await node.store.read_table(table)
                 else:
-                    read = await node.store.follow_table(
-                        table, copy.version, self._waits[table]
-                    )
+                    read = await self._follow_store(table)
             except store_error.HistoryLostError:
                 # The calls stay rare, since each read of the whole table is followed by
                 # a wait.
@@ -147,6 +153,8 @@
                 backoff = min(2.0 * backoff, MAX_BACKOFF_SECONDS)
                 continue
             backoff = MIN_BACKOFF_SECONDS
+            if read is None or (read.era > copy.era and not read_whole):
+                continue
             self._store_reached_at = clock.now()
             node.record_store_outcome("reached", "")
             if not self.apply_read(table, read, read_whole):
@@ -163,21 +171,49 @@
             if not node.follows_rollouts:
                 await trio.sleep(MIN_BACKOFF_SECONDS)
                 continue
-            whole = copy.age(clock.now()) > max_age(self._waits[table])
+            whole = (
+                copy.age(clock.now()) > max_age(self._waits[table])
+                or copy.era < node.store_era.current
+            )
             try:
                 if whole:
                     read = await node.store.read_table(table)
                 else:
-                    read = await node.store.follow_table(
-                        table, copy.version, self._waits[table]
-                    )
+                    read = await self._follow_store(table)
             except store_error.StoreError as exc:
                 self._record_store_failure(table, str(exc))
                 await trio.sleep(MAX_BACKOFF_SECONDS)
                 continue
+            if read is None or (read.era > copy.era and not whole):
+                continue
             if not self.apply_read(table, read, whole):
                 await trio.sleep(MIN_BACKOFF_SECONDS)
 
+    async def _follow_store(self, table: str) -> store_read.StoreRead | None:
+        """Wait for changes of a table; return None if the era of the store rises."""
+        read = None
+        with self._node.store_era.until_change():
+            read = await self._node.store.follow_table(
+                table, self._node.tables.copy(table).version, self._waits[table]
+            )
+        return read
+
+    def _record_era(self, table: str, read: store_read.StoreRead, now: float) -> None:
+        """Log and count that a table is read for the first time in an era."""
+        node, copy = self._node, self._node.tables.copy(table)
+        node.store_era.observe(read.era)
+        if copy.version < 0 or read.era <= copy.era:
+            return
+        node.counters.add("store_era_changes", table=table)
+        state_log.log_change(
+            "store_era",
+            copy.era,
+            read.era,
+            table=table,
+            old_version=copy.version,
+            version=read.version,
+        )
+
     def _record_store_failure(self, table: str, reason: str) -> None:
         now = clock.now()
         self._store_failed_at = now
@@ -214,7 +250,7 @@
             self._source_choice.record_failure(source, clock.now())
             state_log.log_change("table_source", source, None, reason=str(exc))
             return
-        if self._is_fresh(response):
+        if self._is_fresh(response, clock.now()):
             self._source_choice.record_success(source)
             self._set_source(source)
         else:
@@ -227,10 +263,11 @@
         if node.follows_rollouts:
             tables.append(record_codec.TABLE)
         versions = {each: node.tables.copy(each).version for each in tables}
+        eras = {each: node.tables.copy(each).era for each in tables}
         # While this VM reads the store itself, it only checks whether the other VM can
         # be followed instead.
         if self._source is None:
-            return follow_messages.FollowRequest(versions, 0.0)
+            return follow_messages.FollowRequest(versions, 0.0, eras)
         # The response comes before a copy is too old, to change the source in time.
         fresh_seconds = min(
             max_age(self._waits[each]) - node.tables.copy(each).age(now)
@@ -238,7 +275,7 @@
         )
         wait = FOLLOW_WAIT_FRACTION * self._waits[names.OPERATOR_TABLE]
         return follow_messages.FollowRequest(
-            versions, max(0.0, min(wait, fresh_seconds))
+            versions, max(0.0, min(wait, fresh_seconds)), eras
         )
 
     def _set_source(self, source: str | None) -> None:
@@ -270,6 +307,7 @@
                     each.version,
                     response.store_clock,
                     requested_at - each.age,
+                    each.era,
                 )
                 self.apply_read(each.table, read, each.whole)
 
@@ -282,9 +320,19 @@
             now - self._store_failed_at < RECENT_FAILURE_SECONDS
         )
 
-    def _is_fresh(self, response: follow_messages.FollowAnswer) -> bool:
-        """Tell whether the copies of the VM that responded are fresh."""
-        ages = {each.table: each.age for each in response.tables}
+    def _is_fresh(self, response: follow_messages.FollowAnswer, now: float) -> bool:
+        """Tell whether the copies of the VM that responded are fresh.
+
+        While it has not yet read a new era of the store, its copies are of no use to
+        this VM, whose own copies then tell when to change the source.
+        """
+        node = self._node
+        ages = {
+            each.table: each.age
+            if each.era >= node.store_era.current
+            else max(each.age, node.tables.copy(each.table).age(now))
+            for each in response.tables
+        }
         return all(
             ages.get(each, math.inf) <= max_age(self._waits[each]) for each in _FOLLOWED
         )
@@ -332,7 +380,7 @@
             return
         rows = self._node.tables.copy(names.UPSTREAM_TABLE).rows
         records = self._upstream_table.decode_all(rows)
-        apply_upstreams(self._node, records, read.version, now, whole)
+        apply_upstreams(self._node, records, read.version, now, whole, read.era)
         self._upstreams_applied_at = now
 
     def _apply_rollout_records(self, read: store_read.StoreRead, whole: bool) -> None:
@@ -390,20 +438,21 @@
     version: int,
     now: float,
     whole: bool = False,
+    era: int = 0,
 ) -> None:
     """Apply all registrations as of a version of the store.
 
     After the read of a whole table, all that depends on them is updated even if
     none changed, since an error may have prevented that.
     """
-    changed = node.registry.apply(records, version, now)
+    changed = node.registry.apply(records, version, now, era)
     if changed or whole:
         node.placer.upstreams_changed(now)
     if changed:
         node.log.write("upstreams changed", now, count=node.registry.size, read=version)
     node.record_upstreams_read()
     versions: dict[str, set[str]] = {}
-    for each in records:
+    for each in node.registry.records:
         if not each.leaving:
             versions.setdefault(each.service, set()).add(each.version)
     for service, registered in versions.items():
--- a/src/rattanlug/platform/operator_table.py
+++ b/src/rattanlug/platform/operator_table.py
@@ -10,7 +10,7 @@
     names,
     rollout_row,
 )
-from rattanlug.tables import store_read, store_row
+from rattanlug.tables import held_rows, store_read, store_row
 
 _LOG = logging.getLogger(__name__)
 
@@ -24,7 +24,7 @@
     """
 
     def __init__(self) -> None:
-        self._versions: dict[str, int] = {}
+        self._rows = held_rows.HeldRows()
         self._desired: state.DesiredState | None = None
         self._orders: dict[str, rollout_order.RolloutOrder] = {}
         self._evacuated: set[str] = set()
@@ -45,6 +45,11 @@
         """Data centres whose upstreams must not receive requests."""
         return frozenset(self._evacuated)
 
+    @property
+    def held(self) -> list[str]:
+        """Keys that the store, back from a copy, shows otherwise than is in force."""
+        return self._rows.held
+
     @property
     def failed(self) -> frozenset[str]:
         """Keys of the rows whose latest decoding raised an unexpected error."""
@@ -52,20 +57,15 @@
 
     def apply_all(self, read: store_read.StoreRead) -> None:
         """Apply a read of the whole table."""
-        present = {each.key for each in read.rows}
-        for key in [key for key in self._versions if key not in present]:
-            self._apply(store_row.StoreRow(key, b"", read.version, removed=True))
-        self.apply_changes(read)
+        for row in self._rows.changes(read, whole=True):
+            self._apply(row)
 
     def apply_changes(self, read: store_read.StoreRead) -> None:
         """Apply changed rows."""
-        for row in read.rows:
+        for row in self._rows.changes(read, whole=False):
             self._apply(row)
 
     def _apply(self, row: store_row.StoreRow) -> None:
-        if row.version < self._versions.get(row.key, 0):
-            return
-        self._versions[row.key] = row.version
         try:
             self._decode(row)
         except decoding.MalformedValueError as exc:
--- a/src/rattanlug/platform/upstream_table.py
+++ b/src/rattanlug/platform/upstream_table.py
@@ -8,8 +8,6 @@
 from rattanlug.platform import decoding, upstream_row
 from rattanlug.tables import store_row
 
-# No row has it.
-_UNKNOWN_VERSION = -1
 _LOG = logging.getLogger(__name__)
 
 
@@ -25,8 +23,12 @@
 
     def __init__(self, all_counters: counters.Counters) -> None:
         self._counters = all_counters
-        # Row version and decoded record, None if unreadable, by key.
-        self._decoded: dict[str, tuple[int, upstream_record.UpstreamRecord | None]] = {}
+        # Row and decoded record, None if unreadable, by key. The row is None if its
+        # decoding raised an unexpected error.
+        self._decoded: dict[
+            str,
+            tuple[store_row.StoreRow | None, upstream_record.UpstreamRecord | None],
+        ] = {}
 
     def decode_all(
         self, rows: Iterable[store_row.StoreRow]
@@ -35,13 +37,14 @@
         decoded = {}
         for each in rows:
             cached = self._decoded.get(each.key)
-            if cached is None or cached[0] != each.version:
+            # A version may be given out again for another value.
+            if cached is None or cached[0] != each:
                 try:
-                    cached = (each.version, self._decode(each))
+                    cached = (each, self._decode(each))
                 except Exception:
                     # Must not hide the other rows; decoded again the next time.
                     self._record_failure(each.key)
-                    cached = (_UNKNOWN_VERSION, None)
+                    cached = (None, None)
             decoded[each.key] = cached
         self._decoded = decoded
         return [record for _, record in decoded.values() if record is not None]
@@ -49,7 +52,7 @@
     def _record_failure(self, key: str) -> None:
         self._counters.add("upstream_rows_failed")
         earlier = self._decoded.get(key)
-        if earlier is None or earlier[0] != _UNKNOWN_VERSION:
+        if earlier is None or earlier[0] is not None:
             _LOG.exception(
                 "unexpected error in the registration of an upstream",
                 extra={"row": key},
--- a/tests/discovery/test_upstream_registry.py
+++ b/tests/discovery/test_upstream_registry.py
@@ -72,3 +72,58 @@
     registry.apply([record(sequence=5)], 5, 4.0)
     registry.apply([record(incarnation=2, cold=3.0)], 6, 5.0)
     assert registry.became_cold_at("u1") == 5.0
+
+
+GRACE = upstream_registry.REREGISTRATION_SECONDS
+
+
+def test_after_a_return_of_the_store_missing_upstreams_are_kept_for_some_time():
+    registry = upstream_registry.UpstreamRegistry()
+    registry.apply([record(), record("u2")], 9, 0.0, 1)
+    registry.apply([record("u2")], 5, 1.0, 2)
+    assert ids(registry) == ["u1", "u2"]
+    assert registry.missing == ["u1"]
+    registry.apply([record("u2")], 6, 1.0 + GRACE, 2)
+    assert ids(registry) == ["u2"]
+    # A registration that is written again later than expected counts.
+    registry.apply([record(), record("u2")], 7, 1.5 + GRACE, 2)
+    assert ids(registry) == ["u1", "u2"]
+
+
+# Guards against requests to upstreams that have left, which a copy names as ready.
+def test_upstreams_that_left_do_not_come_back_by_the_rows_of_a_copy():
+    registry = upstream_registry.UpstreamRegistry(heartbeat=1.0)
+    registry.apply([record(sequence=5), record("u2")], 8, 0.0, 1)
+    registry.apply([record("u2", sequence=3, leaving=True)], 9, 1.0, 1)
+    copied = [record(sequence=5), record("u2")]
+    for now in (2.0, 4.0, 2.0 + 3.0 + 0.9 * GRACE):
+        registry.apply(copied, 5, now, 2)
+        assert ids(registry) == []
+    # By then, the registrations of silent upstreams are removed from the store.
+    registry.apply(copied, 5, 2.0 + 3.0 + GRACE, 2)
+    assert ids(registry) == ["u1"]
+
+
+def test_an_upstream_that_registers_again_after_a_return_counts():
+    registry = upstream_registry.UpstreamRegistry()
+    registry.apply([record(sequence=5), record("u2")], 8, 0.0, 1)
+    registry.apply([], 9, 1.0, 1)
+    registry.apply([record(sequence=5), record("u2")], 5, 2.0, 2)
+    assert ids(registry) == []
+    registry.apply([record(sequence=6), record("u2", incarnation=2)], 6, 2.5, 2)
+    assert ids(registry) == ["u1", "u2"]
+
+
+def test_an_earlier_incarnation_does_not_come_back_by_the_rows_of_a_copy():
+    registry = upstream_registry.UpstreamRegistry()
+    registry.apply([record(incarnation=7, sequence=1)], 8, 0.0, 1)
+    registry.apply([record(incarnation=6, sequence=90)], 5, 1.0, 2)
+    assert registry.record("u1").incarnation == 7
+
+
+def test_a_late_read_of_an_earlier_era_is_ignored():
+    registry = upstream_registry.UpstreamRegistry()
+    registry.apply([record()], 9, 0.0, 1)
+    registry.apply([record()], 5, 1.0, 2)
+    assert not registry.apply([], 10, 9.0, 1)
+    assert ids(registry) == ["u1"]
