Keep nothing of a response on an idle connection to an upstream

Nobody saw it: each idle connection kept up to 64 KiB of its last response that the budget for bodies had released.

Cause: forgot the request when a connection becomes idle, not the beginning of the response's body, which is kept to find the end of a chunked one.

The new test failed before; tests/upstream and test_large_bodies.py pass.

--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -110,6 +110,7 @@
         """End the current request; nothing is kept of it while the stream is idle."""
         self._inner.set_deadline(0.0)
         self._check_send = None
+        self._body.clear()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read bytes of the current response; empty at the end of the connection.
