Apply reloaded bounds to the limits in use

What callers would see: after a SIGHUP that lowers the allowances, VMs still keep to the old ones for rates, retries and cold upstreams (QUOTA, BUDGET, FAILBACK).

Cause: limiters, retry budgets and the placer had copies of the bounds, made at the start or at a service's first request.

Change: a reload hands the bounds to all three.

The new test failed before: a retry was taken, 19 requests were admitted with a burst of 5, and 12 could be sent to a cold upstream, with all allowances 0; now none, 5 and none. The tests of placement, rate limits, retries and the node pass.

Ruled out: replacing the objects would forget what they have counted.

Not fixed: the waits of feed calls, in the store reader, which is being rewritten.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -313,6 +313,13 @@
             name for name, value in settings._asdict().items() if before[name] != value
         ]
         self._settings = settings
+        all_bounds = settings.bounds
+        self._limiters.set_bounds(all_bounds)
+        self._placer.set_bounds(all_bounds)
+        for each in self._retry_budgets.values():
+            each.set_limits(
+                all_bounds.retry_ratio, all_bounds.retry_slack, all_bounds.retry_window
+            )
         return changed
 
     def leave(self, ends_at: float) -> None:
--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -135,6 +135,11 @@
         """
         self._started_at = now
 
+    def set_bounds(self, all_bounds: bounds.Bounds) -> None:
+        """Replace the limits of the deployment."""
+        self._bounds = all_bounds
+        self._region_shift.set_bound(all_bounds.region_shift)
+
     def configure(self, services: Mapping[str, service.Service]) -> None:
         """Apply the services of a new version of the desired state."""
         self._services = services
--- a/src/rattanlug/placement/region_shift.py
+++ b/src/rattanlug/placement/region_shift.py
@@ -29,12 +29,16 @@
     """
 
     def __init__(self, bound: float) -> None:
-        self._growth = SAFETY_FACTOR * bound
+        self.set_bound(bound)
         # Requests of the window, with weights that decay, and credits, by region.
         self._weights: dict[str, float] = {}
         self._credits: dict[str, float] = {}
         self._updated_at = 0.0
 
+    def set_bound(self, bound: float) -> None:
+        """Replace the bound; see the class."""
+        self._growth = SAFETY_FACTOR * bound
+
     def allowed_regions(self, now: float) -> Callable[[str], bool]:
         """Return a predicate that tells whether a request may be sent to a region."""
         self._decay(now)
--- a/src/rattanlug/rate_limits/limiter_table.py
+++ b/src/rattanlug/rate_limits/limiter_table.py
@@ -22,6 +22,12 @@
         self._bounds = all_bounds
         self._limiters: dict[str, organisation_limiter.OrganisationLimiter] = {}
 
+    def set_bounds(self, all_bounds: bounds.Bounds) -> None:
+        """Replace the limits of the deployment."""
+        self._bounds = all_bounds
+        for each in self._limiters.values():
+            each.set_bounds(all_bounds)
+
     def configure(
         self, organisations: Iterable[organisation.Organisation], now: float
     ) -> None:
--- a/src/rattanlug/rate_limits/organisation_limiter.py
+++ b/src/rattanlug/rate_limits/organisation_limiter.py
@@ -58,6 +58,10 @@
         """Share of the rate that this VM may use, 0 to 1."""
         return self._share
 
+    def set_bounds(self, all_bounds: bounds.Bounds) -> None:
+        """Replace the limits of the deployment; the next refill applies them."""
+        self._bounds = all_bounds
+
     def configure(self, limits: organisation.Organisation, now: float) -> None:
         """Apply the rate and burst of a new version of the desired state."""
         self._refill(now)
--- a/src/rattanlug/retries/service_retry_budget.py
+++ b/src/rattanlug/retries/service_retry_budget.py
@@ -24,11 +24,15 @@
     """
 
     def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self.set_limits(ratio, slack, window)
+        self._requests: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    def set_limits(self, ratio: float, slack: float, window: float) -> None:
+        """Replace the limits; see the class."""
         self._ratio = ratio
         self._slack = slack
         self._window = window
-        self._requests: collections.deque[float] = collections.deque()
-        self._retries: collections.deque[float] = collections.deque()
 
     def count_request(self, now: float) -> None:
         """Count a request of a caller."""
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -5,7 +5,7 @@
 import pytest
 
 from rattanlug.daemon import clock
-from rattanlug.desired import service
+from rattanlug.desired import organisation, service
 from rattanlug.discovery import upstream_record
 from rattanlug.fleet import digest
 from rattanlug.gateway import node as node_module
@@ -118,3 +118,31 @@
     node.peers.record_digest(make_digest("vm-2", {})._replace(leaving=True), now)
     assert node.possible_senders("north-a", now + 6.0) == 2
     assert node.possible_senders("north-a", now + 8.0) == 1
+
+
+# Guards against limits that stay as they were at the start, or at the first request of
+# a service, after a reload of the settings.
+def test_a_reload_changes_the_limits_in_use(node):
+    now = clock.now()
+    node.record_registered_vm(node.settings.data_centre, node.settings.vm)
+    limited = organisation.Organisation("o", frozenset(), None, 1.0, 5.0, frozenset())
+    node.limiters.configure([limited], now)
+    node.limiters.update_shares([], 1, now)
+    retries = node.retry_budget("s")
+    assert retries.try_retry(1, now)
+    node.reload(
+        node.settings._replace(
+            bounds=node.settings.bounds._replace(
+                retry_ratio=0.0,
+                retry_slack=0.0,
+                rate_overage=0.0,
+                rate_slack=0.0,
+                cold_factor=0.0,
+                cold_slack=0.0,
+            )
+        )
+    )
+    assert not retries.try_retry(1, now)
+    limiter = node.limiters.limiter("o")
+    assert sum(limiter.admit(now + 100.0) for _ in range(100)) == 5
+    assert sends_to_a_cold_upstream([node], now) == 0
