Keep moves that ended when the store comes back from a copy

Callers could have seen a move that was complete start again: its record was lost or in an earlier state, its order had another row version, and versions are given out again.

An order and its record have the era that the order's version belongs to. An order with the same content in the next era is the same order, and what is known of it counts for its new version; any other order is a new one, even with a version that was reverted or recorded before. Records in force that the store lacks, or has in an earlier state, are written again with their status, by one VM after the other as for other writes. A record is written only in the era in which its row was read, and a write whose response is of a later era counts as failed. Digests have the era of their reverted orders in an optional field; one without it is used as before.

--- a/src/rattanlug/canary/record_codec.py
+++ b/src/rattanlug/canary/record_codec.py
@@ -14,14 +14,16 @@
 
 
 def encode(record: rollout_record.RolloutRecord) -> bytes:
-    """Encode a record; the row version isn't part of the value."""
+    """Encode a record; the row's version and era aren't part of the value."""
     fields = record._asdict()
-    del fields["row_version"]
+    del fields["row_version"], fields["row_era"]
     fields["state"] = record.state.value
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
-def decode(data: bytes, row_version: int) -> rollout_record.RolloutRecord:
+def decode(
+    data: bytes, row_version: int, row_era: int = 0
+) -> rollout_record.RolloutRecord:
     """Decode a record.
 
     Raises
@@ -40,6 +42,8 @@
             state=rollout_state.RolloutState(fields["state"]),
             reason=str(fields["reason"]),
             row_version=row_version,
+            order_era=int(fields.get("order_era", rollout_record.UNKNOWN_ERA)),
+            row_era=row_era,
         )
     except (KeyError, OverflowError, TypeError, ValueError) as exc:
         raise UnreadableRecordError(str(exc)) from exc
--- a/src/rattanlug/canary/rollout_order.py
+++ b/src/rattanlug/canary/rollout_order.py
@@ -14,10 +14,13 @@
     duration : float
         Time within which the rollout is to be complete, seconds.
     row_version : int
-        Version of the store row that holds the order; it identifies the order.
+        Version of the store row that holds the order.
+    era : int
+        Era of the store that the row version belongs to; both identify the order.
     """
 
     service: str
     target: str
     duration: float
     row_version: int
+    era: int = 0
--- a/src/rattanlug/canary/rollout_record.py
+++ b/src/rattanlug/canary/rollout_record.py
@@ -4,6 +4,9 @@
 
 from rattanlug.canary import rollout_state
 
+# Era of an order in a record that a VM of an earlier release wrote.
+UNKNOWN_ERA = -1
+
 
 class RolloutRecord(NamedTuple):
     """A rollout of one service.
@@ -26,6 +29,10 @@
         Reason for a rollback; empty if there was none.
     row_version : int
         Version of the store row that holds this record.
+    order_era : int
+        Era of the store that the order's version belongs to.
+    row_era : int
+        Era of the store that the record's version belongs to.
     """
 
     service: str
@@ -37,3 +44,5 @@
     state: rollout_state.RolloutState
     reason: str
     row_version: int
+    order_era: int = UNKNOWN_ERA
+    row_era: int = 0
--- a/src/rattanlug/fleet/data_centre_digest.py
+++ b/src/rattanlug/fleet/data_centre_digest.py
@@ -36,8 +36,11 @@
     demand: dict[str, float] = {}
     reverted: set[int] = set()
     outcomes: dict[tuple[str, str], outcome_count.OutcomeCount] = {}
+    store_era = max(each.store_era for each in (own, *others))
     for report in (own, *others):
-        reverted.update(report.reverted)
+        # Row versions of an earlier era may be given out again.
+        if report.store_era in (0, store_era):
+            reverted.update(report.reverted)
         for name, rate in report.demand.items():
             demand[name] = demand.get(name, 0.0) + rate
         for each in report.outcomes:
@@ -58,6 +61,7 @@
         outcomes=tuple(outcomes.values()),
         reverted=tuple(sorted(reverted)),
         members=(own_member, *live),
+        store_era=store_era,
     )
 
 
--- a/src/rattanlug/fleet/digest.py
+++ b/src/rattanlug/fleet/digest.py
@@ -37,6 +37,8 @@
         needs the digest of each VM.
     members : tuple of member.Member
         VMs of the data centre; empty in the digest of a single VM.
+    store_era : int
+        Era of the store that the row versions belong to; 0 if it is unknown.
     """
 
     vm: str
@@ -53,3 +55,4 @@
     overloaded: bool = False
     accepts_data_centre_digests: bool = True
     members: tuple[member.Member, ...] = ()
+    store_era: int = 0
--- a/src/rattanlug/fleet/digest.thrift
+++ b/src/rattanlug/fleet/digest.thrift
@@ -38,4 +38,6 @@
   14: bool overloaded,
   15: bool hearsCentres,
   16: list<Member> members,
+  // Era of the store that the row versions belong to.
+  17: optional i64 storeEra,
 }
--- a/src/rattanlug/fleet/digest_codec.py
+++ b/src/rattanlug/fleet/digest_codec.py
@@ -53,6 +53,7 @@
         overloaded=report.overloaded,
         hearsCentres=report.accepts_data_centre_digests,
         members=[_encode_member(each) for each in report.members] or None,
+        storeEra=report.store_era or None,
     )
     buffer = TTransport.TMemoryBuffer()
     message.write(_FACTORY.getProtocol(buffer))
@@ -108,6 +109,7 @@
         overloaded=bool(message.overloaded),
         accepts_data_centre_digests=bool(message.hearsCentres),
         members=tuple(_decode_member(each) for each in message.members or ()),
+        store_era=message.storeEra or 0,
     )
 
 
--- a/src/rattanlug/gateway/digest_exchange.py
+++ b/src/rattanlug/gateway/digest_exchange.py
@@ -236,7 +236,7 @@
             if not forwarded:
                 await self._forward(received, now)
         for order in received.reverted:
-            if node.versions.revert(order):
+            if node.versions.revert(order, received.store_era or None):
                 state_log.log_change("order", "running", "reverted", order=order)
         if is_new:
             await self._introduce(received, forwarded)
--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -421,6 +421,7 @@
             outcomes=self._outcomes.counts(now),
             reverted=tuple(sorted(self._versions.reverted)),
             overloaded=self.overloaded(now),
+            store_era=self._versions.era,
         )
 
     def make_data_centre_digest(
--- a/src/rattanlug/gateway/rollouts.py
+++ b/src/rattanlug/gateway/rollouts.py
@@ -4,6 +4,9 @@
 of the store that all VMs share and any of them may write.
 """
 
+import functools
+from collections.abc import Awaitable, Callable
+
 import trio
 
 from rattanlug.canary import (
@@ -31,26 +34,40 @@
 async def run(node: node_module.Node, reader: store_reader.StoreReader) -> None:
     """Carry out all rollout orders until cancelled."""
     await _read_records_once(node, reader)
-    first_seen: dict[int, float] = {}
+    first_seen: dict[tuple[int, int], float] = {}
+    lost_since: dict[str, float] = {}
     while True:
         now = clock.now()
         orders = node.versions.orders.values()
         open_orders = [each for each in orders if not _is_finished(node, each)]
-        node.set_follow_rollouts(bool(open_orders))
+        lost = {each.service: each for each in node.versions.lost}
+        node.set_follow_rollouts(bool(open_orders or lost))
+        lost_since = {each: lost_since.get(each, now) for each in lost}
+        for service, record in lost.items():
+            waited = clock.now() - lost_since[service]
+            if waited >= _rank(node, now) * WRITE_STAGGER_SECONDS:
+                await _attempt(node, functools.partial(_write, node, record))
         for order in open_orders:
-            seen = first_seen.setdefault(order.row_version, now)
-            try:
-                await _advance(node, order, clock.now() - seen)
-            except (store_error.StoreError, error.ConflictError) as exc:
-                # Another VM wrote first, or the store is unavailable; the next round
-                # tries again.
-                node.log.write("move not written", now, reason=str(exc))
-            except Exception:
-                # Must not hold up the other orders; the next round tries again.
-                background_tasks.record_failure("rollout", node.counters)
+            seen = first_seen.setdefault((order.era, order.row_version), now)
+            waited = clock.now() - seen
+            await _attempt(node, functools.partial(_advance, node, order, waited))
         await trio.sleep(ROUND_INTERVAL_SECONDS)
 
 
+async def _attempt(
+    node: node_module.Node, action: Callable[[], Awaitable[None]]
+) -> None:
+    """Run an action that writes a record; the next round tries again if it fails."""
+    try:
+        await action()
+    except (store_error.StoreError, error.ConflictError) as exc:
+        # Another VM wrote first, or the store is unavailable.
+        node.log.write("move not written", clock.now(), reason=str(exc))
+    except Exception:
+        # Must not hold up the other orders.
+        background_tasks.record_failure("rollout", node.counters)
+
+
 def _is_finished(node: node_module.Node, order: rollout_order.RolloutOrder) -> bool:
     record = node.versions.record(order.service)
     return record is not None and record.state is not _RUNNING
@@ -90,7 +107,7 @@
             await _start(node, order, now)
         return
     regressed = _regressed_route(node, order, now)
-    if regressed is not None and node.versions.revert(order.row_version):
+    if regressed is not None and node.versions.revert(order.row_version, order.era):
         state_log.log_change(
             "order",
             "running",
@@ -100,7 +117,7 @@
         )
     timeout = node.longest_timeout(order.service)
     elapsed = node.versions.elapsed(record, now)
-    if order.row_version in node.versions.reverted:
+    if node.versions.is_reverted(order):
         reason = (
             f"bad answers: {regressed}"
             if regressed is not None
@@ -160,6 +177,8 @@
         _RUNNING,
         "",
         earlier.row_version if earlier else 0,
+        order.era,
+        node.tables.copy(record_codec.TABLE).era,
     )
     await _write(node, record)
 
@@ -173,8 +192,24 @@
     await _write(node, record._replace(state=state, reason=reason))
 
 
+def _require_era(node: node_module.Node, era: int) -> None:
+    if era != node.store_era.current:
+        raise store_error.ConditionFailedError(
+            "the store came back from a copy since the record was read"
+        )
+
+
 async def _write(node: node_module.Node, record: rollout_record.RolloutRecord) -> None:
-    """Write a record and the status for operators, if the record has not changed."""
+    """Write a record and the status for operators, if the record has not changed.
+
+    Raises
+    ------
+    store_error.ConditionFailedError
+        Also if the record's version is of an earlier era of the store, where it may be
+        that of another record.
+    store_error.StoreError
+    """
+    _require_era(node, record.row_era)
     status = rollout_row.encode_status(record.service, record.target, record.state)
     version = await node.store.commit(
         [
@@ -192,6 +227,7 @@
             ),
         ]
     )
+    _require_era(node, record.row_era)
     written = record._replace(row_version=version)
     node.versions.set_records([written], clock.now())
     state_log.log_change(
--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -84,6 +84,17 @@
             record_codec.TABLE: self._apply_rollout_records,
         }
 
+    @property
+    def _needs_rollout_records(self) -> bool:
+        """Whether a rollout is running, or the era of the store has changed."""
+        node = self._node
+        copy = node.tables.copy(record_codec.TABLE)
+        return (
+            node.follows_rollouts
+            or 0 <= copy.version
+            and (copy.era < node.store_era.current)
+        )
+
     async def run(self) -> None:
         """Keep all table copies up to date until cancelled."""
         tasks = {
@@ -168,7 +179,7 @@
         while True:
             await self._reads_store.wait()
             copy = node.tables.copy(table)
-            if not node.follows_rollouts:
+            if not self._needs_rollout_records:
                 await trio.sleep(MIN_BACKOFF_SECONDS)
                 continue
             whole = (
@@ -260,7 +271,7 @@
     def _follow_request(self, now: float) -> follow_messages.FollowRequest:
         node = self._node
         tables = list(_FOLLOWED)
-        if node.follows_rollouts:
+        if self._needs_rollout_records:
             tables.append(record_codec.TABLE)
         versions = {each: node.tables.copy(each).version for each in tables}
         eras = {each: node.tables.copy(each).era for each in tables}
@@ -365,7 +376,7 @@
                 read=read.version,
             )
             self._activated = current
-        node.versions.set_orders(node.operators.orders)
+        node.versions.set_orders(node.operators.orders, read.era)
         node.placer.evacuate(node.operators.evacuated)
         # A desired state that wasn't applied may have withdrawn keys.
         if desired is not None and names.DESIRED_STATE_KEY not in node.operators.failed:
@@ -388,10 +399,10 @@
         copy = node.tables.copy(record_codec.TABLE)
         for row in copy.rows:
             try:
-                records.append(record_codec.decode(row.value, row.version))
+                records.append(record_codec.decode(row.value, row.version, copy.era))
             except record_codec.UnreadableRecordError:
                 node.counters.add("move_records_unreadable")
-        node.versions.set_records(records, copy.confirmed_at)
+        node.versions.set_records(records, copy.confirmed_at, copy.era, whole=True)
 
 
 async def _wait_until(end: float) -> None:
--- a/src/rattanlug/platform/operator_table.py
+++ b/src/rattanlug/platform/operator_table.py
@@ -25,6 +25,8 @@
 
     def __init__(self) -> None:
         self._rows = held_rows.HeldRows()
+        # Era of the store at the latest read.
+        self._era = 0
         self._desired: state.DesiredState | None = None
         self._orders: dict[str, rollout_order.RolloutOrder] = {}
         self._evacuated: set[str] = set()
@@ -57,11 +59,13 @@
 
     def apply_all(self, read: store_read.StoreRead) -> None:
         """Apply a read of the whole table."""
+        self._era = read.era
         for row in self._rows.changes(read, whole=True):
             self._apply(row)
 
     def apply_changes(self, read: store_read.StoreRead) -> None:
         """Apply changed rows."""
+        self._era = read.era
         for row in self._rows.changes(read, whole=False):
             self._apply(row)
 
@@ -90,6 +94,6 @@
             if row.removed:
                 self._orders.pop(name, None)
             else:
-                self._orders[name] = rollout_row.decode_order(row)
+                self._orders[name] = rollout_row.decode_order(row, self._era)
         elif f"{kind}/" == names.EVACUATION_PREFIX:
             (self._evacuated.discard if row.removed else self._evacuated.add)(name)
--- a/src/rattanlug/platform/rollout_row.py
+++ b/src/rattanlug/platform/rollout_row.py
@@ -14,7 +14,7 @@
 _STATES_BY_NAME = {name: state for state, name in _STATE_NAMES.items()}
 
 
-def decode_order(row: store_row.StoreRow) -> rollout_order.RolloutOrder:
+def decode_order(row: store_row.StoreRow, era: int = 0) -> rollout_order.RolloutOrder:
     """Decode an operator's rollout order.
 
     Raises
@@ -27,6 +27,7 @@
         target=decoding.field(found, "target", str),
         duration=decoding.number(found, "duration_s"),
         row_version=row.version,
+        era=era,
     )
 
 
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -1,5 +1,6 @@
 """Tests of rollouts with several gateway daemons."""
 
+import pytest
 import trio
 
 from rattanlug.gateway import rollouts
@@ -100,3 +101,63 @@
         with trio.fail_after(5.0):
             while status(deployment) is None:
                 await trio.sleep(0.05)
+
+
+async def go_back(deployment, copy):
+    """Let the store come back from a copy; return what is to be written again."""
+    deployment.store.go_away()
+    await trio.sleep(0.5)
+    return deployment.store.come_back(copy)
+
+
+async def wait_for_state(deployment, state, seconds):
+    with trio.move_on_after(seconds):
+        while (status(deployment) or {}).get("state") != state:
+            await trio.sleep(0.05)
+    assert status(deployment)["state"] == state
+
+
+# Guards against a move that starts again after its end, and an end that is reported to
+# no operator any more.
+@pytest.mark.usefixtures("no_overload")
+@pytest.mark.parametrize("from_start", [False, True])
+@caller.in_trio
+async def test_a_complete_move_stays_so_when_the_store_comes_back(from_start):
+    async with fleet.open_fleet() as deployment:
+        copy = deployment.store.copy()
+        vms = await start(deployment)
+        if not from_start:
+            await wait_for_state(deployment, "running", 2.0)
+            copy = deployment.store.copy()
+        await wait_for_state(deployment, "complete", DURATION + 1.0)
+        lost = await go_back(deployment, copy)
+        new, total = await send_requests(deployment, vms, 1.0)
+        assert new == total
+        deployment.store.write_again(lost)
+        new, total = await send_requests(deployment, vms, 1.0)
+        assert new == total
+        await wait_for_state(deployment, "complete", 2.0)
+
+
+@pytest.mark.usefixtures("no_overload")
+@caller.in_trio
+async def test_a_move_that_was_rolled_back_stays_so_when_the_store_comes_back():
+    async with fleet.open_fleet() as deployment:
+        copy = deployment.store.copy()
+        vms = await start(deployment)
+        for name in ("new-1", "new-2"):
+            deployment.upstreams[name].status = 500
+        await send_requests(deployment, vms, 4.0)
+        assert status(deployment)["state"] == "rolled_back"
+        before = sum(
+            len(deployment.upstreams[each].executions) for each in ("new-1", "new-2")
+        )
+        lost = await go_back(deployment, copy)
+        await send_requests(deployment, vms, 1.0)
+        deployment.store.write_again(lost)
+        await send_requests(deployment, vms, 1.0)
+        await wait_for_state(deployment, "rolled_back", 2.0)
+        after = sum(
+            len(deployment.upstreams[each].executions) for each in ("new-1", "new-2")
+        )
+        assert after == before
