--- a/trial/cases/lab.py
+++ b/trial/cases/lab.py
@@ -22,11 +22,13 @@
 from trial.shared_platform import boot_file, fleet, store, upstream
 
 FIRST_PORT = 9100
+_ROOT = pathlib.Path(__file__).parent.parent.parent
 READY_SECONDS = 20.0
 # By RULES.md, a request that is not passed on may be closed within this time.
 SLACK_SECONDS = 0.2
 _NETWORKS = 40 * 256
 _TAIL_CHARACTERS = 1500
+_FAILED_CONNECTION = "connection of a caller failed"
 
 
 class Daemon:
@@ -112,6 +114,8 @@
         self.outcomes: list[outcome.Outcome] = []
         self.breaches: list[str] = []
         self.notes: list[str] = []
+        # Whether connections of callers may fail with an error that is logged.
+        self.sends_garbage = False
         # Of the settings files that are written from now on.
         self.bounds: dict[str, float] = {}
         self._requests = 0
@@ -184,6 +188,7 @@
         limits: dict[int, int] | None = None,
         prepare: Callable[[], None] | None = None,
         standard_error: int | None = None,
+        clock: pathlib.Path | None = None,
     ) -> Daemon:
         """Start a process of a VM, whose settings file may not exist yet."""
 
@@ -194,10 +199,15 @@
                 prepare()
 
         path = self.directory / f"vm-{index}-{len(self.daemons)}.log"
-        python_path = (str(self._root / "src"), sysconfig.get_path("purelib"))
+        libraries = sysconfig.get_path("purelib")
+        python_path = (str(self._root / "src"), str(_ROOT), libraries)
+        arguments = deployment.daemon_arguments(self._root)
+        if clock is not None:
+            # Its time of day follows what the file says.
+            arguments = ["-S", "-m", "soak.stepped_clock", str(clock)]
         with path.open("wb") as log:
             process = subprocess.Popen(
-                [sys.executable, *deployment.daemon_arguments(self._root)],
+                [sys.executable, *arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log if standard_error is None else standard_error,
@@ -323,6 +333,12 @@
                 for line in each.log.splitlines()
                 if "Traceback" in line or "unexpected error" in line
             ]
+            if self.sends_garbage:
+                failed = [line for line in errors if _FAILED_CONNECTION in line]
+                self.notes += [
+                    f"a connection failed: {_reason(line)}" for line in failed
+                ]
+                errors = [line for line in errors if _FAILED_CONNECTION not in line]
             self.breaches += [f"{each.name}: {line[-900:]}" for line in errors[:2]]
             if each.memory_mb() > 300.0:
                 self.breaches.append(f"{each.name} used {each.memory_mb():.0f} MB")
@@ -406,3 +422,10 @@
 def tail(daemon: Daemon) -> str:
     """Return the end of a log."""
     return daemon.log[-_TAIL_CHARACTERS:]
+
+
+def _reason(line: str) -> str:
+    """Return the last line of the traceback in a log line."""
+    lines = str(json.loads(line).get("exc_info")).splitlines()
+    reasons = [each for each in lines if "Error: " in each]
+    return reasons[-1].strip(" |") if reasons else "unknown"
--- a/trial/cases/plays/__init__.py
+++ b/trial/cases/plays/__init__.py
@@ -2,6 +2,7 @@
 
 from trial.cases.plays import callers as callers
 from trial.cases.plays import fuzz as fuzz
+from trial.cases.plays import late_answers as late_answers
 from trial.cases.plays import orders as orders
 from trial.cases.plays import resources as resources
 from trial.cases.plays import starts as starts
--- a/trial/cases/plays/fuzz.py
+++ b/trial/cases/plays/fuzz.py
@@ -95,6 +95,7 @@
 @registry.case
 async def bytes_to_ports(lab: lab_module.Lab) -> None:
     """Random bytes and broken requests to all TCP ports, beside traffic."""
+    lab.sends_garbage = True
     await lab.start()
     daemon = await lab.start_daemon()
     ports = (FIRST_PORT, FIRST_PORT + 1, FIRST_PORT + 2, FIRST_PORT + 4, 9464)
