--- a/trial/cases/lab.py
+++ b/trial/cases/lab.py
@@ -17,7 +17,7 @@
 import trio
 
 from soak import deployment
-from trial import http_server
+from trial import http_server, processes
 from trial.cases import outcome, raw_caller, scripted_upstream, store_gate
 from trial.shared_platform import boot_file, fleet, store, upstream
 
@@ -193,6 +193,7 @@
         """Start a process of a VM, whose settings file may not exist yet."""
 
         def prepare_process() -> None:
+            processes.kill_with_parent()
             for number, value in (limits or {}).items():
                 resource.setrlimit(number, (value, value))
             if prepare is not None:
--- a/trial/processes.py
+++ b/trial/processes.py
@@ -16,7 +16,7 @@
 _LOG_TAIL_BYTES = 2000
 
 
-def _kill_with_parent() -> None:
+def kill_with_parent() -> None:
     """Have the kernel kill this process when the launcher ends."""
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
@@ -62,7 +62,7 @@
                 },
                 # An interrupt from the terminal must reach the launcher only.
                 start_new_session=True,
-                preexec_fn=_kill_with_parent,
+                preexec_fn=kill_with_parent,
             )
         self._running[name] = process
         return process.pid
