--- a/soak/faults.py
+++ b/soak/faults.py
@@ -159,6 +159,8 @@
     rng: random.Random,
 ) -> None:
     now = trio.current_time()
+    # VMs may be added meanwhile.
+    vms = list(vms)
     intervals = [
         deployed.observations.begin_disturbance(history.store_of(each.name), now)
         for each in vms
