--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,16 +1,24 @@
-"""Runs the soak test: ``python -m soak --seed N --seconds S``."""
+"""Runs the soak test: ``python -m soak --seed N --seconds S``.
+
+The exit code is 0 if all runs passed, 1 if one failed, and 2 if one had no verdict: the
+soak itself had an error, or was short of a processor.
+"""
 
 import argparse
+import collections
 import json
 import sys
+import traceback
 
 import trio
 
-from soak import run, sites
+from soak import erring_daemon, run, sites
+
+_EXIT_CODES = {"passed": 0, "no verdict": 2, "failed": 1}
 
 
 def main() -> int:
-    """Execute the requested runs; return 1 if a guarantee was violated in any."""
+    """Execute the requested runs; return the exit code."""
     parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
     parser.add_argument("--seed", type=int, default=1, help="seed of the first run")
     parser.add_argument(
@@ -48,9 +56,26 @@
         metavar="CHECKOUT",
         help="checkout whose daemon is played, for instance of an earlier version",
     )
+    parser.add_argument(
+        "--planned",
+        action="store_true",
+        help="play planned work in calm and no faults",
+    )
+    parser.add_argument(
+        "--errors",
+        default="",
+        help=f"errors on purpose: {', '.join(erring_daemon.ERRORS)}",
+    )
+    parser.add_argument(
+        "--error-interval",
+        type=float,
+        default=60.0,
+        help="time from one error of a kind to the next, in seconds",
+    )
     parser.add_argument("--list", action="store_true", help="print the injected faults")
     options = parser.parse_args()
-    failed_runs = 0
+    verdicts: collections.Counter[str] = collections.Counter()
+    tallied: collections.Counter[str] = collections.Counter()
     for seed in range(options.seed, options.seed + options.runs):
         run_options = run.Options(
             seed,
@@ -62,15 +87,32 @@
             options.only,
             options.rate,
             options.daemon,
+            options.planned,
+            options.errors,
+            options.error_interval,
         )
-        outcome = trio.run(run.execute, run_options)
-        failed_runs += bool(outcome.broken)
-        result = {"seed": seed, **outcome._asdict()}
+        try:
+            outcome = trio.run(run.execute, run_options)
+        except Exception as exc:
+            traceback.print_exc()
+            verdicts["no verdict"] += 1
+            failure = f"{type(exc).__name__}: {exc}"
+            error_result = {"seed": seed, "verdict": "no verdict", "error": failure}
+            print(json.dumps(error_result), flush=True)
+            continue
+        verdicts[outcome.verdict] += 1
+        tallied.update(outcome.tally)
+        parts = {name: each._asdict() for name, each in outcome.parts.items()}
+        result = {"seed": seed, **outcome._asdict(), "parts": parts}
         if not options.list:
             del result["injected"]
         print(json.dumps(result), flush=True)
-    print(f"{options.runs - failed_runs} passed, {failed_runs} failed")
-    return 1 if failed_runs else 0
+    for name, count in tallied.items():
+        print(f"{count} {name} in {sum(verdicts.values())} runs")
+    print(", ".join(f"{verdicts[each]} {each}" for each in _EXIT_CODES))
+    return next(
+        (_EXIT_CODES[each] for each in ("failed", "no verdict") if verdicts[each]), 0
+    )
 
 
 if __name__ == "__main__":
--- a/soak/caller_worker.py
+++ b/soak/caller_worker.py
@@ -90,6 +90,13 @@
         self._workers = [worker.Worker(Callers, site) for _ in range(site.workers)]
         self._sent: Any = None
 
+    @property
+    def pids(self) -> dict[str, int]:
+        """Ids of the processes, by name."""
+        return {
+            f"callers {index}": each.pid for index, each in enumerate(self._workers)
+        }
+
     async def run(self) -> None:
         """Keep the workers informed until cancelled."""
         while True:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -18,6 +18,8 @@
 from trial.shared_platform import boot_file, fleet, store, upstream
 
 FIRST_PORT = 9100
+STEPPED_CLOCK = "soak.stepped_clock"
+ERRING_DAEMON = "soak.erring_daemon"
 _ROOT = pathlib.Path(__file__).parent.parent
 # Where the build of the deploy file puts the package.
 _BUILD_DIRECTORY = "target/deps"
@@ -123,6 +125,9 @@
         For the upstreams of a site.
     daemon : str
         Checkout whose daemon is started; this one if empty.
+    start_module : str
+        Module, with one argument, that starts the daemon in the place of the command of
+        the deploy file; empty for that.
     """
 
     def __init__(
@@ -133,7 +138,9 @@
         vms: int,
         rng: random.Random,
         daemon: str = "",
+        start_module: str = "",
     ) -> None:
+        self._start_module = start_module
         self._daemon_root = pathlib.Path(daemon or _ROOT).absolute()
         self._rng = rng
         self._nursery = nursery
@@ -179,6 +186,11 @@
         self.idle_timeout_seconds = 15
         self.timeout_factor = 1.0
 
+    @property
+    def upstream_pids(self) -> dict[str, int]:
+        """Ids of the processes that play upstreams, by name."""
+        return self._upstream_workers.pids if self._upstream_workers else {}
+
     async def start(self, upstreams: int) -> None:
         """Start the store, upstreams and VMs; wait until all VMs are ready."""
         self.write_state()
@@ -353,8 +365,10 @@
         """Start a process of a VM, whose settings file may come later."""
         vm.incarnation += 1
         arguments = daemon_arguments(self._daemon_root)
-        if self.site.workers:
-            arguments = ["-S", "-m", "soak.stepped_clock", str(self._clock_path(vm))]
+        if self._start_module == STEPPED_CLOCK:
+            arguments = ["-S", "-m", STEPPED_CLOCK, str(self._clock_path(vm))]
+        elif self._start_module:
+            arguments = ["-S", "-m", self._start_module, str(self._directory)]
         # The libraries are found by their path, since ``site`` may not be loaded.
         libraries = sysconfig.get_path("purelib")
         python_path = (self._daemon_root / "src", _ROOT, libraries)
--- a/soak/history.py
+++ b/soak/history.py
@@ -3,7 +3,7 @@
 import collections
 from typing import NamedTuple
 
-from soak import site_upstream, sites
+from soak import processor_reading, site_upstream, sites
 
 # Prefixes of the routes whose requests must be executed at most once.
 AT_MOST_ONCE = ("/claim/", "/settle/")
@@ -127,6 +127,10 @@
         self.stalls: dict[str, list[tuple[float, float]]] = collections.defaultdict(
             list
         )
+        # First and last reading of each process that is observed.
+        self.processor: dict[
+            str, tuple[processor_reading.Reading, processor_reading.Reading]
+        ] = {}
         # Peak memory of each process.
         self.memory_mb: dict[str, float] = {}
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,7 @@
 """One run of the soak test."""
 
 import collections
+import os
 import pathlib
 import random
 import tempfile
@@ -12,11 +13,15 @@
     caller_worker,
     callers,
     deployment,
+    errors_on_purpose,
     faults,
     full_faults,
     guarantees,
     history,
     monitor,
+    planned_work,
+    processor_reading,
+    processor_use,
     record,
     site_callers,
     site_faults,
@@ -24,6 +29,8 @@
     sites,
     small_vm,
     stalls,
+    supervisor,
+    tally,
 )
 from trial.shared_platform import upstream
 
@@ -35,6 +42,8 @@
 MEAN_FAULT_INTERVAL_SECONDS = 0.9
 
 MEAN_BURST_INTERVAL_SECONDS = 3.0
+# Processes that ran for less time are not reported.
+_MIN_USE_SECONDS = 5.0
 # Faults that no site plays: rates far below a site's load would leave little of it.
 _NOT_OF_SITES = frozenset({"rate_lowered"})
 
@@ -60,6 +69,13 @@
     daemon : str
         Checkout whose daemon is played, for instance of an earlier version; this one
         if empty.
+    planned : bool
+        Whether planned work is played in the place of faults, in calm.
+    errors : str
+        Names of errors on purpose that daemons make, separated by commas; see
+        `erring_daemon`.
+    error_interval : float
+        Seconds from one error of a kind to the next.
     """
 
     seed: int
@@ -71,6 +87,9 @@
     only: str = ""
     rate: float = 1.0
     daemon: str = ""
+    planned: bool = False
+    errors: str = ""
+    error_interval: float = 60.0
 
 
 class Outcome(NamedTuple):
@@ -87,6 +106,16 @@
         Directory with the logs of the daemons.
     counts : dict of str to int
         What was played, and what was not judged, by name.
+    verdict : str
+        See `tally.verdict`.
+    tally : dict of str to int
+        Violations in the terms of users' reports.
+    parts : dict of str to PartUse
+        What each part of the run, and the busiest VM, got of a processor.
+    short_parts : list of str
+        Parts of the run that were short of a processor.
+    load : list of float
+        Load averages of the machine at the end.
     """
 
     requests: int
@@ -95,6 +124,11 @@
     broken: dict[str, list[str]]
     logs: str
     counts: dict[str, int]
+    verdict: str
+    tally: dict[str, int]
+    parts: dict[str, processor_use.PartUse]
+    short_parts: list[str]
+    load: list[float]
 
 
 async def execute(options: Options) -> Outcome:
@@ -104,9 +138,23 @@
     rate = options.rate * site.requests_per_second
     site = site._replace(requests_per_second=rate)
     observations = history.History(site)
+    directory = tempfile.mkdtemp(prefix=f"rattanlug-soak-{options.seed}-")
+    try:
+        return await _execute(options, rng, observations, directory)
+    except BaseException as exc:
+        exc.add_note(f"logs of the daemons: {directory}")
+        raise
+
+
+async def _execute(
+    options: Options,
+    rng: random.Random,
+    observations: history.History,
+    directory: str,
+) -> Outcome:
+    site = observations.site
     playable = _faults(options)
     caller_class = site_callers.SiteCaller if options.site else callers.Caller
-    directory = tempfile.mkdtemp(prefix=f"rattanlug-soak-{options.seed}-")
     injected: list[str] = []
     caller_workers: caller_worker.CallerWorkers | None = None
     async with trio.open_nursery() as nursery:
@@ -118,10 +166,12 @@
             # A separate generator: upstreams must not change the faults of a seed.
             random.Random(f"{options.seed} upstreams"),
             options.daemon,
+            _start_module(options),
         )
+        pids = {history.RUN: os.getpid()}
         try:
             await deployed.start(options.upstreams)
-            nursery.start_soon(monitor.watch_memory, deployed)
+            nursery.start_soon(monitor.watch_processes, deployed)
             nursery.start_soon(stalls.watch, observations)
             if options.first_vm_cpu_share:
                 first = deployed.vms[0]
@@ -145,12 +195,23 @@
                         site.requests_per_second,
                     )
                     nursery.start_soon(caller.run)
+            if options.planned:
+                nursery.start_soon(supervisor.run, deployed)
+            errors = errors_on_purpose.ErrorsOnPurpose(
+                pathlib.Path(directory), options.errors, options.error_interval
+            )
+            nursery.start_soon(errors.run)
             await trio.sleep(2.0)
+            pids.update(deployed.upstream_pids)
+            if caller_workers:
+                pids.update(caller_workers.pids)
+            first = processor_reading.read_parts(pids, trio.current_time())
             await play_faults(deployed, options, rng, playable, injected)
             await run_for(observations, RECOVERY_SECONDS)
             observations.record_event(trio.current_time(), "calm")
             await trio.sleep(FAULT_FREE_SECONDS - RECOVERY_SECONDS)
             unexpected = deployed.unexpected_ends()
+            last = processor_reading.read_parts(pids, trio.current_time())
             stalls.attribute(observations)
             await deployed.collect()
             if caller_workers:
@@ -183,6 +244,17 @@
         _count_upstreams(deployed, counts)
         share = site_guarantees.most_cold_share(observations)
         counts["percent of a cold limit"] = round(100 * share)
+    for name, made in errors.made.items():
+        counts[f"error on purpose {name}"] = made
+    parts = {
+        name or "run": processor_use.part_use(
+            first[name], last[name], observations.stalls[name]
+        )
+        for name in pids
+    }
+    seconds = last[history.RUN].at - first[history.RUN].at
+    short_parts = [name for name, each in parts.items() if each.is_short(seconds)]
+    parts.update(_vm_use(observations))
     return Outcome(
         len(observations.exchanges),
         served,
@@ -190,12 +262,42 @@
         broken,
         directory,
         dict(sorted(counts.items())),
+        tally.verdict(broken, short_parts),
+        tally.tally(broken),
+        parts,
+        short_parts,
+        processor_use.machine_load(),
     )
 
 
+def _start_module(options: Options) -> str:
+    if options.errors:
+        return deployment.ERRING_DAEMON
+    if options.planned or not options.site or not sites.SITES[options.site].workers:
+        return ""
+    return deployment.STEPPED_CLOCK
+
+
+def _vm_use(observations: history.History) -> dict[str, processor_use.PartUse]:
+    """Return the use of the VM's process that ran, and that waited, most."""
+    uses = {
+        name: processor_use.part_use(first, last, [])
+        for name, (first, last) in observations.processor.items()
+        if last.at - first.at > _MIN_USE_SECONDS
+    }
+    if not uses:
+        return {}
+    return {
+        "busiest VM": max(uses.values(), key=lambda each: each.share),
+        "VM that waited most": max(uses.values(), key=lambda each: each.waiting),
+    }
+
+
 def _faults(options: Options) -> dict[str, faults.Fault]:
     playable = dict(faults.FAULTS)
-    if options.site:
+    if options.planned:
+        playable = dict(planned_work.FAULTS)
+    elif options.site:
         playable.update(site_faults.FAULTS)
         if sites.SITES[options.site].workers:
             playable.update(full_faults.FAULTS)
@@ -258,7 +360,8 @@
     async with trio.open_nursery() as bursts:
         # A separate generator: bursts must not change the faults of a seed.
         burst_rng = random.Random(f"{options.seed} bursts")
-        bursts.start_soon(_send_bursts, deployed, burst_rng)
+        if not options.planned:
+            bursts.start_soon(_send_bursts, deployed, burst_rng)
         async with trio.open_nursery() as injections:
             seconds = options.seconds
             injections.start_soon(_inject, deployed, rng, seconds, playable, injected)
@@ -267,7 +370,7 @@
             names = {
                 name: each
                 for name, each in playable.items()
-                if options.site and name.startswith("upstream")
+                if options.site and not options.planned and name.startswith("upstream")
             }
             if names:
                 injections.start_soon(
--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -59,14 +59,25 @@
     vm: deployment_module.Vm,
     since: float | None = None,
 ) -> None:
-    """Record when the VM, whose process was started, is ready."""
+    """Record when the VM, whose process was started, is ready, unless that ends."""
     since = trio.current_time() if since is None else since
-    with trio.move_on_after(_GIVE_UP_SECONDS) as scope:
-        await deployed.wait_served(vm)
-    taken = float("inf") if scope.cancelled_caught else trio.current_time() - since
+    taken = float("inf")
+    with trio.move_on_after(_GIVE_UP_SECONDS):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_at_end, deployed, vm.process, nursery)
+            await deployed.wait_served(vm)
+            taken = trio.current_time() - since
+            nursery.cancel_scope.cancel()
     deployed.observations.record_event(since, "vm started", f"{vm.name} {taken:.2f}")
 
 
+async def _cancel_at_end(
+    deployed: deployment_module.Deployment, process: str, nursery: trio.Nursery
+) -> None:
+    await deployed.wait_process(process, _GIVE_UP_SECONDS)
+    nursery.cancel_scope.cancel()
+
+
 async def _kill(
     deployed: deployment_module.Deployment, vm: deployment_module.Vm
 ) -> list[float]:
--- a/soak/upstream_worker.py
+++ b/soak/upstream_worker.py
@@ -176,6 +176,13 @@
         ]
         self._started: list[tuple[RemoteUpstream, RemoteGate]] = []
 
+    @property
+    def pids(self) -> dict[str, int]:
+        """Ids of the processes, by name."""
+        return {
+            f"upstreams {index}": each.pid for index, each in enumerate(self._workers)
+        }
+
     async def start(
         self, name: str, service: str, seed: float, port: int
     ) -> tuple[RemoteUpstream, RemoteGate]:
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -35,6 +35,11 @@
         other.close()
         self._lock = trio.Lock()
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
     def send(self, name: str, *arguments: Any) -> None:
         """Call a method and ignore what it returns."""
         self._connection.send((name, arguments, False))
