--- a/soak/errors_on_purpose.py
+++ b/soak/errors_on_purpose.py
@@ -37,17 +37,21 @@
         if unknown:
             raise ValueError(f"unknown errors: {sorted(unknown)}")
 
-    async def run(self) -> None:
-        """Ask for errors until cancelled."""
-        async with trio.open_nursery() as nursery:
-            for name in self.made:
-                nursery.start_soon(self._ask, name)
+    async def run(self, scope: trio.CancelScope) -> None:
+        """Ask for errors until the scope is cancelled."""
+        with scope:
+            async with trio.open_nursery() as nursery:
+                for name in self.made:
+                    nursery.start_soon(self._ask, name)
 
     async def _ask(self, name: str) -> None:
         path = self._directory / name
-        while True:
-            await trio.sleep(self._interval)
-            path.touch()
-            while path.exists():
-                await trio.sleep(_POLL_SECONDS)
-            self.made[name] += 1
+        try:
+            while True:
+                await trio.sleep(self._interval)
+                path.touch()
+                while path.exists():
+                    await trio.sleep(_POLL_SECONDS)
+                self.made[name] += 1
+        finally:
+            path.unlink(missing_ok=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -200,13 +200,15 @@
             errors = errors_on_purpose.ErrorsOnPurpose(
                 pathlib.Path(directory), options.errors, options.error_interval
             )
-            nursery.start_soon(errors.run)
+            asking = trio.CancelScope()
+            nursery.start_soon(errors.run, asking)
             await trio.sleep(2.0)
             pids.update(deployed.upstream_pids)
             if caller_workers:
                 pids.update(caller_workers.pids)
             first = processor_reading.read_parts(pids, trio.current_time())
             await play_faults(deployed, options, rng, playable, injected)
+            asking.cancel()
             await run_for(observations, RECOVERY_SECONDS)
             observations.record_event(trio.current_time(), "calm")
             await trio.sleep(FAULT_FREE_SECONDS - RECOVERY_SECONDS)
@@ -297,6 +299,9 @@
     playable = dict(faults.FAULTS)
     if options.planned:
         playable = dict(planned_work.FAULTS)
+        if "early_answer" in options.errors:
+            # Work that lasts until the time is nearly up.
+            playable["upstreams_slow"] = site_faults.FAULTS["upstreams_slow"]
     elif options.site:
         playable.update(site_faults.FAULTS)
         if sites.SITES[options.site].workers:
