--- a/soak/run.py
+++ b/soak/run.py
@@ -40,6 +40,8 @@
 RECOVERY_SECONDS = 4.0
 # Mean time between faults; most faults last longer, so that they overlap.
 MEAN_FAULT_INTERVAL_SECONDS = 0.9
+# The same for planned work.
+MEAN_WORK_INTERVAL_SECONDS = 2.0
 
 MEAN_BURST_INTERVAL_SECONDS = 3.0
 # Processes that ran for less time are not reported.
@@ -236,6 +238,9 @@
     counts = collections.Counter(each.kind for each in observations.events)
     counts.update(f"status {each.status}" for each in observations.exchanges)
     counts.update(site_guarantees.unjudged_closes(observations, executions))
+    counts["no answer until the caller's deadline"] = sum(
+        each.status is None and not each.closed_by_vm for each in observations.exchanges
+    )
     counts["stalls"] = sum(
         end - begin > stalls.STALL_SECONDS
         for intervals in observations.stalls.values()
@@ -369,7 +374,14 @@
             bursts.start_soon(_send_bursts, deployed, burst_rng)
         async with trio.open_nursery() as injections:
             seconds = options.seconds
-            injections.start_soon(_inject, deployed, rng, seconds, playable, injected)
+            mean = (
+                MEAN_WORK_INTERVAL_SECONDS
+                if options.planned
+                else MEAN_FAULT_INTERVAL_SECONDS
+            )
+            injections.start_soon(
+                _inject, deployed, rng, seconds, playable, injected, mean
+            )
             # Beside the faults of VMs, so that cold periods and restarts meet.
             upstream_rng = random.Random(f"{options.seed} upstream faults")
             names = {
@@ -396,6 +408,7 @@
     seconds: float,
     playable: dict[str, faults.Fault],
     injected: list[str],
+    mean_interval: float = MEAN_FAULT_INTERVAL_SECONDS,
 ) -> None:
     started_at = trio.current_time()
     async with trio.open_nursery() as nursery:
@@ -403,4 +416,4 @@
             name = rng.choice(sorted(playable))
             injected.append(f"{trio.current_time() - started_at:.2f} {name}")
             nursery.start_soon(playable[name], deployed, random.Random(rng.random()))
-            await trio.sleep(rng.expovariate(1.0 / MEAN_FAULT_INTERVAL_SECONDS))
+            await trio.sleep(rng.expovariate(1.0 / mean_interval))
