--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -74,6 +74,8 @@
     )
     parser.add_argument("--list", action="store_true", help="print the injected faults")
     options = parser.parse_args()
+    if options.planned and not options.site:
+        parser.error("planned work is that of a site")
     verdicts: collections.Counter[str] = collections.Counter()
     tallied: collections.Counter[str] = collections.Counter()
     for seed in range(options.seed, options.seed + options.runs):
--- a/soak/run.py
+++ b/soak/run.py
@@ -208,14 +208,14 @@
             pids.update(deployed.upstream_pids)
             if caller_workers:
                 pids.update(caller_workers.pids)
-            first = processor_reading.read_parts(pids, trio.current_time())
+            use_begin = processor_reading.read_parts(pids, trio.current_time())
             await play_faults(deployed, options, rng, playable, injected)
             asking.cancel()
             await run_for(observations, RECOVERY_SECONDS)
             observations.record_event(trio.current_time(), "calm")
             await trio.sleep(FAULT_FREE_SECONDS - RECOVERY_SECONDS)
             unexpected = deployed.unexpected_ends()
-            last = processor_reading.read_parts(pids, trio.current_time())
+            use_end = processor_reading.read_parts(pids, trio.current_time())
             stalls.attribute(observations)
             await deployed.collect()
             if caller_workers:
@@ -255,11 +255,11 @@
         counts[f"error on purpose {name}"] = made
     parts = {
         name or "run": processor_use.part_use(
-            first[name], last[name], observations.stalls[name]
+            use_begin[name], use_end[name], observations.stalls[name]
         )
         for name in pids
     }
-    seconds = last[history.RUN].at - first[history.RUN].at
+    seconds = use_end[history.RUN].at - use_begin[history.RUN].at
     short_parts = [name for name, each in parts.items() if each.is_short(seconds)]
     parts.update(_vm_use(observations))
     return Outcome(
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -1,5 +1,6 @@
 """Plays callers or upstreams of a run in processes of their own."""
 
+import gc
 import inspect
 import multiprocessing
 import time
@@ -10,6 +11,9 @@
 import trio
 
 _END_SECONDS = 2.0
+# What a worker records stays until the end; the oldest generation is hardly collected,
+# since that would stall the worker.
+_GC_THRESHOLDS = (20_000, 20, 1_000)
 
 
 class Worker:
@@ -81,6 +85,7 @@
 def _run(
     pipe: connection.Connection, offset: float, create: Callable, arguments: tuple
 ) -> None:
+    gc.set_threshold(*_GC_THRESHOLDS)
     trio.run(_serve, pipe, create, arguments, clock=_Clock(offset))
 
 
