--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -230,16 +230,32 @@
 
     def write_state(self) -> None:
         """Write a new version of the desired state to the store."""
+        state = self._next_state()
+        self.observations.states.append(
+            history.State(self._version, trio.current_time(), self.timeout_factor)
+        )
+        self.store.put("op", "config", state)
+
+    def write_invalid_state(self, damage: Callable[[dict], None]) -> None:
+        """Write a version that no VM may accept to the store.
+
+        Parameters
+        ----------
+        damage : callable
+            Makes a state invalid.
+        """
+        state = self._next_state()
+        damage(state)
+        self.store.put("op", "config", state)
+
+    def _next_state(self) -> dict:
         self._version += 1
         organisations = list(self.organisations.values())
         state = self.site.desired_state(
             self._version, organisations, self.added_routes, self.timeout_factor
         )
         state["limits"]["idle_timeout_s"] = self.idle_timeout_seconds
-        self.observations.states.append(
-            history.State(self._version, trio.current_time(), self.timeout_factor)
-        )
-        self.store.put("op", "config", state)
+        return state
 
     async def add_upstream(
         self, data_centre: str, service: str = fleet.SERVICE, cold: bool = False
--- a/soak/planned_work.py
+++ b/soak/planned_work.py
@@ -17,6 +17,7 @@
 _MAX_SIGNAL_SECONDS = 5.0
 _RELOADED_SHARE = 0.5
 _RELOAD_GAP_SECONDS = 0.2
+_INVALID_SECONDS = 1.0
 
 
 def fault(function: faults.Fault) -> faults.Fault:
@@ -94,3 +95,27 @@
     if deployed.upstreams.get(name) is former:
         former.stand_in.crash()
         deployed.retire(name)
+
+
+def _remove_hostname(state: dict) -> None:
+    del state["virtual_hosts"][0]["hostname"]
+
+
+def _name_unknown_service(state: dict) -> None:
+    state["virtual_hosts"][0]["paths"][0]["service"] = "unknown"
+
+
+def _set_odd_kind(state: dict) -> None:
+    state["virtual_hosts"][0]["paths"][0]["kind"] = "odd"
+
+
+@fault
+async def state_invalid(
+    deployed: deployment_module.Deployment, rng: random.Random
+) -> None:
+    """Write an invalid desired state, and a valid one a moment later."""
+    damages = (_remove_hostname, _name_unknown_service, _set_odd_kind)
+    deployed.write_invalid_state(rng.choice(damages))
+    deployed.observations.record_event(trio.current_time(), "state invalid")
+    await trio.sleep(_INVALID_SECONDS)
+    deployed.write_state()
--- a/tests/soak/test_errors_on_purpose.py
+++ b/tests/soak/test_errors_on_purpose.py
@@ -44,6 +44,7 @@
     found = set(errors_on_purpose.GUARANTEES.values()) & outcome.broken.keys()
     assert not found, outcome
     assert outcome.counts["vm stopped"] > 2
+    assert "vm killed under it" not in outcome.counts
 
 
 def test_an_unknown_error_is_refused(tmp_path):
