--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -72,6 +72,12 @@
         default=60.0,
         help="time from one error of a kind to the next, in seconds",
     )
+    parser.add_argument(
+        "--errors-after",
+        type=float,
+        default=0.0,
+        help="time at the begin without errors on purpose, in seconds",
+    )
     parser.add_argument("--list", action="store_true", help="print the injected faults")
     options = parser.parse_args()
     if options.planned and not options.site:
@@ -92,6 +98,7 @@
             options.planned,
             options.errors,
             options.error_interval,
+            options.errors_after,
         )
         try:
             outcome = trio.run(run.execute, run_options)
--- a/soak/errors_on_purpose.py
+++ b/soak/errors_on_purpose.py
@@ -27,9 +27,18 @@
         Names of the errors, separated by commas; empty for none.
     interval : float
         Seconds from one error of a kind to the next.
+    after : float
+        Seconds without errors at the begin.
     """
 
-    def __init__(self, directory: pathlib.Path, names: str, interval: float) -> None:
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        names: str,
+        interval: float,
+        after: float = 0.0,
+    ) -> None:
+        self._after = after
         self._directory = directory
         self._interval = interval
         self.made = dict.fromkeys([each for each in names.split(",") if each], 0)
@@ -40,6 +49,7 @@
     async def run(self, scope: trio.CancelScope) -> None:
         """Ask for errors until the scope is cancelled."""
         with scope:
+            await trio.sleep(self._after)
             async with trio.open_nursery() as nursery:
                 for name in self.made:
                     nursery.start_soon(self._ask, name)
--- a/soak/run.py
+++ b/soak/run.py
@@ -78,6 +78,8 @@
         `erring_daemon`.
     error_interval : float
         Seconds from one error of a kind to the next.
+    errors_after : float
+        Seconds of planned work or faults without errors on purpose.
     """
 
     seed: int
@@ -92,6 +94,7 @@
     planned: bool = False
     errors: str = ""
     error_interval: float = 60.0
+    errors_after: float = 0.0
 
 
 class Outcome(NamedTuple):
@@ -200,7 +203,10 @@
             if options.planned:
                 nursery.start_soon(supervisor.run, deployed)
             errors = errors_on_purpose.ErrorsOnPurpose(
-                pathlib.Path(directory), options.errors, options.error_interval
+                pathlib.Path(directory),
+                options.errors,
+                options.error_interval,
+                options.errors_after,
             )
             asking = trio.CancelScope()
             nursery.start_soon(errors.run, asking)
