--- a/soak/erring_daemon.py
+++ b/soak/erring_daemon.py
@@ -67,6 +67,8 @@
 
 
 _SENDING: dict[int, _Sending] = {}
+# Errors that are made at requests; each with its name and what looks for one.
+_WATCHES: list[tuple[Claims, str, Callable[[float], None]]] = []
 _STREAM: contextvars.ContextVar = contextvars.ContextVar("stream", default=None)
 
 
@@ -127,9 +129,6 @@
     _watch(claims, "early_answer", answer)
 
 
-_WATCHES: list[tuple[Claims, str, Callable[[float], None]]] = []
-
-
 def _watch(claims: Claims, name: str, check: Callable[[float], None]) -> None:
     if not _WATCHES:
         _patch_sender()
@@ -137,6 +136,7 @@
 
 
 def _patch_sender() -> None:
+    # Imported here, since the daemon disables a search before it imports trio.
     import trio
 
     from rattanlug.caller import caller_stream
