--- a/src/rattanlug/gateway/endpoints.py
+++ b/src/rattanlug/gateway/endpoints.py
@@ -83,6 +83,7 @@
         gauges = {
             "desired_state_version": float(node.desired.version),
             "desired_state_age_seconds": min(node.desired.age(now), 1e9),
+            "store_era": float(node.store_era.current),
             "upstreams": float(node.registry.size),
             "event_loop_busy_share": node.utilisation.busy_share,
             "live_vms": float(len(node.live_vms(now))),
--- a/src/rattanlug/tables/table_copy.py
+++ b/src/rattanlug/tables/table_copy.py
@@ -7,6 +7,8 @@
 # Maximum number of removed rows that are kept for followers of this copy. A follower
 # that requests older changes receives the whole table.
 MAX_REMOVED = 1000
+# Maximum number of reads after which a follower may still receive only the changes.
+MAX_GAPS = 64
 
 
 class TableCopy:
@@ -24,6 +26,8 @@
         self._changed_version = -1
         # Earliest version whose changes since then are all known.
         self._complete_from = -1
+        # Pairs of versions between which rows that came and went aren't known.
+        self._gaps: list[tuple[int, int]] = []
         self._confirmed_at = -math.inf
 
     @property
@@ -78,11 +82,10 @@
             return None
         if has_new_era:
             self._begin_era(read)
+        self._record_gap(read)
         changed = [each for each in read.rows if self._is_newer(each)]
         if whole:
             changed += self._missing(read)
-            if self._complete_from < 0:
-                self._complete_from = read.version
         for row in changed:
             self._rows[row.key] = row
             # A row of a read of several pages may be newer than the read; a follower
@@ -107,7 +110,7 @@
             return False
         if era is not None and era != self._era:
             return era < self._era
-        return after < self._complete_from or self._changed_version > after
+        return self._is_incomplete(after) or self._changed_version > after
 
     def changes(
         self, after: int, era: int | None = None
@@ -127,16 +130,35 @@
         """
         if era is not None and era > self._era:
             return False, []
-        if after < self._complete_from or (era is not None and era < self._era):
+        if self._is_incomplete(after) or (era is not None and era < self._era):
             return True, self.rows
         return False, [each for each in self._rows.values() if each.version > after]
 
     def _begin_era(self, read: store_read.StoreRead) -> None:
         """Drop all rows; followers at an earlier era receive the whole table."""
         self._rows = {}
+        self._gaps = []
         self._era = read.era
         self._version = self._changed_version = self._complete_from = read.version
 
+    def _record_gap(self, read: store_read.StoreRead) -> None:
+        """Record the versions that a read skips.
+
+        A whole read, and the copy of another VM, may lack rows that came and went
+        between them. A follower that read the store itself may have these rows.
+        """
+        if self._version < 0:
+            self._complete_from = read.version
+        elif read.version > self._version + 1:
+            self._gaps.append((self._version, read.version))
+        if len(self._gaps) > MAX_GAPS:
+            self._complete_from = max(self._complete_from, self._gaps.pop(0)[1])
+
+    def _is_incomplete(self, after: int) -> bool:
+        return after < self._complete_from or any(
+            low < after < high for low, high in self._gaps
+        )
+
     def _is_newer(self, row: store_row.StoreRow) -> bool:
         current = self._rows.get(row.key)
         return current is None or row.version > current.version
--- a/tests/tables/test_table_copy.py
+++ b/tests/tables/test_table_copy.py
@@ -151,3 +151,30 @@
     copy.apply_read(read(9, row("a", 8), era=1), whole=True)
     assert not copy.has_changes(9)
     assert copy.has_changes(-1)
+
+
+# Guards against a row that a follower, which read the store itself for a while, keeps
+# for good: the VM that it follows never saw the row, which came and went between two
+# whole reads.
+def test_a_row_that_came_and_went_between_two_whole_reads_is_removed_at_followers():
+    source, follower = table_copy.TableCopy(), table_copy.TableCopy()
+    source.apply_read(read(1), whole=True)
+    follower.apply_read(read(1), whole=True)
+    follower.apply_read(read(2, row("a", 2)), whole=False)
+    source.apply_read(read(3), whole=True)
+    whole, rows = source.changes(follower.version)
+    follower.apply_read(read(source.version, *rows), whole)
+    assert follower.rows == []
+
+
+# The same through a VM in between, which follows the one and is followed by the other.
+def test_a_row_that_came_and_went_is_removed_through_a_chain_of_followers():
+    copies = [table_copy.TableCopy() for _ in range(3)]
+    for each in copies:
+        each.apply_read(read(1), whole=True)
+    copies[2].apply_read(read(2, row("a", 2)), whole=False)
+    copies[0].apply_read(read(3), whole=True)
+    for source, follower in zip(copies, copies[1:], strict=False):
+        whole, rows = source.changes(follower.version)
+        follower.apply_read(read(source.version, *rows), whole)
+    assert copies[2].rows == []
