--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rattanlug.metrics import counters
 from rattanlug.platform import (
     decoding,
     desired_state,
@@ -12,6 +13,7 @@
     response_headers,
     rollout_row,
     upstream_row,
+    upstream_table,
 )
 from rattanlug.tables import store_read, store_row
 from trial.shared_platform import fleet
@@ -312,3 +314,12 @@
         store_read.StoreRead([store_row.StoreRow("config", bad, 2)], 2, 0.0, 0.0)
     )
     assert table.desired.version == 12
+
+
+# Guards against a registration that is taken for an earlier one, since the store came
+# back from a copy and gave out its version again.
+def test_a_version_that_is_given_out_again_is_decoded_again():
+    table = upstream_table.UpstreamTable(counters.Counters())
+    table.decode_all([store_row.StoreRow("u1", b"not a registration", 7)])
+    (record,) = table.decode_all([store_row.StoreRow("u1", encode_row(), 7)])
+    assert record.id == "u1"
