Log what is kept when the era of the store changes

The line had eras and versions only. It is now written after the read is applied, with the rows, upstreams or moves that stay in force although the store lacks them.

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -118,7 +118,8 @@
         node, now = self._node, clock.now()
         changed = None
         if read.era >= node.store_era.current:
-            self._record_era(table, read, now)
+            node.store_era.observe(read.era)
+            before = (node.tables.copy(table).era, node.tables.copy(table).version)
             changed = node.tables.apply_read(table, read, whole, now)
         if changed is None:
             node.counters.add("store_reads_outdated", table=table)
@@ -130,6 +131,8 @@
         self._unapplied.add(table)
         self._apply[table](read, whole)
         self._unapplied.discard(table)
+        if before[1] >= 0 and read.era > before[0]:
+            self._record_era(table, before, read)
         return True
 
     async def _read_store(self, table: str) -> None:
@@ -209,20 +212,33 @@
             )
         return read
 
-    def _record_era(self, table: str, read: store_read.StoreRead, now: float) -> None:
-        """Log and count that a table is read for the first time in an era."""
-        node, copy = self._node, self._node.tables.copy(table)
-        node.store_era.observe(read.era)
-        if copy.version < 0 or read.era <= copy.era:
-            return
+    def _record_era(
+        self, table: str, before: tuple[int, int], read: store_read.StoreRead
+    ) -> None:
+        """Log and count that a table was read for the first time in an era.
+
+        Parameters
+        ----------
+        table : str
+        before : tuple of (int, int)
+            Era and version of the copy before the read.
+        read : store_read.StoreRead
+        """
+        node = self._node
+        kept = {
+            names.OPERATOR_TABLE: node.operators.held,
+            names.UPSTREAM_TABLE: node.registry.missing,
+            record_codec.TABLE: [each.service for each in node.versions.lost],
+        }
         node.counters.add("store_era_changes", table=table)
         state_log.log_change(
             "store_era",
-            copy.era,
+            before[0],
             read.era,
             table=table,
-            old_version=copy.version,
+            old_version=before[1],
             version=read.version,
+            kept=kept[table],
         )
 
     def _record_store_failure(self, table: str, reason: str) -> None:
