Judge early answers at a stop also where the rig was short of a processor

Stalls only lengthen what a caller sees. On 217 s of planned work showed 15 own 504s 0.002 to 0.071 s early in 195 stops, but the run had no verdict.

--- a/soak/tally.py
+++ b/soak/tally.py
@@ -19,6 +19,7 @@
         "once_only_requests_run_once",
         "answers_are_the_caller_s_own",
         "requests_run_at_their_service",
+        "stops_replace_no_answer",
     }
 )
 
--- a/tests/soak/test_verdict.py
+++ b/tests/soak/test_verdict.py
@@ -20,6 +20,8 @@
         ({"service_recovers": ["1 of 9 served"]}, ["run"], "no verdict"),
         ({"every_request_is_answered": ["c1-1"]}, ["run"], "failed"),
         ({"processes_do_not_end_by_themselves": ["vm-1-1"]}, ["run"], "failed"),
+        # A stall makes an answer later, never earlier.
+        ({"stops_replace_no_answer": ["c1-1"]}, ["run"], "failed"),
     ],
 )
 def test_a_short_rig_gives_no_verdict_on_times(broken, short_parts, expected):
