--- a/src/rattanlug/placement/placer.py
+++ b/src/rattanlug/placement/placer.py
@@ -53,14 +53,8 @@
 FULL_RATIO = 3.0
 # With an upstream of at least this value, further data centres aren't considered.
 SUFFICIENT_VALUE = 0.85
-# Below this value, a request is rejected, unless there is room for all.
+# Below this value, a request is rejected instead of sent.
 MIN_VALUE = 0.0
-# There is room for all as long as each upstream of the service has at most this ratio
-# of requests to slots.
-CALM_RATIO = 0.5
-# Below this estimated share of responses without a failure, an upstream isn't expected
-# to finish a request.
-MIN_SUCCESS_SHARE = 0.2
 # Upstreams of another data centre that are considered besides those that may have the
 # object cached; two random ones suffice to find a short queue.
 REMOTE_SAMPLE_SIZE = 2
@@ -226,8 +220,6 @@
         home_of = self._home_selector.homes(request, times, groups, now)
         allowed = self._region_shift.allowed_regions(now)
         best: placement.Placement | None = None
-        # The best one whose cost exceeds its value.
-        costly: placement.Placement | None = None
         # The VM's own data centre comes first: with a good upstream there, the others
         # needn't be considered.
         for data_centre in sorted(groups, key=self._is_remote):
@@ -238,46 +230,14 @@
             )
             if candidate is None:
                 continue
-            is_allowed = allowed(self._region_of.get(data_centre, ""))
-            if candidate.value < MIN_VALUE:
-                if is_allowed and (costly is None or candidate.value > costly.value):
-                    costly = candidate
-                continue
-            if not is_allowed:
+            if not allowed(self._region_of.get(data_centre, "")):
                 candidate = candidate._replace(
                     value=candidate.value - REGION_SHIFT_PENALTY
                 )
             if best is None or candidate.value > best.value:
                 best = candidate
-        if best is None and costly is not None:
-            return self._if_calm(costly, request, groups, now)
         return best
 
-    def _if_calm(
-        self,
-        candidate: placement.Placement,
-        request: placement_request.PlacementRequest,
-        groups: candidate_groups.Groups,
-        now: float,
-    ) -> placement.Placement | None:
-        """Return a placement that costs more than its value, if there is room for all.
-
-        The costs stand for other requests that could have the slot; they are no reason
-        to reject a request while there are none.
-        """
-        load = self.load(candidate.record, now)
-        if candidate.seconds > request.time_left:
-            return None
-        if 1.0 - load.failure_share(now) < MIN_SUCCESS_SHARE:
-            return None
-        for region, record in self._with_regions(groups):
-            busy = self.load(record, now).busy(
-                now, self._startup_load.unreported(region)
-            )
-            if busy > CALM_RATIO * record.slots:
-                return None
-        return candidate
-
     def _with_regions(
         self, groups: candidate_groups.Groups
     ) -> Iterator[tuple[str, upstream_record.UpstreamRecord]]:
@@ -306,7 +266,7 @@
             candidate = self._evaluate(
                 request, times, record, home, len(group), remote_data_centre, now
             )
-            if candidate is None:
+            if candidate is None or candidate.value < MIN_VALUE:
                 continue
             if best is None or candidate.value > best.value:
                 best = candidate
