Use the modules of the interpreter that the launcher runs

Cause: the interpreter looks for its modules from the directory of its program upwards, which is target with the launcher. The build's check compared only sys.version, which comes from the library.

Change: the launcher names the interpreter's own program. The build compares the search path and an extension module with the interpreter's, and makes the link if they differ.

Evidence: test_the_modules_of_its_interpreter_are_used failed with the launcher and passed with the link; both pass now, with the tests of the deploy files and of early signals.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -116,12 +116,12 @@
         except (OSError, subprocess.SubprocessError) as exc:
             print(f"no launcher, the interpreter itself is used: {exc}")
             program.unlink(missing_ok=True)
-            program.symlink_to(pathlib.Path(sys.executable).resolve())
+            program.symlink_to(_interpreter())
         os.replace(program, target)
 
 
 def _compile_launcher(program: pathlib.Path) -> None:
-    """Compile the launcher, and check that it runs Python.
+    """Compile the launcher, and check that it runs Python as the interpreter does.
 
     Raises
     ------
@@ -132,14 +132,32 @@
     if not library.is_file():
         raise FileNotFoundError(f"{library} is no shared library")
     command = [*(sysconfig.get_config_var("CC") or "cc").split(), "-O2"]
-    command += [f'-DPYTHON_LIBRARY="{library}"', str(LAUNCHER), "-ldl"]
-    subprocess.run([*command, "-o", str(program)], check=True, stdin=subprocess.DEVNULL)
-    check = "import sys; sys.exit(sys.version != sys.argv[1])"
-    subprocess.run(
-        [str(program), "-S", "-c", check, sys.version],
+    command += [f'-DPYTHON_LIBRARY="{library}"', f'-DPYTHON_PROGRAM="{_interpreter()}"']
+    command += [str(LAUNCHER), "-ldl", "-o", str(program)]
+    subprocess.run(command, check=True, stdin=subprocess.DEVNULL)
+    if _describe(program) != _describe(_interpreter()):
+        raise subprocess.SubprocessError("it doesn't run as the interpreter does")
+
+
+def _interpreter() -> pathlib.Path:
+    return pathlib.Path(sys.executable).resolve()
+
+
+def _describe(program: pathlib.Path) -> bytes:
+    """Return the version of an interpreter and where its modules are.
+
+    Raises
+    ------
+    OSError, subprocess.SubprocessError
+    """
+    # An extension module that needs other libraries is loaded too.
+    describe = "import ssl, sys; print(sys.version, sys.path, ssl.OPENSSL_VERSION)"
+    return subprocess.run(
+        [str(program), "-S", "-c", describe],
         check=True,
         stdin=subprocess.DEVNULL,
-    )
+        stdout=subprocess.PIPE,
+    ).stdout
 
 
 def make_readable(root: pathlib.Path) -> None:
--- a/deploy/launcher.c
+++ b/deploy/launcher.c
@@ -24,5 +24,7 @@
         fprintf(stderr, "%s\n", dlerror());
         return 1;
     }
+    /* The interpreter looks for its modules from where its program is, upwards. */
+    argv[0] = PYTHON_PROGRAM;
     return run(argc, argv);
 }
--- a/tests/deploy/test_launcher.py
+++ b/tests/deploy/test_launcher.py
@@ -1,5 +1,6 @@
 """Tests of the program that runs the daemon's interpreter."""
 
+import os
 import pathlib
 import shutil
 import signal
@@ -67,6 +68,21 @@
     assert run(checkout, program, "-c", version) == str(sys.version_info[:2])
 
 
+# Guards against a daemon that fails to import modules, or runs those of another
+# version, since a directory above the checkout holds those of another interpreter.
+@pytest.mark.parametrize("has_compiler", [True, False])
+def test_the_modules_of_its_interpreter_are_used(checkout, has_compiler):
+    if not has_compiler:
+        (checkout / "deploy" / "launcher.c").unlink()
+    modules = pathlib.Path(os.__file__).parent
+    other = checkout.parent / "lib" / modules.name
+    other.parent.mkdir()
+    other.symlink_to(modules)
+    command, program = read_deploy_file(checkout)
+    subprocess.run(command, shell=True, cwd=checkout, check=True)
+    assert run(checkout, program, "-c", "import os; print(os.__file__)") == os.__file__
+
+
 # Guards against a daemon that can't be started while its interpreter is replaced.
 def test_the_program_is_replaced_in_one_step(checkout):
     command, program = read_deploy_file(checkout)
