Don't keep the values of rows that were replaced

Cause: remembers the rows that were replaced in the last 60 s, to know them when the store comes back from a copy, with their values.

Change: the hash of the value is kept, which is compared as the value was.

Evidence: the new test failed before. tests/tables, tests/platform and tests/gateway/test_store_return.py pass.

--- a/src/rattanlug/tables/held_rows.py
+++ b/src/rattanlug/tables/held_rows.py
@@ -22,8 +22,9 @@
         self._in_force: dict[str, store_row.StoreRow] = {}
         # Latest era and version of each key in the store.
         self._latest: dict[str, tuple[int, int]] = {}
-        # Version, value and time of the replacement, by key.
-        self._replaced: dict[str, list[tuple[int, bytes, float]]] = {}
+        # Version, hash of the value and time of the replacement, by key. The values
+        # themselves are large, and not counted as memory.
+        self._replaced: dict[str, list[tuple[int, int, float]]] = {}
         # Rows of the store that aren't in force yet, by key.
         self._waiting: dict[str, store_row.StoreRow] = {}
         self._until = 0.0
@@ -83,8 +84,8 @@
         if row.removed:
             return whole
         return any(
-            (version, value) == (row.version, row.value)
-            for version, value, _ in self._replaced.get(row.key, ())
+            (version, hashed) == (row.version, hash(row.value))
+            for version, hashed, _ in self._replaced.get(row.key, ())
         )
 
     def _put_in_force(self, row: store_row.StoreRow, now: float) -> None:
@@ -98,4 +99,4 @@
             for each in self._replaced.get(row.key, ())
             if now - each[2] < REPLACED_SECONDS
         ]
-        self._replaced[row.key] = [*replaced, (before.version, before.value, now)]
+        self._replaced[row.key] = [*replaced, (before.version, hash(before.value), now)]
--- a/tests/tables/test_held_rows.py
+++ b/tests/tables/test_held_rows.py
@@ -1,5 +1,7 @@
 """Tests of the rows that stay in force after a return of the store."""
 
+import tracemalloc
+
 from rattanlug.tables import held_rows, store_read, store_row
 
 END = held_rows.REWRITE_SECONDS
@@ -70,3 +72,21 @@
     assert changed(rows, read(5, at=2.0, era=3)) == []
     assert changed(rows, read(5, at=1.0 + END, era=3), whole=False) == []
     assert changed(rows, read(5, at=2.0 + END, era=3), whole=False) == [("a", True)]
+
+
+# Guards against a daemon that is killed for its memory by operators who change a large
+# row often: replaced rows are remembered, and no budget counts them.
+def test_the_values_of_replaced_rows_are_not_kept():
+    rows = held_rows.HeldRows()
+    size = 65536
+    tracemalloc.start()
+    try:
+        for version in range(100):
+            value = bytes([version]) * size
+            rows.changes(
+                read(version, row("a", version, value), at=0.1 * version), True
+            )
+        used, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert used < 5 * size
