Count answers to followers as memory until they are sent

What an operator would see: a VM that is killed for its memory as programs ask it for its tables and don't read.

Only requests had a limit; answers were outside the budget for what is held of requests and responses, and the last one was kept while its follower was idle.

An answer takes part in that budget until it is sent, and ends its connection if it doesn't fit, so that the follower takes another source.

--- a/src/rattanlug/gateway/table_server.py
+++ b/src/rattanlug/gateway/table_server.py
@@ -2,12 +2,14 @@
 
 import trio
 
-from rattanlug.caller import listener, local_endpoint
+from rattanlug.caller import listener, local_endpoint, memory_reservation
 from rattanlug.daemon import background_tasks, clock, socket_close
+from rattanlug.errors import error
 from rattanlug.gateway import node as node_module
-from rattanlug.peer import error, framing
+from rattanlug.peer import error as peer_error
+from rattanlug.peer import framing
 from rattanlug.settings import address
-from rattanlug.tables import follow_codec
+from rattanlug.tables import follow_codec, follow_messages
 
 # Limits how long a follower that does not read its response can hold memory.
 SEND_TIMEOUT_SECONDS = 2.0
@@ -67,15 +69,10 @@
                 break
             request = follow_codec.decode_request(data)
             await node.tables.wait(request)
-            response = follow_codec.encode_answer(
-                node.tables.answer(request, clock.now())
-            )
-            node.counters.add("table_answers")
-            node.counters.add("table_answer_bytes", len(response))
-            with trio.fail_after(SEND_TIMEOUT_SECONDS):
-                await stream.send_all(framing.frame(response))
+            await _answer(node, stream, request)
     except (
-        error.MalformedMessageError,
+        peer_error.MalformedMessageError,
+        error.RefusedError,
         follow_codec.UnreadableMessageError,
         trio.BrokenResourceError,
         trio.ClosedResourceError,
@@ -87,3 +84,25 @@
         background_tasks.record_failure("table_follower_connection", node.counters)
     finally:
         await socket_close.aclose(stream)
+
+
+async def _answer(
+    node: node_module.Node,
+    stream: trio.SocketStream,
+    request: follow_messages.FollowRequest,
+) -> None:
+    """Send the tables' changes, which count as memory until they are sent.
+
+    Raises
+    ------
+    error.RefusedError
+        The memory for what is held of requests and responses is used up.
+    """
+    with memory_reservation.MemoryReservation(node.memory) as reservation:
+        answer = node.tables.answer(request, clock.now())
+        response = framing.frame(follow_codec.encode_answer(answer))
+        reservation.add(len(response), len(response))
+        node.counters.add("table_answers")
+        node.counters.add("table_answer_bytes", len(response))
+        with trio.fail_after(SEND_TIMEOUT_SECONDS):
+            await stream.send_all(response)
