Take the time of a read before it

The time at which a caller's socket was found empty is a lower bound for the arrival of what comes next. It was taken after the read, so that a process that was interrupted between the two would have counted an arrival too late.

--- a/src/rattanlug/caller/caller_stream.py
+++ b/src/rattanlug/caller/caller_stream.py
@@ -380,6 +380,8 @@
         self._earliest_received_at = self._earliest_next_byte_at
         size = min(max_bytes, _READ_BYTES)
         while True:
+            # Taken before, since this process may be interrupted after it.
+            read_at = clock.now()
             try:
                 data = self._raw.recv(size)
             except BlockingIOError:
@@ -390,7 +392,7 @@
             else:
                 if len(data) < size:
                     # The socket was empty after that.
-                    self._earliest_next_byte_at = clock.now()
+                    self._earliest_next_byte_at = read_at
                 return data
 
     def _record_disconnect(self) -> None:
