--- a/soak/erring_daemon.py
+++ b/soak/erring_daemon.py
@@ -93,10 +93,10 @@
 
     read_when_complete = settings_file.read_when_complete
 
-    def read_late(*arguments: Any) -> Any:
+    def read_late(*arguments: Any, **options: Any) -> Any:
         if claims.claim("slow_start"):
             time.sleep(SLOW_START_SECONDS)
-        return read_when_complete(*arguments)
+        return read_when_complete(*arguments, **options)
 
     settings_file.read_when_complete = read_late
 
