--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -61,6 +61,9 @@
         action="store_true",
         help="play planned work in calm and no faults",
     )
+    parser.add_argument(
+        "--frozen", action="store_true", help="suspend VMs beside planned work"
+    )
     parser.add_argument(
         "--errors",
         default="",
@@ -82,6 +85,8 @@
     options = parser.parse_args()
     if options.planned and not options.site:
         parser.error("planned work is that of a site")
+    if options.frozen and not options.planned:
+        parser.error("VMs are suspended beside planned work")
     verdicts: collections.Counter[str] = collections.Counter()
     tallied: collections.Counter[str] = collections.Counter()
     for seed in range(options.seed, options.seed + options.runs):
@@ -99,6 +104,7 @@
             options.errors,
             options.error_interval,
             options.errors_after,
+            options.frozen,
         )
         try:
             outcome = trio.run(run.execute, run_options)
--- a/soak/run.py
+++ b/soak/run.py
@@ -80,6 +80,8 @@
         Seconds from one error of a kind to the next.
     errors_after : float
         Seconds of planned work or faults without errors on purpose.
+    frozen : bool
+        Whether VMs are suspended beside planned work.
     """
 
     seed: int
@@ -95,6 +97,7 @@
     errors: str = ""
     error_interval: float = 60.0
     errors_after: float = 0.0
+    frozen: bool = False
 
 
 class Outcome(NamedTuple):
@@ -313,6 +316,8 @@
         if "early_answer" in options.errors:
             # Work that lasts until the time is nearly up.
             playable["upstreams_slow"] = site_faults.FAULTS["upstreams_slow"]
+        if options.frozen:
+            playable["vms_frozen"] = full_faults.FAULTS["vms_frozen"]
     elif options.site:
         playable.update(site_faults.FAULTS)
         if sites.SITES[options.site].workers:
--- a/tests/soak/test_errors_on_purpose.py
+++ b/tests/soak/test_errors_on_purpose.py
@@ -48,6 +48,15 @@
     assert "vm killed under it" not in outcome.counts
 
 
+# Guards against cuts and ends around planned work that the freeze of another VM causes.
+def test_freezes_beside_planned_work_excuse_no_other_vm():
+    outcome = _play(OPTIONS._replace(only="frozen,rolled", frozen=True))
+    found = set(errors_on_purpose.GUARANTEES.values()) & outcome.broken.keys()
+    assert not found, outcome
+    names = {each.split()[1] for each in outcome.injected}
+    assert names == {"vms_frozen", "vms_rolled"}
+
+
 def test_an_unknown_error_is_refused(tmp_path):
     with pytest.raises(ValueError, match="unknown errors"):
         errors_on_purpose.ErrorsOnPurpose(tmp_path, "process_ands", 1.0)
