Let the store of the soak come back from copies

What operators and upstreams lost is written again one by one within 1.5 s, but for rows that were written since: an operator wouldn't write an older value again.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,7 +62,9 @@
         help="play planned work in calm and no faults",
     )
     parser.add_argument(
-        "--frozen", action="store_true", help="suspend VMs beside planned work"
+        "--beside",
+        default="",
+        help=f"further impairments: {', '.join(run.BESIDE)}",
     )
     parser.add_argument(
         "--errors",
@@ -85,8 +87,8 @@
     options = parser.parse_args()
     if options.planned and not options.site:
         parser.error("planned work is that of a site")
-    if options.frozen and not options.planned:
-        parser.error("VMs are suspended beside planned work")
+    if unknown := set(filter(None, options.beside.split(","))) - run.BESIDE.keys():
+        parser.error(f"unknown impairments: {', '.join(sorted(unknown))}")
     verdicts: collections.Counter[str] = collections.Counter()
     tallied: collections.Counter[str] = collections.Counter()
     for seed in range(options.seed, options.seed + options.runs):
@@ -104,7 +106,7 @@
             options.errors,
             options.error_interval,
             options.errors_after,
-            options.frozen,
+            options.beside,
         )
         try:
             outcome = trio.run(run.execute, run_options)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -182,6 +182,8 @@
             for index in range(_ORGANISATIONS)
         }
         self.added_routes: list[str] = []
+        # Whether the store is about to come back from a copy.
+        self.store_returns = False
         # Of the desired state; the factor applies to the timeouts of all routes.
         self.idle_timeout_seconds = 15
         self.timeout_factor = 1.0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,11 @@
 _MAX_FAULT_SECONDS = 4.0
 # Callers that connect to one VM at once: more than it serves in a second.
 _BURST_CALLERS = 300
+# Age of the copy from which the store comes back.
+_MAX_COPY_SECONDS = 6.0
+_MAX_AWAY_SECONDS = 1.0
+# Operators and upstreams write again within this time.
+_MAX_REWRITE_SECONDS = 1.5
 # Such a caller disconnects within this time after its request.
 _MAX_CONNECTION_SECONDS = 0.2
 
@@ -191,6 +196,34 @@
     interval[1] = trio.current_time()
 
 
+async def store_returned(
+    deployed: deployment_module.Deployment, rng: random.Random
+) -> None:
+    """Make the store come back from an older copy, sometimes twice.
+
+    Not registered in `FAULTS`: another entry would change the faults that each seed
+    selects.
+    """
+    if deployed.store_returns:
+        return
+    deployed.store_returns = True
+    copy = deployed.store.copy()
+    await trio.sleep(rng.uniform(0.0, _MAX_COPY_SECONDS))
+    for _ in range(rng.choice((1, 1, 2))):
+        interval = deployed.observations.begin_disturbance("store", trio.current_time())
+        deployed.store.go_away()
+        await trio.sleep(rng.uniform(0.0, _MAX_AWAY_SECONDS))
+        lost = deployed.store.come_back(copy)
+        now = trio.current_time()
+        deployed.observations.record_event(now, "store returned", str(len(lost)))
+        rng.shuffle(lost)
+        for each in lost:
+            await trio.sleep(rng.uniform(0.0, _MAX_REWRITE_SECONDS) / len(lost))
+            deployed.store.write_again([each])
+        interval[1] = trio.current_time()
+    deployed.store_returns = False
+
+
 @fault
 async def connections_reset(
     deployed: deployment_module.Deployment, rng: random.Random
--- a/soak/run.py
+++ b/soak/run.py
@@ -48,6 +48,11 @@
 _MIN_USE_SECONDS = 5.0
 # Faults that no site plays: rates far below a site's load would leave little of it.
 _NOT_OF_SITES = frozenset({"rate_lowered"})
+# Impairments that a run has only if it is told to.
+BESIDE: dict[str, faults.Fault] = {
+    "store_returned": faults.store_returned,
+    "vms_frozen": full_faults.vms_frozen,
+}
 
 
 class Options(NamedTuple):
@@ -80,8 +85,8 @@
         Seconds from one error of a kind to the next.
     errors_after : float
         Seconds of planned work or faults without errors on purpose.
-    frozen : bool
-        Whether VMs are suspended beside planned work.
+    beside : str
+        Names of further impairments, separated by commas; see `BESIDE`.
     """
 
     seed: int
@@ -97,7 +102,7 @@
     errors: str = ""
     error_interval: float = 60.0
     errors_after: float = 0.0
-    frozen: bool = False
+    beside: str = ""
 
 
 class Outcome(NamedTuple):
@@ -316,14 +321,14 @@
         if "early_answer" in options.errors:
             # Work that lasts until the time is nearly up.
             playable["upstreams_slow"] = site_faults.FAULTS["upstreams_slow"]
-        if options.frozen:
-            playable["vms_frozen"] = full_faults.FAULTS["vms_frozen"]
     elif options.site:
         playable.update(site_faults.FAULTS)
         if sites.SITES[options.site].workers:
             playable.update(full_faults.FAULTS)
         for each in _NOT_OF_SITES:
             del playable[each]
+    for name in filter(None, options.beside.split(",")):
+        playable[name] = BESIDE[name]
     chosen = options.only.split(",")
     return {
         name: each
--- a/tests/soak/test_errors_on_purpose.py
+++ b/tests/soak/test_errors_on_purpose.py
@@ -50,7 +50,7 @@
 
 # Guards against cuts and ends around planned work that the freeze of another VM causes.
 def test_freezes_beside_planned_work_excuse_no_other_vm():
-    outcome = _play(OPTIONS._replace(only="frozen,rolled", frozen=True))
+    outcome = _play(OPTIONS._replace(only="frozen,rolled", beside="vms_frozen"))
     found = set(errors_on_purpose.GUARANTEES.values()) & outcome.broken.keys()
     assert not found, outcome
     names = {each.split()[1] for each in outcome.injected}
--- a/trial/shared_platform/store.py
+++ b/trial/shared_platform/store.py
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         self._tables: dict[str, dict[str, StoredRow]] = {}
         self._version = 0
+        self._returned_version = 0
         self._change_event = trio.Event()
         self._oldest_version = 0
         # Writes of others than the system, by version.
@@ -104,7 +105,7 @@
             Latest lost write of each row that operators and upstreams wrote since.
         """
         self._tables = {name: dict(rows) for name, rows in earlier.tables.items()}
-        self._version = earlier.version
+        self._version = self._returned_version = earlier.version
         self._oldest_version = min(self._oldest_version, earlier.version)
         self.era = None if self.era is None else self.era + 1
         self._away = False
@@ -116,9 +117,18 @@
         return list({(each.table, each.key): each for _, each in lost}.values())
 
     def write_again(self, lost: list[LostWrite]) -> None:
-        """Apply lost writes, each in a transaction of its own."""
+        """Apply lost writes, each in a transaction of its own.
+
+        Rows that have been written since the return aren't written again.
+        """
+        written = {
+            (each.table, each.key)
+            for version, each in self._foreign_writes
+            if version > self._returned_version
+        }
         for each in lost:
-            self._write_foreign(each)
+            if (each.table, each.key) not in written:
+                self._write_foreign(each)
 
     async def handle(self, request: http_server.Request) -> http_server.Response:
         """Handle one call."""
