Read the store before the time-outs of silent sources add up

What callers would see: requests handled by an older desired state, and sent to upstreams that have drained, by a VM whose own way to the store is sound, when several VMs that it could follow fall silent at once (CONFIG, DRAIN).

Cause: a follower tries up to three VMs one after the other.

A VM asks another source only if its copies stay fresh until that one's time-out, and reads the store otherwise.

--- a/src/rattanlug/gateway/store_reader.py
+++ b/src/rattanlug/gateway/store_reader.py
@@ -255,8 +255,10 @@
             now = clock.now()
             candidates = self._node.follow_candidates(now)
             source = self._source_choice.choose(sorted(candidates), now)
-            if source is None:
+            is_switch = source != self._source
+            if source is None or (is_switch and not self._may_wait_for_source(now)):
                 self._set_source(None)
+            if source is None:
                 await trio.sleep(SOURCE_CHECK_INTERVAL_SECONDS)
                 continue
             try:
@@ -267,9 +269,24 @@
                 self._set_source(None)
                 raise
 
+    def _fresh_seconds(self, now: float) -> float:
+        """Return how long the copies of this VM stay fresh, seconds."""
+        return min(
+            max_age(self._waits[each]) - self._node.tables.copy(each).age(now)
+            for each in _FOLLOWED
+        )
+
+    def _may_wait_for_source(self, now: float) -> bool:
+        """Tell whether the copies stay fresh until a VM that is silent has failed.
+
+        Several VMs may have fallen silent at the same time, for instance those of a
+        data centre. The store must be read before their time-outs have added up.
+        """
+        return self._fresh_seconds(now) >= table_client.RESPONSE_TIMEOUT_SECONDS
+
     async def _follow_once(self, source: str, host: str, now: float) -> None:
         """Request the changes of a VM, and apply its response."""
-        request = self._follow_request(now)
+        request = self._follow_request(source, now)
         try:
             response = await self._client.follow(host, request)
         except table_client.UnreachableError as exc:
@@ -284,7 +301,7 @@
             self._source_choice.record_failure(source, clock.now())
         self._apply_response(response, now)
 
-    def _follow_request(self, now: float) -> follow_messages.FollowRequest:
+    def _follow_request(self, source: str, now: float) -> follow_messages.FollowRequest:
         node = self._node
         tables = list(_FOLLOWED)
         if self._needs_rollout_records:
@@ -296,10 +313,9 @@
         if self._source is None:
             return follow_messages.FollowRequest(versions, 0.0, eras)
         # The response comes before a copy is too old, to change the source in time.
-        fresh_seconds = min(
-            max_age(self._waits[each]) - node.tables.copy(each).age(now)
-            for each in _FOLLOWED
-        )
+        fresh_seconds = self._fresh_seconds(now)
+        if source != self._source:
+            fresh_seconds -= table_client.RESPONSE_TIMEOUT_SECONDS
         wait = FOLLOW_WAIT_FRACTION * self._waits[names.OPERATOR_TABLE]
         return follow_messages.FollowRequest(
             versions, max(0.0, min(wait, fresh_seconds)), eras
--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -7,7 +7,7 @@
 
 from rattanlug.daemon import clock
 from rattanlug.desired import bounds, freshness
-from rattanlug.gateway import store_reader, table_client
+from rattanlug.gateway import store_reader, table_client, table_server
 from rattanlug.platform import names
 from tests.gateway import caller
 from trial.shared_platform import fleet
@@ -18,14 +18,18 @@
 
 
 @contextlib.asynccontextmanager
-async def three_vms(**settings):
+async def some_vms(count, **settings):
     async with fleet.open_fleet() as deployment:
         await deployment.add_upstream("u1")
-        vms = [await deployment.add_vm(**settings) for _ in range(3)]
+        vms = [await deployment.add_vm(**settings) for _ in range(count)]
         await trio.sleep(SETTLE_SECONDS)
         yield deployment, vms
 
 
+def three_vms(**settings):
+    return some_vms(3, **settings)
+
+
 def host(vm):
     return vm.node.settings.host
 
@@ -132,17 +136,26 @@
 
 
 # Guards against changes that followers put in force too late because the VM that they
-# follow has lost the store, as have the other VMs that they could follow.
+# follow has lost the store, or is suspended, as have the others that they could follow.
+@pytest.mark.parametrize("suspended", [False, True])
 @caller.in_trio
-async def test_changes_get_in_force_in_time_if_the_sources_lose_the_store(monkeypatch):
+async def test_changes_get_in_force_in_time_if_all_sources_are_lost(
+    monkeypatch, suspended
+):
     lost = set()
-    apply_read = store_reader.StoreReader.apply_read
+    apply_read, answer = store_reader.StoreReader.apply_read, table_server._answer
 
     def apply_unless_lost(self, table, read, whole):
         return self._node in lost or apply_read(self, table, read, whole)
 
+    async def answer_unless_suspended(node, *arguments):
+        if suspended and node in lost:
+            await trio.sleep_forever()
+        await answer(node, *arguments)
+
     monkeypatch.setattr(store_reader.StoreReader, "apply_read", apply_unless_lost)
-    async with three_vms() as (deployment, vms):
+    monkeypatch.setattr(table_server, "_answer", answer_unless_suspended)
+    async with some_vms(4) as (deployment, vms):
         await deployment.add_upstream("u2")
         # A copy counts as of the sending of a call, so one that ends at once is new.
         version, tables = 4, vms[0].node.tables
@@ -151,8 +164,8 @@
             deployment.store.put("op", "config", new_state(version, "key-5"))
             deployment.register("u2", sequence=version)
             await trio.sleep(0.03)
-        lost.update(each.node for each in vms[:2])
-        last, lost_at = vms[2].node, trio.current_time()
+        lost.update(each.node for each in vms[:-1])
+        last, lost_at = vms[-1].node, trio.current_time()
         version += 1
         deployment.store.put("op", "config", new_state(version, "key-5"))
         deployment.register("u1", state="draining", sequence=2)
