--- a/soak/site_guarantees.py
+++ b/soak/site_guarantees.py
@@ -1,6 +1,7 @@
 """Guarantees of a site's run: no lost request, no flood, starts and memory."""
 
 import bisect
+import collections
 import operator
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
@@ -135,18 +136,19 @@
     """Check that a stopping VM lets upstreams finish and passes their answers on.
 
     An answer of the VM's own before the request's time is up breaks this, if the
-    request ran. A stop is that of the VM: its next process is judged too, until a
-    moment after the grace period. VMs that were killed or suspended shortly before are
-    not judged, nor are runs without a site, whose upstreams don't record what they
-    break off.
+    request ran. A stop is that of the VM: its next process is judged too, whether it is
+    ready or not, until a moment after the grace period. VMs that were killed or
+    suspended shortly before are not judged, nor are runs without a site, whose
+    upstreams don't record what they break off.
     """
     if not observations.site.routes:
         return
     seconds = observations.site.bounds["grace_s"] + _STOP_SECONDS
-    stops = {
-        vm: [*observations.stops[vm], *([at, at + seconds] for at in times)]
-        for vm, times in observations.terminations.items()
-    }
+    stops = collections.defaultdict(list)
+    for vm, intervals in observations.stops.items():
+        stops[vm] += [[begin, min(end, begin + seconds)] for begin, end in intervals]
+    for vm, times in observations.terminations.items():
+        stops[vm] += [[at, at + seconds] for at in times]
     for each in observations.exchanges:
         runs = executions.get(each.request_id, ())
         if each.status is None or each.status < 500 or each.stamp or not runs:
@@ -157,7 +159,7 @@
         if (
             taken < limit - _ROUNDING_SECONDS
             and history.overlap(
-                stops.get(each.vm, observations.stops[each.vm]),
+                stops[each.vm],
                 each.sent_at,
                 each.ended_at,
             )
--- a/tests/soak/test_site_guarantees.py
+++ b/tests/soak/test_site_guarantees.py
@@ -130,6 +130,17 @@
     assert ("stops_replace_no_answer" in violated(observations, RUN)) is broken
 
 
+# The next process is ready late; the rule ends 1 s after the grace period all the same.
+@pytest.mark.parametrize(("sigterm", "broken"), [(93.1, True), (92.9, False)])
+def test_a_stop_is_over_though_the_next_process_is_not_ready(sigterm, broken):
+    observations = site_history()
+    own = CUT._replace(status=504, closed_by_vm=False, limit=1.0, ended_at=100.9)
+    observations.exchanges.append(own)
+    observations.stops["vm-1"].append([sigterm, 105.0])
+    observations.terminations["vm-1"].append(sigterm)
+    assert ("stops_replace_no_answer" in violated(observations, RUN)) is broken
+
+
 # The route has a timeout of 1.2 s, and of 0.96 s by the state with the factor 0.8.
 @pytest.mark.parametrize(
     ("path", "taken", "states", "disturbed", "broken"),
