Take stalls at the end of a soak run off the requests that they delayed

Cause: stalls were attributed to requests when the run's time was over, before the watch had recorded the last one, and requests that ended after that had none. They are attributed once all callers have ended, and processes of callers and of upstreams wait until a last stall is recorded before they report.

--- a/soak/caller_worker.py
+++ b/soak/caller_worker.py
@@ -67,9 +67,10 @@
             faults.play_burst, self.observations, found, key, first, rng
         )
 
-    def collect(self) -> tuple[list, dict, list]:
+    async def collect(self) -> tuple[list, dict, list]:
         """Return exchanges, disconnects and stalls."""
         seen = self.observations
+        await stalls.settle()
         stalls.attribute(seen)
         return seen.exchanges, seen.disconnects, seen.stalls[history.RUN]
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -230,7 +230,7 @@
             await trio.sleep(FAULT_FREE_SECONDS - RECOVERY_SECONDS)
             unexpected = deployed.unexpected_ends()
             use_end = processor_reading.read_parts(pids, trio.current_time())
-            stalls.attribute(observations)
+            await stalls.settle()
             await deployed.collect()
             if caller_workers:
                 await caller_workers.collect()
@@ -239,6 +239,9 @@
             if caller_workers:
                 caller_workers.end()
         nursery.cancel_scope.cancel()
+    # Also to requests that ended while the run did.
+    if not caller_workers:
+        stalls.attribute(observations)
     executions: dict[str, list] = {}
     for each in deployed.executions():
         executions.setdefault(each.request_id, []).append(each)
--- a/soak/stalls.py
+++ b/soak/stalls.py
@@ -25,6 +25,11 @@
             observations.stalls[history.RUN].append((due, now))
 
 
+async def settle() -> None:
+    """Wait until a stall that has just ended is recorded."""
+    await trio.sleep(2.0 * _TICK_SECONDS)
+
+
 def seconds_within(
     stalls: list[tuple[float, float]], begin: float, end: float
 ) -> float:
--- a/soak/upstream_worker.py
+++ b/soak/upstream_worker.py
@@ -61,8 +61,11 @@
         """Reset the connections of an upstream."""
         self._gates[number].reset_connections()
 
-    def collect(self) -> tuple[dict[int, dict[str, Any]], dict[int, list], list]:
+    async def collect(
+        self,
+    ) -> tuple[dict[int, dict[str, Any]], dict[int, list], list]:
         """Return what each upstream and each gate recorded, and the stalls."""
+        await stalls.settle()
         names = ("executions", "arrivals", "broken_off", "refused", "cold_periods")
         records = {
             number: {name: getattr(each, name) for name in names}
--- a/tests/soak/test_stalls.py
+++ b/tests/soak/test_stalls.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from soak import history, stalls
+from soak import deployment, guarantees, history, run, stalls
 
 
 def test_a_stall_is_recorded_from_the_moment_at_which_it_delayed():
@@ -56,3 +56,29 @@
     assert [each.stalled for each in observations.exchanges] == pytest.approx(
         [0.1, 0.0]
     )
+
+
+# Guards against requests that end in the run's last moments, late by a stall of the run
+# that isn't taken off.
+def test_a_stall_at_the_end_of_a_run_is_attributed(monkeypatch):
+    seen = []
+    unexpected_ends, broken = deployment.Deployment.unexpected_ends, guarantees.broken
+
+    def stall(deployed):
+        begin = trio.current_time()
+        time.sleep(0.4)
+        end = trio.current_time()
+        request = ("last", "vm-0", "/view/x", "key-0-a", begin, end)
+        last = history.Exchange(*request, 504, False, "", b"")
+        deployed.observations.exchanges.append(last)
+        return unexpected_ends(deployed)
+
+    def record(observations, executions):
+        seen.extend(observations.exchanges)
+        return broken(observations, executions)
+
+    monkeypatch.setattr(deployment.Deployment, "unexpected_ends", stall)
+    monkeypatch.setattr(guarantees, "broken", record)
+    trio.run(run.execute, run.Options(5, 1.0, 2, 3, only="state_changed"))
+    (last,) = [each for each in seen if each.request_id == "last"]
+    assert 0.3 < last.stalled <= last.ended_at - last.sent_at
