--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -36,6 +36,7 @@
         # Intervals in which connections were not forwarded as usual.
         self.disturbances: list[list[float]] = []
         self._open: set[trio.SocketStream] = set()
+        self._has_ended = False
 
     @property
     def mode(self) -> Mode:
@@ -44,6 +45,8 @@
 
     def set_mode(self, mode: Mode, delay: float = 0.0) -> None:
         """Set the mode; ``delay``, in seconds, is used by `Mode.DELAYED` only."""
+        if self._has_ended:
+            return
         now = trio.current_time()
         if self._mode is not Mode.OPEN:
             self.disturbances[-1][1] = now
@@ -55,6 +58,14 @@
         if mode is Mode.RESET:
             self.reset_connections()
 
+    def end(self) -> None:
+        """Reset all connections from now on, whatever mode is set later.
+
+        What it led to is gone, and another program may get its port.
+        """
+        self.set_mode(Mode.RESET)
+        self._has_ended = True
+
     def reset_connections(self) -> None:
         """Reset all open connections."""
         now = trio.current_time()
--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -308,7 +308,7 @@
     crashed = deployed.upstreams[name]
     if crashed.stand_in.has_crashed:
         return
-    crashed.tcp_proxy.set_mode(proxy.Mode.RESET)
+    crashed.tcp_proxy.end()
     crashed.stand_in.crash()
     await trio.sleep(rng.uniform(0.2, 4.0))
     if deployed.upstreams.get(name) is not crashed or crashed.is_leaving:
--- a/soak/upstream_worker.py
+++ b/soak/upstream_worker.py
@@ -57,6 +57,10 @@
         """Set the mode of an upstream's connections."""
         self._gates[number].set_mode(mode, delay)
 
+    def end_gate(self, number: int) -> None:
+        """Reset the connections of an upstream from now on."""
+        self._gates[number].end()
+
     def reset_connections(self, number: int) -> None:
         """Reset the connections of an upstream."""
         self._gates[number].reset_connections()
@@ -157,6 +161,10 @@
         """Set the mode, see `proxy.Gate.set_mode`."""
         self._stand_in.worker.send("set_mode", self._stand_in.number, mode, delay)
 
+    def end(self) -> None:
+        """Reset all connections from now on, see `proxy.Gate.end`."""
+        self._stand_in.worker.send("end_gate", self._stand_in.number)
+
     def reset_connections(self) -> None:
         """Reset all open connections."""
         self._stand_in.worker.send("reset_connections", self._stand_in.number)
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -1,11 +1,12 @@
 """Tests of injected faults while the deployment changes."""
 
 import random
+import types
 
 import trio
 from trio import testing
 
-from soak import deployment, faults, history, proxy, sites
+from soak import deployment, faults, history, proxy, site_faults, sites
 
 
 class _Proxy:
@@ -38,3 +39,48 @@
         assert vm.store_proxy.mode is proxy.Mode.OPEN
         for _, end in seen.disturbances[history.store_of(vm.name)]:
             assert end < float("inf")
+
+
+class _StandIn:
+    """An upstream whose port another program gets when it has crashed."""
+
+    has_crashed = False
+
+    def crash(self) -> None:
+        self.has_crashed = True
+
+
+async def _serve_other(stream):
+    with trio.move_on_after(1.0):
+        await stream.receive_some(1)
+        await stream.send_all(b"404")
+
+
+# Guards against answers of another program, such as a store, in the place of those of a
+# crashed upstream, whose way a later fault has opened again.
+def test_no_fault_opens_the_way_to_a_crashed_upstream():
+    async def play():
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, _serve_other, listeners)
+            tcp_proxy = proxy.Proxy(listeners[0].socket.getsockname()[1])
+            await nursery.start(tcp_proxy.run)
+            crashed = deployment.ProxiedUpstream(_StandIn(), tcp_proxy, "s", "north-a")
+            deployed = types.SimpleNamespace(upstreams={"u4": crashed})
+            crashed.is_leaving = True
+            async with trio.open_nursery() as played:
+                played.start_soon(
+                    site_faults.upstream_crashes, deployed, random.Random(1)
+                )
+                await trio.sleep(0.1)
+                played.start_soon(faults.upstream_disturbed, deployed, random.Random(1))
+            stream = await trio.open_tcp_stream(tcp_proxy.host, tcp_proxy.port)
+            try:
+                await stream.send_all(b"G")
+                return await stream.receive_some(3)
+            except trio.BrokenResourceError:
+                return b""
+            finally:
+                nursery.cancel_scope.cancel()
+
+    assert trio.run(play, clock=testing.MockClock(rate=20.0)) == b""
