Show private memory, reserved memory and what the collector frees

Neither logs nor metrics told memory that bodies of ended requests hold from memory that is counted and in use.

--- a/src/rattanlug/gateway/endpoints.py
+++ b/src/rattanlug/gateway/endpoints.py
@@ -9,7 +9,7 @@
 from rattanlug.errors import error, kind
 from rattanlug.fleet import vm_selection
 from rattanlug.gateway import node as node_module
-from rattanlug.metrics import exposition
+from rattanlug.metrics import exposition, process_memory
 from rattanlug.platform import lookup_codec, names
 
 # Short, so that callers soon stop using a VM that shuts down, and long enough that the
@@ -87,6 +87,8 @@
             "upstreams": float(node.registry.size),
             "event_loop_busy_share": node.utilisation.busy_share,
             "live_vms": float(len(node.live_vms(now))),
+            "memory_reserved_bytes": float(node.memory.reserved),
+            "memory_private_bytes": float(process_memory.private_bytes()),
         }
         return reply.from_text(
             exposition.render(node.counters, node.histograms, gauges)
--- a/src/rattanlug/gateway/run.py
+++ b/src/rattanlug/gateway/run.py
@@ -29,6 +29,7 @@
     node as node_module,
 )
 from rattanlug.logs import state_log
+from rattanlug.metrics import garbage
 from rattanlug.platform import boot_settings
 from rattanlug.settings import address, gateway_settings
 
@@ -124,6 +125,7 @@
         async with trio.open_nursery() as nursery:
             # Until now, SIGHUP was ignored.
             daemon = GatewayDaemon(_read_again(settings, settings_path))
+            garbage.GarbageCounter(daemon.node.counters).start()
             stop_times = _record_stop_signals(daemon.node)
             # A process inherits the signals that its parent blocks.
             signal.pthread_sigmask(signal.SIG_UNBLOCK, handled)
--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -152,19 +152,19 @@
                 later_deadline,
             )
         except httpcore.TimeoutException as exc:
-            await self._close(connection)
+            await self._abandon(connection)
             raise error.UpstreamError(
                 kind.ErrorKind.DEADLINE_EXCEEDED, "the upstream did not answer in time"
             ) from exc
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
-            await self._close(connection)
+            await self._abandon(connection)
             raise error.UpstreamError(
                 kind.ErrorKind.ANSWER_BROKEN,
                 "the connection broke before the complete response arrived",
                 executed.Executed.UNKNOWN,
             ) from exc
         except BaseException:
-            await self._close(connection)
+            await self._abandon(connection)
             raise
         if not end_reason:
             self._release(host, port, connection)
@@ -252,6 +252,11 @@
             stream, origin, self._clock(), self._memory
         )
 
+    async def _abandon(self, connection: pooled_connection.PooledConnection) -> None:
+        """Close a connection whose response was not received in full."""
+        self._counters.add("abandoned_response_bytes", connection.received)
+        await self._close(connection)
+
     async def _close(self, connection: pooled_connection.PooledConnection) -> None:
         with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0):
             await connection.aclose()
--- a/src/rattanlug/upstream/pooled_connection.py
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -44,6 +44,11 @@
         self._idle_since = now
         self._identifiers: set[bytes] = set()
 
+    @property
+    def received(self) -> int:
+        """Number of bytes received for the current request."""
+        return self._stream.received
+
     def has_carried(self, identifier: bytes) -> bool:
         """Tell whether a request with this identifier was sent on the connection.
 
