Reproduce responses without end: memory over the limit, a loop that stands still

The forms that the users list, behind 200 and 500, as fast as an upstream can, from one of six and from all, to a daemon in a process of its own with callers on kept connections: as cases (python -m trial.cases long_endless_FORM_from_one or _all) and, shorter, as tests. The other tests run in process and look for errors with tracebacks that stay after their requests, while the collector of cycles rests.

--- a/trial/cases/lab.py
+++ b/trial/cases/lab.py
@@ -3,11 +3,13 @@
 import contextlib
 import functools
 import json
+import operator
 import os
 import pathlib
 import random
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import sysconfig
@@ -27,6 +29,7 @@
 # By RULES.md, a request that is not passed on may be closed within this time.
 SLACK_SECONDS = 0.2
 _NETWORKS = 40 * 256
+_TCP_SOCKETS = pathlib.Path("/proc/net/tcp")
 _TAIL_CHARACTERS = 1500
 _FAILED_CONNECTION = "connection of a caller failed"
 
@@ -70,10 +73,27 @@
 
     def memory_mb(self) -> float:
         """Return the largest resident size so far, MB; 0 if the process has ended."""
+        return self._status_mb("VmHWM")
+
+    def private_mb(self) -> float:
+        """Return the private memory as of now, MB; 0 if the process has ended."""
+        return self._status_mb("RssAnon")
+
+    def unread_mb(self) -> float:
+        """Return the bytes that were received and not read, MB."""
+        address = int.from_bytes(socket.inet_aton(self.host), sys.byteorder)
+        total = 0
+        for line in _TCP_SOCKETS.read_text().splitlines()[1:]:
+            local, queues = operator.itemgetter(1, 4)(line.split())
+            if int(local.partition(":")[0], 16) == address:
+                total += int(queues.partition(":")[2], 16)
+        return total / (1 << 20)
+
+    def _status_mb(self, field: str) -> float:
         with contextlib.suppress(OSError):
             text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
             for line in text.splitlines():
-                if line.startswith("VmHWM"):
+                if line.startswith(field):
                     return int(line.split()[1]) / 1024.0
         return 0.0
 
--- a/trial/cases/plays/__init__.py
+++ b/trial/cases/plays/__init__.py
@@ -1,6 +1,7 @@
 """All cases; importing this package registers them."""
 
 from trial.cases.plays import callers as callers
+from trial.cases.plays import endless as endless
 from trial.cases.plays import fuzz as fuzz
 from trial.cases.plays import late_answers as late_answers
 from trial.cases.plays import orders as orders
