Keep no error with its frames beyond the attempt that failed

Cause: a handler that keeps an error in a local variable, to raise it after a further attempt, is in the traceback of that error. The two form a reference cycle, and with them the frame of _read_body with all that was received. The budget had released those bytes; the process held them until the next run of the collector over the oldest generation. An ambiguous 503 was raised from a variable and held its response in the same way.

Now Failure keeps the content of an error and has no traceback; errors are made anew from it. ReceivedBody holds a body in one buffer and frees it at the moment at which the budget releases it, whoever still refers to it, and the generator of the HTTP library is closed.

--- a/src/rattanlug/gateway/request_handler.py
+++ b/src/rattanlug/gateway/request_handler.py
@@ -4,7 +4,7 @@
 
 from rattanlug.caller import reply, request, request_head
 from rattanlug.daemon import clock
-from rattanlug.errors import error, executed, kind
+from rattanlug.errors import error, executed, failure, kind
 from rattanlug.gateway import (
     admission,
     admitted_request,
@@ -114,7 +114,7 @@
         excluded: set[str] = set()
         # Attempts that reached an upstream, and attempts that did not.
         sends, unreachable = 0, 0
-        failure: error.RattanlugError | None = None
+        failed: failure.Failure | None = None
         while True:
             now = clock.now()
             chosen = self._choose(admitted, frozenset(excluded), now)
@@ -127,14 +127,14 @@
             try:
                 return await self._sender.send(admitted, chosen)
             except error.RefusedError as exc:
-                failure = _least_certain(failure, exc)
+                failed = _least_certain(failed, failure.of(exc))
                 break
             except error.UpstreamError as exc:
                 excluded.add(chosen.record.id)
                 reached = exc.kind is not kind.ErrorKind.UPSTREAM_FAILED
                 sends += reached
                 unreachable += not reached
-                failure = _least_certain(failure, exc)
+                failed = _least_certain(failed, failure.of(exc))
                 may_retry = retry_policy.may_retry(
                     admitted.route.idempotent,
                     exc.response.executed,
@@ -146,22 +146,19 @@
                     break
                 if not may_retry or unreachable > admitted.route.max_attempts:
                     break
-        raise self._final_error(admitted, failure)
+        raise self._final_error(admitted, failed)
 
     def _final_error(
         self,
         admitted: admitted_request.AdmittedRequest,
-        failure: error.RattanlugError | None,
+        failed: failure.Failure | None,
     ) -> error.RattanlugError:
-        if (
-            failure is not None
-            and failure.response.executed is not executed.Executed.NO
-        ):
-            return failure
+        if failed is not None and failed.executed is not executed.Executed.NO:
+            return failed.to_error()
         if admitted.owner is not None:
             self._node.limiters.refund(admitted.owner.name, clock.now())
-        if isinstance(failure, error.RefusedError):
-            return failure
+        if failed is not None and issubclass(failed.error_type, error.RefusedError):
+            return failed.to_error()
         return rejections.rejection(
             kind.ErrorKind.NO_CAPACITY,
             "no upstream is available to respond in time",
@@ -199,9 +196,9 @@
 
 
 def _least_certain(
-    earlier: error.RattanlugError | None, later: error.RattanlugError
-) -> error.RattanlugError:
+    earlier: failure.Failure | None, later: failure.Failure
+) -> failure.Failure:
     """Return the earlier failure if the request may have run, otherwise the later."""
-    if earlier is not None and earlier.response.executed is not executed.Executed.NO:
+    if earlier is not None and earlier.executed is not executed.Executed.NO:
         return earlier
     return later
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -6,7 +6,7 @@
 from rattanlug.daemon import clock
 from rattanlug.desired import route
 from rattanlug.discovery import upstream_record
-from rattanlug.errors import error, executed, kind
+from rattanlug.errors import error, executed, failure, kind
 from rattanlug.gateway import (
     admitted_request,
     broken_off,
@@ -82,13 +82,13 @@
             raise
         except error.UpstreamError as exc:
             now = clock.now()
-            self._record_failure(admitted, record, exc, now)
+            self._record_failure(admitted, record, failure.of(exc), now)
             raise
         except error.RefusedError as exc:
             if exc.response.executed is not executed.Executed.NO:
                 # The caller stopped inside its body, which is no failure of the
                 # upstream.
-                self._log_failure(admitted, record, exc, clock.now())
+                self._log_failure(admitted, record, failure.of(exc), clock.now())
             raise
         finally:
             load.end(token)
@@ -124,13 +124,14 @@
         if headers.ambiguous or (
             headers.has_not_executed_status and not admitted.route.idempotent
         ):
-            exc = error.UpstreamError(
+            failed = failure.Failure(
+                error.UpstreamError,
                 kind.ErrorKind.ANSWER_BROKEN,
                 "the upstream does not state whether it executed the request",
                 executed.Executed.UNKNOWN,
             )
-            self._record_failure(admitted, record, exc, now)
-            raise exc
+            self._record_failure(admitted, record, failed, now)
+            raise failed.to_error()
         self._record_response(
             admitted, chosen, upstream_response, now - started_at, busy, now
         )
@@ -255,40 +256,40 @@
         self,
         admitted: admitted_request.AdmittedRequest,
         record: upstream_record.UpstreamRecord,
-        exc: error.UpstreamError,
+        failed: failure.Failure,
         now: float,
     ) -> None:
         node = self._node
         load = node.placer.load(record, now)
-        if exc.kind is kind.ErrorKind.UPSTREAM_FAILED:
+        if failed.kind is kind.ErrorKind.UPSTREAM_FAILED:
             load.note_unreachable(now)
         else:
             load.note_outcome(True, now)
             self._count_outcome(admitted, record, True, now)
-        if exc.kind is kind.ErrorKind.DEADLINE_EXCEEDED:
+        if failed.kind is kind.ErrorKind.DEADLINE_EXCEEDED:
             load.note_slowdown(
                 (now - admitted.arrived_at) / self.route_times(admitted.route).cold, now
             )
-        self._log_failure(admitted, record, exc, now)
+        self._log_failure(admitted, record, failed, now)
 
     def _log_failure(
         self,
         admitted: admitted_request.AdmittedRequest,
         record: upstream_record.UpstreamRecord,
-        exc: error.RattanlugError,
+        failed: failure.Failure,
         now: float,
     ) -> None:
         """Count and log a send after which the request may have run."""
         node = self._node
-        node.counters.add("sends_failed", kind=exc.kind.value)
+        node.counters.add("sends_failed", kind=failed.kind.value)
         node.log.write(
             "send failed",
             now,
             id=admitted.headers.request_id,
             upstream=record.id,
             data_centre=record.data_centre,
-            kind=exc.kind.value,
-            ran=exc.response.executed.value,
+            kind=failed.kind.value,
+            ran=failed.executed.value,
             failures=round(node.placer.load(record, now).failure_share(now), 2),
             **broken_off.fields(node, admitted, now),
         )
--- a/src/rattanlug/upstream/pooled_connection.py
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -1,5 +1,6 @@
 """A reusable connection to an upstream."""
 
+import contextlib
 from collections.abc import Callable
 
 import httpcore
@@ -8,6 +9,7 @@
 from rattanlug.upstream import (
     chunked,
     memory_budget,
+    received_body,
     response,
     response_stream,
     upstream_socket,
@@ -146,21 +148,17 @@
         await self._stream.aclose()
 
     async def _read_body(self, http_response: httpcore.Response) -> bytes:
-        chunks, size = [], 0
-        try:
-            async for chunk in http_response.aiter_stream():
-                size += len(chunk)
-                may_keep = self._memory.reserve(len(chunk), size)
-                if not may_keep or size > _MAX_RESPONSE_BYTES:
-                    raise error.UpstreamError(
-                        kind.ErrorKind.ANSWER_TOO_LARGE,
-                        "the response is larger than the limit or the free memory",
-                    )
-                chunks.append(chunk)
-            await http_response.aclose()
-            return b"".join(chunks)
-        finally:
-            self._memory.release(size)
+        chunks = http_response.aiter_stream()
+        async with contextlib.aclosing(chunks):
+            with received_body.ReceivedBody(self._memory) as body:
+                async for chunk in chunks:
+                    if not body.add(chunk) or body.size > _MAX_RESPONSE_BYTES:
+                        raise error.UpstreamError(
+                            kind.ErrorKind.ANSWER_TOO_LARGE,
+                            "the response is larger than the limit or the free memory",
+                        )
+                await http_response.aclose()
+                return body.content()
 
 
 def _broken(detail: str) -> error.UpstreamError:
