Merge small chunks of responses before the HTTP library reads them

Cause: the HTTP library makes an event of each chunk; 64 KiB in chunks of one byte are 10,900 events, handled without a checkpoint in between, and each of many connections does that in the same iteration of the loop. The budget counts the bytes, not their cost.

Where the body ends is known from the merger, so nothing is kept to find it any more, and connections of larger chunked bodies can be reused.

--- a/src/rattanlug/upstream/pooled_connection.py
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -7,7 +7,6 @@
 
 from rattanlug.errors import error, executed, kind
 from rattanlug.upstream import (
-    chunked,
     memory_budget,
     received_body,
     response,
@@ -120,7 +119,9 @@
         httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException
         """
         self._identifiers.add(identifier)
-        self._stream.begin_request(identifier, deadline, check_send, later_deadline)
+        self._stream.begin_request(
+            identifier, deadline, check_send, later_deadline, request.method != b"HEAD"
+        )
         http_response = await self._http.handle_async_request(request)
         headers = [(name.lower(), value) for name, value in http_response.headers]
         head = response.Response(http_response.status, headers, b"")
@@ -139,9 +140,11 @@
             return "no identifier"
         if len(self._identifiers) >= MAX_REQUESTS:
             return "requests"
-        if head.header(b"content-length") is None:
-            size = chunked.body_length(self._stream.body) or 0
-        return "extra bytes" if self._stream.body_bytes > size else ""
+        if self._stream.chunks is not None:
+            has_extra_bytes = not self._stream.chunks.has_clean_end
+        else:
+            has_extra_bytes = self._stream.body_bytes > size
+        return "extra bytes" if has_extra_bytes else ""
 
     async def aclose(self) -> None:
         """Close the connection."""
--- a/src/rattanlug/upstream/response_head.py
+++ b/src/rattanlug/upstream/response_head.py
@@ -30,11 +30,14 @@
     identifier : bytes or None
     body_length : int or None
         Bytes, unless the request was a HEAD; None if the head does not state it.
+    is_chunked : bool
+        Whether a body follows in chunks, unless the request was a HEAD.
     """
 
     is_interim: bool
     identifier: bytes | None
     body_length: int | None
+    is_chunked: bool = False
 
 
 def check_line_ends(data: bytes | bytearray) -> None:
@@ -94,9 +97,12 @@
     has_length = length is not None and length.isdigit() and not has_coding
     body_length = int(length) if has_length else None
     status = head[_STATUS_AT:_STATUS_END]
+    is_interim = status[:1] == _INFORMATIONAL
     if status in _EMPTY_STATUSES:
         body_length = 0
-    return ResponseHead(status[:1] == _INFORMATIONAL, identifier, body_length)
+    # The HTTP library rejects any other coding.
+    is_chunked = has_coding and not is_interim and status not in _EMPTY_STATUSES
+    return ResponseHead(is_interim, identifier, body_length, is_chunked)
 
 
 @functools.cache
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -5,7 +5,7 @@
 import httpcore
 
 from rattanlug.daemon import socket_close
-from rattanlug.upstream import response_head, upstream_socket
+from rattanlug.upstream import chunked, response_head, upstream_socket
 
 _HEAD_END = b"\r\n\r\n"
 # Every HTTP/1 response begins with these bytes.
@@ -14,9 +14,11 @@
 MAX_HEAD_BYTES = 64 * 1024
 # Limit for responses to earlier requests that are dropped before the current one.
 MAX_DROPPED_BYTES = 4 << 20
-# Bodies are kept up to this size, to find the end of a chunked body. The connection of
-# a larger chunked body isn't reused.
-MAX_KEPT_BODY_BYTES = 64 * 1024
+# A chunk that is larger is not accepted.
+MAX_CHUNK_BYTES = 64 << 20
+# Heads and chunked bodies, which cost more time for each byte, are read in parts of
+# this size.
+_READ_BYTES = 16 * 1024
 
 
 class ResponseStream(httpcore.AsyncNetworkStream):
@@ -50,7 +52,8 @@
         self._head_bytes = 0
         self._dropped_bytes = 0
         self._body_bytes = 0
-        self._body = bytearray()
+        self._has_body = True
+        self._merger: chunked.ChunkMerger | None = None
         self._dropped = 0
         self._received = 0
         self._check_send: Callable[[], None] | None = None
@@ -61,9 +64,9 @@
         return self._body_bytes
 
     @property
-    def body(self) -> bytes:
-        """First bytes received after the head of the response."""
-        return bytes(self._body)
+    def chunks(self) -> chunked.ChunkMerger | None:
+        """The chunks of the response; None if its body is not chunked."""
+        return self._merger
 
     @property
     def received(self) -> int:
@@ -81,6 +84,7 @@
         deadline: float,
         check_send: Callable[[], None],
         later_deadline: upstream_socket.LaterDeadline | None = None,
+        has_body: bool = True,
     ) -> None:
         """Begin a request; from now on only its response is passed on.
 
@@ -93,6 +97,8 @@
             Called right before the first byte is sent; it may raise to send nothing.
         later_deadline : callable, optional
             Returns the deadline as of now, which may be later than the first one.
+        has_body : bool
+            Whether the response may have a body, as that to a HEAD has not.
         """
         self._inner.set_deadline(deadline, later_deadline)
         self._expected = identifier
@@ -103,14 +109,15 @@
         self._bytes_to_drop = 0
         self._head_bytes = self._dropped_bytes = 0
         self._body_bytes = 0
-        self._body.clear()
+        self._has_body = has_body
+        self._merger = None
         self._received = 0
 
     def end_request(self) -> None:
         """End the current request; nothing is kept of it while the stream is idle."""
         self._inner.set_deadline(0.0)
         self._check_send = None
-        self._body.clear()
+        self._merger = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read bytes of the current response; empty at the end of the connection.
@@ -121,6 +128,8 @@
             The received bytes are not an HTTP response, or too many of them precede
             the response to the current request.
         """
+        if self._in_head or self._merger is not None:
+            max_bytes = min(max_bytes, _READ_BYTES)
         while True:
             data = await self._inner.read(max_bytes)
             self._received += len(data)
@@ -151,8 +160,7 @@
 
     def _filter(self, data: bytes) -> bytes:
         if not self._in_head:
-            self._record_body(data)
-            return data
+            return self._filter_body(data)
         self._head += data
         passed_on = b""
         while self._in_head:
@@ -174,10 +182,11 @@
                 continue
             passed_on += head
             self._in_head = parsed.is_interim
+            if parsed.is_chunked and self._has_body:
+                self._merger = chunked.ChunkMerger(MAX_CHUNK_BYTES)
         rest = bytes(self._head)
         self._head.clear()
-        self._record_body(rest)
-        return passed_on + rest
+        return passed_on + self._filter_body(rest)
 
     def _drop_other_responses(self) -> None:
         count = min(self._bytes_to_drop, len(self._head))
@@ -200,10 +209,9 @@
                 "the heads of the responses are too large"
             )
 
-    def _record_body(self, data: bytes) -> None:
+    def _filter_body(self, data: bytes) -> bytes:
         self._body_bytes += len(data)
-        if self._body_bytes <= MAX_KEPT_BODY_BYTES:
-            self._body += data
+        return data if self._merger is None else self._merger.feed(data)
 
     def _other_body_length(self, head: response_head.ResponseHead) -> int | None:
         """Return the body length of a response to another request, else None.
--- a/tests/upstream/test_response_head.py
+++ b/tests/upstream/test_response_head.py
@@ -15,13 +15,16 @@
 @pytest.mark.parametrize(
     ("head", "found"),
     [
-        (OWN, (False, b"mine", 2)),
-        (OWN.replace(b": ", b":").upper(), (False, b"MINE", 2)),
-        (OWN.replace(b"mine", b"\t mine \t"), (False, b"mine", 2)),
-        (b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", (True, None, None)),
-        (b"HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n", (False, None, None)),
-        (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", (False, None, None)),
-        (b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n\r\n", (False, None, None)),
+        (OWN, (False, b"mine", 2, False)),
+        (OWN.replace(b": ", b":").upper(), (False, b"MINE", 2, False)),
+        (OWN.replace(b"mine", b"\t mine \t"), (False, b"mine", 2, False)),
+        (b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", (True, None, None, False)),
+        (
+            b"HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n",
+            (False, None, None, True),
+        ),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", (False, None, None, False)),
+        (b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n\r\n", (False, None, None, False)),
     ],
 )
 def test_a_head_tells_responses_apart(head, found):
