Reject a response that states a length which may never be kept

With a huge told length, the form of the users' report, each response was read until the budget for all bodies was used up, and bodies of sound upstreams were refused with it.

Its head tells that it can't end well, so it is rejected there: above 64 MiB, or above what the VM keeps of all bodies. HEAD, 204 and 304, which have no body, may state any.

--- a/src/rattanlug/upstream/memory_budget.py
+++ b/src/rattanlug/upstream/memory_budget.py
@@ -34,6 +34,11 @@
         """Number of bytes of unfinished bodies."""
         return self._reserved
 
+    @property
+    def largest_body(self) -> int:
+        """Size of the largest body that may be kept while nothing else is."""
+        return max(self._limit, min(SMALL_BODY_BYTES, self._max_limit))
+
     def reserve(self, size: int, body_bytes: int, of_request: bool = False) -> bool:
         """Count received bytes of a body; return whether they may be kept.
 
--- a/src/rattanlug/upstream/pooled_connection.py
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -15,6 +15,8 @@
 )
 
 _MAX_RESPONSE_BYTES = 64 << 20
+# Their responses have no body, whatever length they state.
+_EMPTY_STATUSES = frozenset({204, 304})
 # Bounds the memory for identifiers, with a new connection for one in 1024 requests.
 MAX_REQUESTS = 1024
 
@@ -128,6 +130,8 @@
         returned = head.header(identifier_header)
         if returned is not None and returned != identifier:
             raise _broken("the response belongs to another request")
+        if request.method != b"HEAD":
+            self._check_length(head)
         body = await self._read_body(http_response)
         reason = self._end_reason(head, len(body), identifier)
         return head._replace(body=body), reason
@@ -146,6 +150,14 @@
             has_extra_bytes = self._stream.body_bytes > size
         return "extra bytes" if has_extra_bytes else ""
 
+    def _check_length(self, head: response.Response) -> None:
+        """Reject a response that states a length that may never be kept."""
+        length = head.header(b"content-length")
+        if length is None or head.status in _EMPTY_STATUSES:
+            return
+        if int(length) > min(_MAX_RESPONSE_BYTES, self._memory.largest_body):
+            raise _too_large("the response states a length above the limit")
+
     async def aclose(self) -> None:
         """Close the connection."""
         await self._stream.aclose()
@@ -156,14 +168,17 @@
             with received_body.ReceivedBody(self._memory) as body:
                 async for chunk in chunks:
                     if not body.add(chunk) or body.size > _MAX_RESPONSE_BYTES:
-                        raise error.UpstreamError(
-                            kind.ErrorKind.ANSWER_TOO_LARGE,
-                            "the response is larger than the limit or the free memory",
+                        raise _too_large(
+                            "the response is larger than the limit or the free memory"
                         )
                 await http_response.aclose()
                 return body.content()
 
 
+def _too_large(detail: str) -> error.UpstreamError:
+    return error.UpstreamError(kind.ErrorKind.ANSWER_TOO_LARGE, detail)
+
+
 def _broken(detail: str) -> error.UpstreamError:
     return error.UpstreamError(
         kind.ErrorKind.ANSWER_BROKEN, detail, executed.Executed.UNKNOWN
--- a/tests/upstream/test_endless_responses.py
+++ b/tests/upstream/test_endless_responses.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from rattanlug.errors import error
+from rattanlug.errors import error, kind
 from rattanlug.metrics import counters
 from rattanlug.upstream import connection_pools, memory_budget, response_stream
 
@@ -55,7 +55,11 @@
         try:
             await stream.receive_some(65536)
             await stream.send_all(first)
-            block = rest * (65536 // len(rest) + 1)
+            block = rest * (65536 // len(rest) + 1) if rest else b""
+            if not block:
+                await stream.receive_some(1)
+                sent.append(0)
+                return
             while True:
                 await stream.send_all(block)
                 sent.append(len(block))
@@ -63,12 +67,12 @@
             sent.append(0)
 
 
-def build_request(port):
+def build_request(port, method="GET"):
     url = httpcore.URL(scheme=b"http", host=HOST.encode(), port=port, target=b"/")
-    return httpcore.Request("GET", url, headers=[(b"host", b"u"), (ID, b"mine")])
+    return httpcore.Request(method, url, headers=[(b"host", b"u"), (ID, b"mine")])
 
 
-def exchange(first, rest, count=1):
+def exchange(first, rest, count=1, method="GET"):
     """Return the results of concurrent requests and the number of bytes sent."""
 
     async def main():
@@ -90,7 +94,7 @@
                         await pools.send(
                             HOST,
                             port,
-                            functools.partial(build_request, port),
+                            functools.partial(build_request, port, method),
                             b"mine",
                             1.0,
                             trio.current_time() + _TIMEOUT_SECONDS,
@@ -169,3 +173,30 @@
 def test_a_length_of_thousands_of_digits_is_a_failure_of_the_upstream(head):
     results, _ = exchange(head + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n", b"x")
     assert [isinstance(each, error.UpstreamError) for each in results] == [True]
+
+
+# Guards against a body that can never end well and that takes the memory of others
+# until the budget is used up.
+@pytest.mark.parametrize("length", [int(MEMORY) + 1, 10**12, 10**18 - 1])
+@pytest.mark.parametrize("status", [b"200 OK", b"500 X"])
+def test_a_length_that_may_never_be_kept_is_rejected_at_the_head(status, length):
+    head = OWN.replace(b"200 OK", status) + b"Content-Length: %d\r\n\r\n" % length
+    results, sent = exchange(head, b"x")
+    assert [each.kind for each in results] == [kind.ErrorKind.ANSWER_TOO_LARGE]
+    # Those that the kernel takes before the connection is closed.
+    assert sent <= BUFFERED
+
+
+def test_the_largest_length_that_may_be_kept_is_not_rejected_at_the_head():
+    head = OWN + b"Content-Length: %d\r\n\r\n" % int(MEMORY)
+    results, _ = exchange(head, b"x")
+    assert [len(each.answer.body) for each in results] == [int(MEMORY)]
+
+
+@pytest.mark.parametrize(
+    "method, status", [("HEAD", b"200"), ("GET", b"204"), ("GET", b"304")]
+)
+def test_the_length_of_a_body_that_is_not_sent_may_be_any(method, status):
+    head = OWN.replace(b"200", status) + b"Content-Length: 1000000000000\r\n\r\n"
+    results, _ = exchange(head, b"", method=method)
+    assert [each.answer.body for each in results] == [b""]
