Read large responses in turns with other work

When many upstreams send as fast as they can, each of their connections had a part to read in every iteration of the event loop: 120 of them, at 2 to 10 ms each, hold up readiness checks, new requests and digests by as much together.

--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -60,6 +60,8 @@
     all_counters : counters.Counters
     memory : memory_budget.MemoryBudget
         Limits the bodies of all responses together.
+    take_turn : callable, optional
+        Waits until a part of a large response may be read.
     """
 
     def __init__(
@@ -69,12 +71,14 @@
         clock: Callable[[], float],
         all_counters: counters.Counters,
         memory: memory_budget.MemoryBudget,
+        take_turn: response_stream.TakeTurn = trio.lowlevel.checkpoint,
     ) -> None:
         self._local_host = local_host
         self._identifier_header = identifier_header
         self._clock = clock
         self._counters = all_counters
         self._memory = memory
+        self._take_turn = take_turn
         self._idle: dict[tuple[str, int], list[pooled_connection.PooledConnection]] = {}
         self._idle_seconds: dict[tuple[str, int], float] = {}
 
@@ -246,7 +250,7 @@
         origin = httpcore.Origin(b"http", host.encode(), port)
         connected_socket = upstream_socket.UpstreamSocket(raw, self._clock)
         stream = response_stream.ResponseStream(
-            connected_socket, self._identifier_header
+            connected_socket, self._identifier_header, self._take_turn
         )
         return pooled_connection.PooledConnection(
             stream, origin, self._clock(), self._memory
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -1,8 +1,9 @@
 """Network stream that passes on only the response to the current request."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import httpcore
+import trio
 
 from rattanlug.daemon import socket_close
 from rattanlug.upstream import chunked, response_head, upstream_socket
@@ -19,6 +20,11 @@
 # Heads and chunked bodies, which cost more time for each byte, are read in parts of
 # this size.
 _READ_BYTES = 16 * 1024
+# Further bytes of a response are read in turns with other work.
+_UNPACED_BYTES = 16 * 1024
+
+# Waits until a part of a large response may be read.
+TakeTurn = Callable[[], Awaitable[None]]
 
 
 class ResponseStream(httpcore.AsyncNetworkStream):
@@ -36,12 +42,17 @@
     inner : upstream_socket.UpstreamSocket
     identifier_header : bytes
         Header that each response copies from its request, in lower case.
+    take_turn : callable, optional
     """
 
     def __init__(
-        self, inner: upstream_socket.UpstreamSocket, identifier_header: bytes
+        self,
+        inner: upstream_socket.UpstreamSocket,
+        identifier_header: bytes,
+        take_turn: TakeTurn = trio.lowlevel.checkpoint,
     ) -> None:
         self._inner = inner
+        self._take_turn = take_turn
         self._identifier_header = identifier_header
         self._expected = b""
         self._requests = 0
@@ -131,6 +142,8 @@
         if self._in_head or self._merger is not None:
             max_bytes = min(max_bytes, _READ_BYTES)
         while True:
+            if self._received >= _UNPACED_BYTES:
+                await self._take_turn()
             data = await self._inner.read(max_bytes)
             self._received += len(data)
             if not data:
--- a/tests/upstream/test_endless_responses.py
+++ b/tests/upstream/test_endless_responses.py
@@ -72,14 +72,14 @@
     return httpcore.Request(method, url, headers=[(b"host", b"u"), (ID, b"mine")])
 
 
-def exchange(first, rest, count=1, method="GET"):
+def exchange(first, rest, count=1, method="GET", take_turn=trio.lowlevel.checkpoint):
     """Return the results of concurrent requests and the number of bytes sent."""
 
     async def main():
         sent, results = [], []
         memory = memory_budget.MemoryBudget(64 * MEBIBYTE)
         pools = connection_pools.ConnectionPools(
-            HOST, ID, trio.current_time, counters.Counters(), memory
+            HOST, ID, trio.current_time, counters.Counters(), memory, take_turn
         )
         async with trio.open_nursery() as nursery:
             serve = functools.partial(send_without_end, first, rest, sent)
@@ -200,3 +200,20 @@
     head = OWN.replace(b"200", status) + b"Content-Length: 1000000000000\r\n\r\n"
     results, _ = exchange(head, b"", method=method)
     assert [each.answer.body for each in results] == [b""]
+
+
+# Guards against many large responses at the same time that keep the event loop from all
+# other work.
+@pytest.mark.parametrize("size, turns", [(1000, 0), (MEBIBYTE, 16)])
+def test_further_parts_of_a_large_response_are_read_in_turns(size, turns):
+    taken = 0
+
+    async def take_turn():
+        nonlocal taken
+        taken += 1
+        await trio.lowlevel.checkpoint()
+
+    head = OWN + b"Content-Length: %d\r\n\r\n" % size
+    results, _ = exchange(head + bytes(size), b"", take_turn=take_turn)
+    assert len(results[0].answer.body) == size
+    assert bool(taken) == bool(turns) and taken >= turns
