Count the time for large responses from their first part in an iteration

With the gate of starting requests, a VM whose iterations take longer than 10 ms for other work read one part of all its large responses in each: 3 MB a second at 20 ms. Found by reading, before it was seen. The new gate counts from the first part that is read in an iteration, so that they keep 10 ms of each.

--- a/src/rattanlug/gateway/node.py
+++ b/src/rattanlug/gateway/node.py
@@ -12,10 +12,10 @@
 from rattanlug.fleet import data_centre_digest, digest, peer_table
 from rattanlug.gateway import (
     decision_log,
-    iteration_gate,
     loop_lag,
     loop_utilisation,
     process_phase,
+    reading_gate,
 )
 from rattanlug.logs import state_log
 from rattanlug.metrics import counters, histograms
@@ -97,9 +97,7 @@
             clock.now,
             self._counters,
             self._memory,
-            iteration_gate.IterationGate(
-                self._utilisation, iteration_gate.MAX_READING_ITERATION_SECONDS
-            ).take_turn,
+            reading_gate.ReadingGate(self._utilisation).take_turn,
         )
         self._placer = placer.Placer(
             settings.data_centre,
