Don't blame an upstream for memory that other bodies use up

While bodies without end use up the memory for responses, a proper response of a sound upstream that finds none ends as 502, and counted as a failure of that upstream. So it was avoided with the faulty one.

A response whose stated length was accepted at its head isn't the one that is too large: its error has a kind of its own, memory_used_up, with the status and the statement of before, and leaves the upstream's share of failures as it is. Without a stated length, the upstream still counts as failing.

--- a/src/rattanlug/errors/error_response.py
+++ b/src/rattanlug/errors/error_response.py
@@ -48,6 +48,7 @@
     kind.ErrorKind.REQUEST_TOO_LARGE: ErrorResponse(413, _NO),
     kind.ErrorKind.ANSWER_BROKEN: ErrorResponse(502, _UNKNOWN),
     kind.ErrorKind.ANSWER_TOO_LARGE: ErrorResponse(502, _YES),
+    kind.ErrorKind.MEMORY_USED_UP: ErrorResponse(502, _YES),
     kind.ErrorKind.UPSTREAM_FAILED: ErrorResponse(502, _UNKNOWN),
     kind.ErrorKind.STARTING: ErrorResponse(503, _NO, 1),
     kind.ErrorKind.LEAVING: ErrorResponse(503, _NO, 0),
--- a/src/rattanlug/errors/kind.py
+++ b/src/rattanlug/errors/kind.py
@@ -7,7 +7,8 @@
     """Reasons for which rattanlug rejects or fails a request or an operation.
 
     The identity of a request is its ``Idempotency-Key`` header. ``CALLER_LEFT`` means
-    that the caller disconnected, ``LEAVING`` that the VM is shutting down.
+    that the caller disconnected, ``LEAVING`` that the VM is shutting down,
+    ``MEMORY_USED_UP`` that other bodies left no memory for a response that fits.
     """
 
     KEY_UNKNOWN = "key_unknown"
@@ -29,6 +30,7 @@
     REQUEST_TOO_LARGE = "request_too_large"
     ANSWER_BROKEN = "answer_broken"
     ANSWER_TOO_LARGE = "answer_too_large"
+    MEMORY_USED_UP = "memory_used_up"
     UPSTREAM_FAILED = "upstream_failed"
     STARTING = "starting"
     LEAVING = "leaving"
--- a/src/rattanlug/gateway/sender.py
+++ b/src/rattanlug/gateway/sender.py
@@ -263,7 +263,7 @@
         load = node.placer.load(record, now)
         if failed.kind is kind.ErrorKind.UPSTREAM_FAILED:
             load.note_unreachable(now)
-        else:
+        elif failed.kind is not kind.ErrorKind.MEMORY_USED_UP:
             load.note_outcome(True, now)
             self._count_outcome(admitted, record, True, now)
         if failed.kind is kind.ErrorKind.DEADLINE_EXCEEDED:
--- a/src/rattanlug/upstream/pooled_connection.py
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -130,9 +130,11 @@
         returned = head.header(identifier_header)
         if returned is not None and returned != identifier:
             raise _broken("the response belongs to another request")
-        if request.method != b"HEAD":
-            self._check_length(head)
-        body = await self._read_body(http_response)
+        has_body = request.method != b"HEAD" and head.status not in _EMPTY_STATUSES
+        length = head.header(b"content-length") if has_body else None
+        if length is not None:
+            self._check_length(int(length))
+        body = await self._read_body(http_response, length is not None)
         reason = self._end_reason(head, len(body), identifier)
         return head._replace(body=body), reason
 
@@ -150,33 +152,42 @@
             has_extra_bytes = self._stream.body_bytes > size
         return "extra bytes" if has_extra_bytes else ""
 
-    def _check_length(self, head: response.Response) -> None:
+    def _check_length(self, length: int) -> None:
         """Reject a response that states a length that may never be kept."""
-        length = head.header(b"content-length")
-        if length is None or head.status in _EMPTY_STATUSES:
-            return
-        if int(length) > min(_MAX_RESPONSE_BYTES, self._memory.largest_body):
-            raise _too_large("the response states a length above the limit")
+        if length > min(_MAX_RESPONSE_BYTES, self._memory.largest_body):
+            raise error.UpstreamError(
+                kind.ErrorKind.ANSWER_TOO_LARGE,
+                "the response states a length above the limit",
+            )
 
     async def aclose(self) -> None:
         """Close the connection."""
         await self._stream.aclose()
 
-    async def _read_body(self, http_response: httpcore.Response) -> bytes:
+    async def _read_body(
+        self, http_response: httpcore.Response, states_length: bool
+    ) -> bytes:
         chunks = http_response.aiter_stream()
         async with contextlib.aclosing(chunks):
             with received_body.ReceivedBody(self._memory) as body:
                 async for chunk in chunks:
                     if not body.add(chunk) or body.size > _MAX_RESPONSE_BYTES:
-                        raise _too_large(
-                            "the response is larger than the limit or the free memory"
-                        )
+                        raise _not_kept(states_length)
                 await http_response.aclose()
                 return body.content()
 
 
-def _too_large(detail: str) -> error.UpstreamError:
-    return error.UpstreamError(kind.ErrorKind.ANSWER_TOO_LARGE, detail)
+def _not_kept(states_length: bool) -> error.UpstreamError:
+    if states_length:
+        # The length was accepted, so the response is not the one that is too large.
+        return error.UpstreamError(
+            kind.ErrorKind.MEMORY_USED_UP,
+            "other bodies use up the memory for the response",
+        )
+    return error.UpstreamError(
+        kind.ErrorKind.ANSWER_TOO_LARGE,
+        "the response is larger than the limit or the free memory",
+    )
 
 
 def _broken(detail: str) -> error.UpstreamError:
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -11,6 +11,7 @@
 import pytest
 import trio
 
+from rattanlug.daemon import clock
 from rattanlug.errors import error
 from tests.gateway import caller
 from trial.cases import lab as lab_module
@@ -99,6 +100,32 @@
     assert await send_requests(send, "/claim/1", "POST") == []
 
 
+# Guards against a sound upstream that is avoided because bodies of a faulty one have
+# used up the memory when it responds.
+@pytest.mark.usefixtures("no_overload")
+@pytest.mark.parametrize(
+    "lines, is_blamed", [("Content-Length: 400000\r\n", False), ("", True)]
+)
+@caller.in_trio
+async def test_memory_that_others_use_up_is_no_failure_of_the_upstream(
+    lines, is_blamed
+):
+    async def send(stream, request_id):
+        head = f"HTTP/1.1 200 X\r\nRattanlug-Request-Id: {request_id}\r\n{lines}\r\n"
+        await stream.send_all(head.encode() + bytes(400_000))
+
+    async with fleet.open_fleet() as deployment, trio.open_nursery() as nursery:
+        await add_upstream(deployment, nursery, send)
+        vm = await deployment.add_vm(limits={"memory_mb": 8, "max_fds": 1024})
+        vm.node.memory.reserve(1 << 20, 1 << 20)
+        _, answer = await caller.send(vm, "/claim/1", "POST")
+        assert answer.status == 502
+        record = vm.node.registry.record("u1")
+        load = vm.node.placer.load(record, clock.now())
+        assert (load.failure_share(clock.now()) > 0.0) == is_blamed
+        nursery.cancel_scope.cancel()
+
+
 # Guards against a daemon that runs out of memory or stands still, with the requests of
 # all its callers, because upstreams send bytes without end: one of six, then all.
 @pytest.mark.parametrize("form", endless_response.FORMS)
