Keep no error with its frames in the daemon's proxy

After attempts that failed, `rattanlug daemon` kept what they had received until the next run of the collector of reference cycles.

Cause, as in: _serve_idempotent kept the errors of its attempts in local variables, to raise one of them after the last. Each of them refers, by its traceback, to that frame and to the frame of _read_body with the chunks that it had received.

It now keeps a Failure, the content of an error without its traceback, and makes the error that it raises from that.

--- a/src/rattanlug/daemon/proxy.py
+++ b/src/rattanlug/daemon/proxy.py
@@ -8,7 +8,7 @@
 
 from rattanlug.caller import forwarded_headers, reply, request
 from rattanlug.daemon import active_configuration, operation_runner, slot_access
-from rattanlug.errors import error, executed, kind
+from rattanlug.errors import error, executed, failure, kind
 from rattanlug.idempotency import (
     digest,
     identity,
@@ -285,13 +285,14 @@
         tried: set[str] = set()
         # The first failure after which the upstream may have run the request; a later
         # attempt that did not run must not hide it.
-        uncertain: error.UpstreamError | None = None
+        uncertain: failure.Failure | None = None
         for attempt in range(1, _MAX_ATTEMPTS + 1):
             try:
                 answer = await self._attempt(admitted, tried)
                 if not reply.states_not_run(answer.status, answer.headers):
                     return self._to_caller(admitted, answer)
-                failure = error.UpstreamError(
+                failed = failure.Failure(
+                    error.UpstreamError,
                     kind.ErrorKind.UPSTREAM_FAILED,
                     "the upstream refused the request",
                     executed.Executed.NO,
@@ -299,19 +300,19 @@
             except error.RefusedError as exc:
                 if uncertain is None:
                     raise
-                raise uncertain from exc
+                raise uncertain.to_error() from exc
             except error.UpstreamError as exc:
-                failure = exc
-            if failure.response.executed is not executed.Executed.NO:
-                uncertain = uncertain or failure
+                failed = failure.of(exc)
+            if failed.executed is not executed.Executed.NO:
+                uncertain = uncertain or failed
             if (
-                failure.response.executed is executed.Executed.YES
+                failed.executed is executed.Executed.YES
                 or attempt == _MAX_ATTEMPTS
                 or not self._may_retry(admitted)
             ):
                 break
             self._counters.add("retries", route=admitted.route.name)
-        raise uncertain or failure
+        raise (uncertain or failed).to_error()
 
     def _may_retry(self, admitted: _Admitted) -> bool:
         now = self._clock()
