Merge small chunks of the store's responses

A store that answers in chunks of one byte without end kept a VM's event loop from other work for 84 to 98 ms at a time, pieces of events and whole events for 50 to 90 ms, and used the processor until the deadline, 2.9 s for two reads; each of the tables that are read at the same time adds to that.

Cause, as in: the HTTP library makes an event of each chunk, and reads 64 KiB at once with no checkpoint between the events.

MergingStream finds the chunked responses on a connection, reads them in parts of 16 KiB and passes each part on as one chunk by way of ChunkMerger, which also gives up bodies with too many small chunks and chunks above 16 MiB. It is below the HTTP library, so that the client stays as it is.

--- a/src/rattanlug/upstream/deadline_backend.py
+++ b/src/rattanlug/upstream/deadline_backend.py
@@ -9,8 +9,10 @@
 import httpcore
 
 from rattanlug.daemon import socket_close
-from rattanlug.upstream import upstream_socket
+from rattanlug.upstream import merging_stream, upstream_socket
 
+# A chunk that is larger is not accepted.
+MAX_CHUNK_BYTES = 16 << 20
 _NO_DELAY = (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
@@ -64,8 +66,9 @@
             raise httpcore.ConnectTimeout(str(exc)) from exc
         except OSError as exc:
             raise httpcore.ConnectError(str(exc)) from exc
-        return _DeadlineStream(
-            upstream_socket.UpstreamSocket(raw, self._clock), self._clock
+        connected = upstream_socket.UpstreamSocket(raw, self._clock)
+        return merging_stream.MergingStream(
+            _DeadlineStream(connected, self._clock), MAX_CHUNK_BYTES
         )
 
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,5 +1,6 @@
 """Tests of the store client."""
 
+import contextlib
 import functools
 import json
 
@@ -11,8 +12,10 @@
 from rattanlug.platform import store_client, store_error, store_write
 from rattanlug.settings import address
 from rattanlug.tables import store_era, table_copy
+from rattanlug.upstream import deadline_backend
+from tests import reference_cycles
 from trial import http_server
-from trial.shared_platform import store
+from trial.shared_platform import endless_response, store
 
 HOST = "127.0.0.1"
 
@@ -72,6 +75,41 @@
     trio.run(main)
 
 
+# Guards against a store that keeps the event loop from all other work, with chunks of
+# a few bytes for each of which the HTTP library makes an event.
+@pytest.mark.parametrize("status", endless_response.STATUSES)
+@pytest.mark.parametrize("form", endless_response.FORMS)
+def test_bytes_without_end_are_given_up_and_leave_nothing(form, status, monkeypatch):
+    # The call must end because of the number of bytes, not because of the timeout.
+    monkeypatch.setattr(store_client, "CALL_TIMEOUT_SECONDS", 30.0)
+    sent = 0
+
+    async def serve(stream):
+        nonlocal sent
+        async with stream:
+            await stream.receive_some(65536)
+            found = endless_response.FORMS[form]
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(found.head(status, "x"))
+                while True:
+                    sent += len(found.block)
+                    await stream.send_all(found.block)
+
+    async def read_endless(client):
+        with pytest.raises(store_error.StoreError):
+            await client.read_table("op")
+
+    with reference_cycles.found() as errors:
+        call_server(
+            read_endless,
+            functools.partial(trio.serve_tcp, serve, 0, host=HOST),
+            backend=deadline_backend.DeadlineBackend(trio.current_time),
+        )
+    # Twice the limit, to allow for the kernel's buffers.
+    assert sent <= 2 * store_client.MAX_RESPONSE_BYTES
+    assert errors == []
+
+
 async def respond_with(body, status, stream):
     async with stream:
         while await stream.receive_some(65536):
@@ -93,7 +131,7 @@
     return call_server(call, functools.partial(trio.serve_tcp, serve, 0, host=HOST))
 
 
-def call_server(call, serve, era=None):
+def call_server(call, serve, era=None, backend=None):
     """Call a store that ``serve`` starts; return the result or the error."""
 
     async def main():
@@ -105,7 +143,8 @@
                 trio.current_time,
                 counters.Counters(),
                 histograms.Histograms(),
-                era=era,
+                backend,
+                era,
             )
             try:
                 with trio.fail_after(10):
