Merge small chunks of responses in the daemon's client

An upstream that answers `rattanlug daemon` in chunks of one byte without end kept its event loop from other work for 129 ms at a time (pieces of events 56, whole events 35 ms), for each of its connections, and used the processor until the deadline of the request.

Cause, as in: the HTTP library makes an event of each chunk, and reads 64 KiB at once with no checkpoint between the events.

The connections of UpstreamClient now have a MergingStream below the one that counts their bytes. A chunk above 8 MiB, the size of the largest response, is rejected at once.

The test for the forms of responses without end failed before for chunks of one byte, which ended by the deadline only. No form left an error in a reference cycle, before and now.

--- a/src/rattanlug/upstream/counting_stream.py
+++ b/src/rattanlug/upstream/counting_stream.py
@@ -6,8 +6,10 @@
 import httpcore
 import trio
 
-from rattanlug.upstream import response_head
+from rattanlug.upstream import merging_stream, response_head
 
+# A chunk that is larger is not accepted.
+MAX_CHUNK_BYTES = 8 << 20
 _HEAD_END = b"\r\n\r\n"
 _REQUEST_ID = b"request-id"
 
@@ -106,4 +108,5 @@
         stream = await self._inner.connect_tcp(
             host, port, timeout, local_address, socket_options
         )
-        return CountingStream(stream, trio.current_time())
+        merging = merging_stream.MergingStream(stream, MAX_CHUNK_BYTES)
+        return CountingStream(merging, trio.current_time())
--- a/tests/upstream/test_client.py
+++ b/tests/upstream/test_client.py
@@ -8,6 +8,8 @@
 
 from rattanlug.errors import error, kind
 from rattanlug.upstream import client, recent_request_ids
+from tests import reference_cycles
+from trial.shared_platform import endless_response
 
 HOST = "127.0.0.1"
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: same\r\n"
@@ -148,3 +150,46 @@
     assert recent.is_new("u:1", b"a", 1300.0)
     recent.is_new("u:1", b"b", 1359.0)
     assert not recent.is_new("u:1", b"b", 1418.9)
+
+
+# Guards against an upstream that keeps the event loop from all other work, with chunks
+# of a few bytes for each of which the HTTP library makes an event.
+@pytest.mark.parametrize("form", endless_response.FORMS)
+def test_bytes_without_end_are_given_up_and_leave_nothing(form):
+    found = endless_response.FORMS[form]
+    head = found.head(200, "same").replace(b"Rattanlug-Request-Id", b"Request-Id")
+    kinds = []
+    sent = 0
+
+    async def serve(stream: trio.SocketStream) -> None:
+        nonlocal sent
+        async with stream:
+            await stream.receive_some(65536)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(head)
+                while True:
+                    sent += len(found.block)
+                    await stream.send_all(found.block)
+
+    async def main() -> None:
+        upstreams = client.UpstreamClient(HOST)
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(
+                functools.partial(trio.serve_tcp, serve, 0, host=HOST)
+            )
+            port = listeners[0].socket.getsockname()[1]
+            headers = [(b"Host", b"x"), (b"Request-Id", b"same")]
+            try:
+                await upstreams.send(HOST, port, "GET", b"/", headers, b"", 10.0)
+            except error.UpstreamError as exc:
+                kinds.append(exc.kind)
+            await upstreams.aclose()
+            nursery.cancel_scope.cancel()
+
+    with reference_cycles.found() as errors:
+        trio.run(main)
+    # The request must end because of the number of bytes, not because of the timeout.
+    assert kinds in ([kind.ErrorKind.ANSWER_BROKEN], [kind.ErrorKind.ANSWER_TOO_LARGE])
+    # Four times the limit, to allow for the kernel's buffers.
+    assert sent <= 32 << 20
+    assert errors == []
