Release what hypercorn holds of a connection at its end

Each connection of a caller that hypercorn had served left about 35 objects in reference cycles, with the bytes that its parser had not used: 15 to 16 KB for each of twelve uploads in chunks of one byte. If the connection was older than a few runs of the collector, they stayed in memory until its oldest generation was collected, uncounted by the budget.

Cause: hypercorn's connection and protocol refer to each other, and the application that it calls refers to the connection to find the request line.

The connection now gives up both at its end, when its tasks have ended, and the stream of the caller no longer asks it for buffered bytes; the rest is freed by reference counts.

Evidence: while the collector rests, each of three uploads (complete, too large, left) left its parser in a cycle before; now no object at all is left for the collector, in a VM with uploads that end in these ways.

--- a/src/rattanlug/caller/library_connection.py
+++ b/src/rattanlug/caller/library_connection.py
@@ -94,6 +94,10 @@
         """Parser of the connection."""
         return self._recorder
 
+    def release(self) -> None:
+        """Break the reference cycles with protocol and application, at the end."""
+        self.protocol = self.app = None
+
     async def _read_data(self) -> None:
         # The protocol has been created, and no bytes have been read.
         self.protocol.protocol.connection = self._recorder
--- a/src/rattanlug/caller/server.py
+++ b/src/rattanlug/caller/server.py
@@ -234,7 +234,13 @@
         )
         connection.idle_task = _NoIdleTask()
         caller.set_buffer(lambda: _has_buffered_bytes(connection))
-        await connection.run()
+        try:
+            await connection.run()
+        finally:
+            # In a reference cycle, what was received would stay in memory until the
+            # next run of the collector.
+            caller.set_buffer(lambda: False)
+            connection.release()
 
     async def _close_idle(self) -> None:
         while True:
