Keep no frames of the parser with the error of a malformed request

A malformed chunk of an upload left its error and eight tracebacks in a reference cycle, and by their frames the parser with its bytes and hypercorn's protocol, until the next run of the collector.

Cause: h11 raises its error from a method of that error, whose frame refers to it as self; the error's traceback refers to the frame.

The connection's parser raises the error again without the traceback up to there, so that the frame of the method is freed.

--- a/src/rattanlug/caller/library_connection.py
+++ b/src/rattanlug/caller/library_connection.py
@@ -50,7 +50,12 @@
             and self.trailing_data[0]
         ):
             return h11.PAUSED
-        event = super().next_event()
+        try:
+            event = super().next_event()
+        except h11.RemoteProtocolError as exc:
+            # The frame in which h11 raises its error refers to it. Without those frames
+            # in the traceback, no reference cycle keeps the received bytes in memory.
+            raise exc.with_traceback(None) from None
         if isinstance(event, h11.Request):
             self._method, self._target = event.method, event.target
             accepted = _without_http_2(event)
--- a/tests/caller/test_reference_cycles.py
+++ b/tests/caller/test_reference_cycles.py
@@ -17,6 +17,7 @@
 _BODY_BYTES = 100_000
 _UPLOADS = {
     "complete": _CHUNKED + b"1\r\nx\r\n0\r\n\r\n",
+    "malformed": _CHUNKED + b"1\r\nx\r\n" * 1000 + b"no size\r\n" + bytes(20_000),
     "too large": _CHUNKED + b"1\r\nx\r\n" * (_BODY_BYTES + 20_000),
     "left": _CHUNKED + b"1\r\nx\r\n" * 20_000,
 }
