Drop the tracebacks of errors that the HTTP library raises

Cause: the library raises its error from a method of that error, whose frame refers to it as self. So the error is in a cycle with its traceback from the beginning, whoever handles it, and the frames there have all lines of the head.

What handles such errors drops the tracebacks of the error and of those that led to it, in the pools, the daemon's client and the client of the store. Five tests fail without it and pass with it.

--- a/src/rattanlug/errors/failure.py
+++ b/src/rattanlug/errors/failure.py
@@ -42,3 +42,17 @@
     return Failure(
         type(exc), exc.kind, exc.detail, response.executed, response.retry_after
     )
+
+
+def drop_tracebacks(exc: BaseException) -> None:
+    """Remove the tracebacks of a handled error and of the errors that led to it.
+
+    A library may raise an error from one of the error's own methods, so that the error
+    is in a reference cycle with the frame of that method from the beginning.
+    """
+    pending: list[BaseException | None] = [exc]
+    while pending:
+        each = pending.pop()
+        if each is not None:
+            each.__traceback__ = None
+            pending += (each.__cause__, each.__context__)
--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -10,6 +10,7 @@
 import httpcore
 
 from rattanlug.encoding import json_text
+from rattanlug.errors import failure
 from rattanlug.metrics import counters, histograms
 from rattanlug.platform import decoding, names, store_error, store_write
 from rattanlug.settings import address
@@ -294,6 +295,7 @@
             # Closing the connection may report an error.
             OSError,
         ) as exc:
+            failure.drop_tracebacks(exc)
             raise store_error.StoreError(
                 f"the connection to the store broke: {type(exc).__name__}", is_write
             ) from exc
--- a/src/rattanlug/upstream/client.py
+++ b/src/rattanlug/upstream/client.py
@@ -6,7 +6,7 @@
 import httpcore
 import trio
 
-from rattanlug.errors import error, executed, kind
+from rattanlug.errors import error, executed, failure, kind
 from rattanlug.upstream import counting_stream, recent_request_ids, response
 
 _MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -115,6 +115,7 @@
                 "the upstream did not answer within the deadline",
             ) from exc
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            failure.drop_tracebacks(exc)
             raise error.UpstreamError(
                 kind.ErrorKind.ANSWER_BROKEN,
                 "the connection broke before the complete response arrived",
@@ -142,6 +143,7 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as exc:
+            failure.drop_tracebacks(exc)
             raise _failed(
                 "the document did not arrive", executed.Executed.UNKNOWN
             ) from exc
--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -10,7 +10,7 @@
 import httpcore
 import trio
 
-from rattanlug.errors import error, executed, kind
+from rattanlug.errors import error, executed, failure, kind
 from rattanlug.metrics import counters
 from rattanlug.upstream import (
     acknowledgement_timeout,
@@ -156,11 +156,13 @@
                 later_deadline,
             )
         except httpcore.TimeoutException as exc:
+            failure.drop_tracebacks(exc)
             await self._abandon(connection)
             raise error.UpstreamError(
                 kind.ErrorKind.DEADLINE_EXCEEDED, "the upstream did not answer in time"
             ) from exc
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            failure.drop_tracebacks(exc)
             await self._abandon(connection)
             raise error.UpstreamError(
                 kind.ErrorKind.ANSWER_BROKEN,
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -110,6 +110,22 @@
     assert errors == []
 
 
+# Guards against responses that the HTTP library rejects and that stay in memory.
+def test_a_rejected_response_leaves_no_reference_cycle():
+    async def serve(stream):
+        async with stream:
+            await stream.receive_some(65536)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n" + b"a\r\n" * 10_000 + b"\r\n")
+
+    async def read(client):
+        with pytest.raises(store_error.StoreError):
+            await client.read_table("op")
+
+    with reference_cycles.found() as errors:
+        call_server(read, functools.partial(trio.serve_tcp, serve, 0, host=HOST))
+    assert errors == []
+
+
 async def respond_with(body, status, stream):
     async with stream:
         while await stream.receive_some(65536):
--- a/tests/upstream/test_endless_responses.py
+++ b/tests/upstream/test_endless_responses.py
@@ -9,6 +9,7 @@
 from rattanlug.errors import error, kind
 from rattanlug.metrics import counters
 from rattanlug.upstream import connection_pools, memory_budget, response_stream
+from tests import reference_cycles
 
 HOST = "127.0.0.1"
 ID = b"request-id"
@@ -72,8 +73,18 @@
     return httpcore.Request(method, url, headers=[(b"host", b"u"), (ID, b"mine")])
 
 
-def exchange(first, rest, count=1, method="GET", take_turn=trio.lowlevel.checkpoint):
-    """Return the results of concurrent requests and the number of bytes sent."""
+def exchange(
+    first,
+    rest,
+    count=1,
+    method="GET",
+    take_turn=trio.lowlevel.checkpoint,
+    keep=lambda exc: exc,
+):
+    """Return the results of concurrent requests and the number of bytes sent.
+
+    The results are what ``keep`` returns for each error.
+    """
 
     async def main():
         sent, results = [], []
@@ -102,7 +113,7 @@
                         )
                     )
                 except error.UpstreamError as exc:
-                    results.append(exc)
+                    results.append(keep(exc))
 
             with trio.fail_after(20):
                 async with trio.open_nursery() as asking:
@@ -217,3 +228,22 @@
     results, _ = exchange(head + bytes(size), b"", take_turn=take_turn)
     assert len(results[0].answer.body) == size
     assert bool(taken) == bool(turns) and taken >= turns
+
+
+# Guards against responses that the HTTP library rejects and that stay in memory: it
+# raises its error from a method of that error, in whose traceback is all it has parsed.
+@pytest.mark.parametrize(
+    "data",
+    [
+        OWN + b"a\r\n" * 20_000 + b"\r\n",
+        OWN + b"a:\r\n" * 10 + b"b\r\n\r\n",
+        OWN + b"Transfer-Encoding: chunked\r\n\r\n0\r\na b\r\n\r\n",
+        OWN + b"Content-Length: +2\r\n\r\nab",
+    ],
+    ids=["lines", "header", "trailer", "length"],
+)
+def test_a_rejected_response_leaves_no_reference_cycle(data):
+    with reference_cycles.found() as errors:
+        kinds, _ = exchange(data, b"", keep=lambda exc: exc.kind)
+    assert kinds == [kind.ErrorKind.ANSWER_BROKEN]
+    assert errors == []
