Reject statuses that no HTTP response has

Callers got what an upstream in trouble sent with the status 600 or 999 as the response to their request, and rattanlug daemon recorded it as the result of an operation.

Cause: response_head took the three bytes in the place of a status as they are and left it to the HTTP library to check them, which accepts final statuses up to 999.

The head of each response, also of one that is dropped, now has to begin with a status line whose status is from 200 to 599, or from 100 to 199 except 101 for an interim response. The streams of rattanlug gateway and rattanlug daemon both parse each head there, so that any other is a broken response of the upstream: 502, not repeated if it may run only once, and the connection is closed. rattanlug daemon rejects a head of HTTP/2 with it.

--- a/src/rattanlug/upstream/response_head.py
+++ b/src/rattanlug/upstream/response_head.py
@@ -8,13 +8,15 @@
 
 # Longest Content-Length, which fits into 64 bits.
 MAX_LENGTH_DIGITS = 18
-_LINE_END = b"\r\n"
-_INFORMATIONAL = b"1"
-# Offset of the status code in a status line such as ``HTTP/1.1 200``.
-_STATUS_AT = 9
-_STATUS_END = 12
+# Statuses of the response that ends an exchange.
+FINAL_STATUSES = range(200, 600)
+# A change of protocol is never requested.
+_SWITCHING_PROTOCOLS = 101
+_INTERIM_STATUSES = frozenset(range(100, 200)) - {_SWITCHING_PROTOCOLS}
 # Their responses have no body, whatever length they state.
-_EMPTY_STATUSES = frozenset({b"204", b"304"})
+_EMPTY_STATUSES = frozenset({204, 304})
+_LINE_END = b"\r\n"
+_FIRST_LINE = re.compile(rb"HTTP/1\.[0-9] ([0-9]{3})[ \r]")
 _STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [0-9]{3}")
 _LENGTH = b"content-length"
 _BLANKS = b" \t"
@@ -59,7 +61,8 @@
 
     An upstream that stops inside a head may continue with that of another response.
     Together they would be one head with the status of the first and the identifier of
-    the second, so a head that may consist of two is not accepted.
+    the second, so a head that may consist of two is not accepted. Nor is one with a
+    status that no response has, which the HTTP library passes on from 600 to 999.
 
     Parameters
     ----------
@@ -73,6 +76,7 @@
     httpcore.RemoteProtocolError
     """
     check_line_ends(head)
+    status = _status(head)
     if b"\r\n " in head or b"\r\n\t" in head:
         raise httpcore.RemoteProtocolError("a header has a continuation line")
     if _STATUS_LINE.search(head, 1):
@@ -96,8 +100,7 @@
         raise httpcore.RemoteProtocolError("the Content-Length is too large")
     has_length = length is not None and length.isdigit() and not has_coding
     body_length = int(length) if has_length else None
-    status = head[_STATUS_AT:_STATUS_END]
-    is_interim = status[:1] == _INFORMATIONAL
+    is_interim = status in _INTERIM_STATUSES
     if status in _EMPTY_STATUSES:
         body_length = 0
     # The HTTP library rejects any other coding.
@@ -105,6 +108,23 @@
     return ResponseHead(is_interim, identifier, body_length, is_chunked)
 
 
+def _status(head: bytes) -> int:
+    """Return the status of a head.
+
+    Raises
+    ------
+    httpcore.RemoteProtocolError
+        No response of HTTP/1 has this status line.
+    """
+    found = _FIRST_LINE.match(head)
+    if found is None:
+        raise httpcore.RemoteProtocolError("the status line is malformed")
+    status = int(found[1])
+    if status not in FINAL_STATUSES and status not in _INTERIM_STATUSES:
+        raise httpcore.RemoteProtocolError(f"no response has the status {status:03}")
+    return status
+
+
 @functools.cache
 def _pattern(identifier_header: bytes) -> re.Pattern[bytes]:
     names = re.escape(identifier_header) + rb"|content-length|transfer-encoding"
--- a/tests/upstream/test_response_head.py
+++ b/tests/upstream/test_response_head.py
@@ -49,6 +49,31 @@
         response_head.parse(OWN[:-2] + line + b"\r\n\r\n", ID)
 
 
+# Guards against such a status in a response that is dropped as one to another request,
+# so that a later one counts.
+@pytest.mark.parametrize("identifier", [b"mine", b"other"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 000 X",
+        b"HTTP/1.1 099 X",
+        b"HTTP/1.1 101 X",
+        b"HTTP/1.1 600 X",
+        b"HTTP/1.1 999",
+        b"HTTP/1.1 20 X",
+        b"HTTP/1.1 1000 X",
+        b"HTTP/1.1 2O0 X",
+        b"HTTP/1.1 -20 X",
+        b"HTTP/1.1",
+        b"HTTP/2.0 200 X",
+    ],
+)
+def test_a_head_without_the_status_of_a_response_is_rejected(line, identifier):
+    head = OWN.replace(b"HTTP/1.1 200 OK", line).replace(b"mine", identifier)
+    with pytest.raises(httpcore.RemoteProtocolError):
+        response_head.parse(head, ID)
+
+
 # Guards against a refusal that is cut inside its head and continues with the head of
 # the response, and is taken for a statement about that response's request.
 def test_no_cut_of_a_refusal_makes_one_head_with_the_response():
