Take no statement of the store from a status that no response has

A write that the store, or a proxy before it, answered with 600 or 999 counted as not applied, although nothing states that, and a read took the era from such a response. So far nothing in the gateway acts on maybe_applied of its store; the era is acted on.

Cause: as with upstreams, the HTTP library passes on statuses up to 999. The store client took each status other than 200 as the store's word that it didn't do the call.

The store client now checks the status before it reads anything else of the response, against the same range as the heads of upstreams, which moves to encoding/http_status.py. Outside of it, a write may have been applied, and the era stays.

Evidence: 6 of the 18 new cases of the store client failed before, with 600 and 999. The client of the table service needs no change: its two new cases passed before.

--- a/src/rattanlug/platform/store_client.py
+++ b/src/rattanlug/platform/store_client.py
@@ -9,7 +9,7 @@
 
 import httpcore
 
-from rattanlug.encoding import json_text
+from rattanlug.encoding import http_status, json_text
 from rattanlug.errors import failure
 from rattanlug.metrics import counters, histograms
 from rattanlug.platform import decoding, names, store_error, store_write
@@ -280,6 +280,10 @@
                 content=content,
                 extensions={"timeout": limits},
             ) as response:
+                if response.status not in http_status.FINAL:
+                    raise store_error.StoreError(
+                        f"no response has the status {response.status}", is_write
+                    )
                 era = self._observe_era(response)
                 body = await _read_body(response, is_write)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
--- a/src/rattanlug/upstream/response_head.py
+++ b/src/rattanlug/upstream/response_head.py
@@ -6,13 +6,10 @@
 
 import httpcore
 
+from rattanlug.encoding import http_status
+
 # Longest Content-Length, which fits into 64 bits.
 MAX_LENGTH_DIGITS = 18
-# Statuses of the response that ends an exchange.
-FINAL_STATUSES = range(200, 600)
-# A change of protocol is never requested.
-_SWITCHING_PROTOCOLS = 101
-_INTERIM_STATUSES = frozenset(range(100, 200)) - {_SWITCHING_PROTOCOLS}
 # Their responses have no body, whatever length they state.
 _EMPTY_STATUSES = frozenset({204, 304})
 _LINE_END = b"\r\n"
@@ -62,7 +59,7 @@
     An upstream that stops inside a head may continue with that of another response.
     Together they would be one head with the status of the first and the identifier of
     the second, so a head that may consist of two is not accepted. Nor is one with a
-    status that no response has, which the HTTP library passes on from 600 to 999.
+    status that no response has.
 
     Parameters
     ----------
@@ -100,7 +97,7 @@
         raise httpcore.RemoteProtocolError("the Content-Length is too large")
     has_length = length is not None and length.isdigit() and not has_coding
     body_length = int(length) if has_length else None
-    is_interim = status in _INTERIM_STATUSES
+    is_interim = status in http_status.INTERIM
     if status in _EMPTY_STATUSES:
         body_length = 0
     # The HTTP library rejects any other coding.
@@ -120,7 +117,7 @@
     if found is None:
         raise httpcore.RemoteProtocolError("the status line is malformed")
     status = int(found[1])
-    if status not in FINAL_STATUSES and status not in _INTERIM_STATUSES:
+    if status not in http_status.FINAL and status not in http_status.INTERIM:
         raise httpcore.RemoteProtocolError(f"no response has the status {status:03}")
     return status
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -232,6 +232,21 @@
     assert type(found) is store_error.ConditionFailedError
 
 
+# Guards against a write that may have taken effect and counts as not applied, and an
+# era that is learned from bytes that are no response.
+@pytest.mark.parametrize("status", ["000", "099", "600", "999", "20", "2000"])
+@pytest.mark.parametrize("call", [read_table, commit, commit_if_unchanged])
+def test_a_status_of_no_response_states_nothing(call, status):
+    era = store_era.StoreEra()
+    serve = functools.partial(respond_with, b"{}", f"{status} X\r\nStore-Era: 7\r\nY:")
+    found = call_server(
+        call, functools.partial(trio.serve_tcp, serve, 0, host=HOST), era
+    )
+    assert type(found) is store_error.StoreError
+    assert found.maybe_applied is (call is not read_table)
+    assert era.current == 0
+
+
 # Guards against a read that never ends and takes more and more memory.
 @pytest.mark.parametrize("rows", [b"", b'{"key": "a", "row_version": 1}'])
 def test_pages_without_progress_are_a_store_error(rows):
--- a/tests/table_service/test_client.py
+++ b/tests/table_service/test_client.py
@@ -160,6 +160,8 @@
         (500, b"", True),
         (503, b"", True),
         (408, b"", True),
+        (600, b"", True),
+        (999, b"{}", True),
         (400, b"", False),
         (413, b"", False),
         (200, b"not json", True),
