Take the turn for a part of a response after it was received

The turn is now between receiving and handling, and for each part after the first 4 KiB of a response, so that the first one of a large response takes its turn too.

--- a/src/rattanlug/gateway/reading_gate.py
+++ b/src/rattanlug/gateway/reading_gate.py
@@ -10,12 +10,12 @@
 from rattanlug.daemon import clock
 from rattanlug.gateway import loop_utilisation
 
-# No further part is read in an iteration this long after the first one.
+# No further part is handled in an iteration this long after the first one.
 MAX_READING_SECONDS = 0.01
 
 
 class ReadingGate:
-    """Lets at least one part be read in each iteration, more for a short time.
+    """Lets at least one part be handled in each iteration, more for a short time.
 
     Parameters
     ----------
@@ -24,17 +24,17 @@
 
     def __init__(self, utilisation: loop_utilisation.LoopUtilisation) -> None:
         self._utilisation = utilisation
-        # Iteration in which the last part was read, and time of its first part.
+        # Iteration in which the last part was handled, and time of its first part.
         self._last_iteration = -1
         self._first_at = 0.0
 
     async def take_turn(self) -> None:
-        """Wait until a part may be read, and record that it is."""
-        while not self.try_read(clock.now()):
+        """Wait until a part may be handled, and record that it is."""
+        while not self.try_begin(clock.now()):
             await trio.lowlevel.checkpoint()
 
-    def try_read(self, now: float) -> bool:
-        """Tell whether a part may be read now, and record it if so.
+    def try_begin(self, now: float) -> bool:
+        """Tell whether a part may be handled now, and record it if so.
 
         Parameters
         ----------
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -20,10 +20,11 @@
 # Heads and chunked bodies, which cost more time for each byte, are read in parts of
 # this size.
 _READ_BYTES = 16 * 1024
-# Further bytes of a response are read in turns with other work.
-_UNPACED_BYTES = 16 * 1024
+# What a small response takes. Parts that are larger, or that follow, are handled in
+# turns with other work.
+_UNPACED_BYTES = 4 * 1024
 
-# Waits until a part of a large response may be read.
+# Waits until a part of a large response may be handled.
 TakeTurn = Callable[[], Awaitable[None]]
 
 
@@ -142,10 +143,11 @@
         if self._in_head or self._merger is not None:
             max_bytes = min(max_bytes, _READ_BYTES)
         while True:
-            if self._received >= _UNPACED_BYTES:
-                await self._take_turn()
             data = await self._inner.read(max_bytes)
             self._received += len(data)
+            if self._received > _UNPACED_BYTES:
+                # After reading, which may wait: what follows takes the time.
+                await self._take_turn()
             if not data:
                 if self._head:
                     raise httpcore.RemoteProtocolError(
