Limit header lines, interim responses and trailers of responses

A head may have 1,000 lines, a request 100 interim responses, and a chunked body 4 KiB of trailers; more is a broken response, before the HTTP library reads it. The three new cases of more fail without the limits; those at the limits pass with and without them.

--- a/src/rattanlug/upstream/chunked.py
+++ b/src/rattanlug/upstream/chunked.py
@@ -11,6 +11,8 @@
 
 # Longest line with the size of a chunk, extensions included.
 MAX_SIZE_LINE_BYTES = 4096
+# Limit for the trailers after a body.
+MAX_TRAILER_BYTES = 4096
 # A body may have this many chunks of any size, and one more for each
 # `BYTES_PER_FURTHER_CHUNK` bytes, so that its cost is bounded by its bytes.
 MAX_SMALL_CHUNKS = 16 * 1024
@@ -50,6 +52,7 @@
         self._has_extra_bytes = False
         self._chunks = 0
         self._body_bytes = 0
+        self._trailer_bytes = 0
 
     @property
     def has_clean_end(self) -> bool:
@@ -147,7 +150,7 @@
     def _take_end(self, data: bytes) -> bytes:
         """Return the end of the body as far as it is known."""
         if self._next is _Part.TRAILERS:
-            return data
+            return self._take_trailers(data)
         if self._next is _Part.NOTHING:
             self._has_extra_bytes = self._has_extra_bytes or bool(data)
             return b""
@@ -160,6 +163,11 @@
         if _LINE_END.startswith(data):
             self._pending = data
             return b""
-        # The HTTP library limits trailers.
         self._next = _Part.TRAILERS
-        return b"0\r\n" + data
+        return b"0\r\n" + self._take_trailers(data)
+
+    def _take_trailers(self, data: bytes) -> bytes:
+        self._trailer_bytes += len(data)
+        if self._trailer_bytes > MAX_TRAILER_BYTES:
+            raise httpcore.RemoteProtocolError("the trailers are too large")
+        return data
--- a/src/rattanlug/upstream/response_head.py
+++ b/src/rattanlug/upstream/response_head.py
@@ -8,6 +8,8 @@
 
 from rattanlug.encoding import http_status
 
+# The HTTP library takes some microseconds and hundreds of bytes for each line.
+MAX_HEADER_LINES = 1000
 # Longest Content-Length, which fits into 64 bits.
 MAX_LENGTH_DIGITS = 18
 # Their responses have no body, whatever length they state.
@@ -73,6 +75,8 @@
     httpcore.RemoteProtocolError
     """
     check_line_ends(head)
+    if head.count(_LINE_END) > MAX_HEADER_LINES:
+        raise httpcore.RemoteProtocolError("a head has too many lines")
     status = _status(head)
     if b"\r\n " in head or b"\r\n\t" in head:
         raise httpcore.RemoteProtocolError("a header has a continuation line")
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -13,6 +13,8 @@
 _STATUS_LINE_START = b"HTTP/1."
 # Limit for the heads of the responses to one request, interim responses included.
 MAX_HEAD_BYTES = 64 * 1024
+# Limit for the interim responses to one request.
+MAX_INTERIM_RESPONSES = 100
 # Limit for responses to earlier requests that are dropped before the current one.
 MAX_DROPPED_BYTES = 4 << 20
 # A chunk that is larger is not accepted.
@@ -62,6 +64,7 @@
         self._bytes_to_drop = 0
         # Bytes of heads and of responses to other requests since the request was sent.
         self._head_bytes = 0
+        self._interim_responses = 0
         self._dropped_bytes = 0
         self._body_bytes = 0
         self._has_body = True
@@ -119,7 +122,7 @@
         self._head.clear()
         self._in_head = True
         self._bytes_to_drop = 0
-        self._head_bytes = self._dropped_bytes = 0
+        self._head_bytes = self._dropped_bytes = self._interim_responses = 0
         self._body_bytes = 0
         self._has_body = has_body
         self._merger = None
@@ -197,6 +200,7 @@
                 continue
             passed_on += head
             self._in_head = parsed.is_interim
+            self._count_interim_response(parsed)
             if parsed.is_chunked and self._has_body:
                 self._merger = chunked.ChunkMerger(MAX_CHUNK_BYTES)
         rest = bytes(self._head)
@@ -224,6 +228,11 @@
                 "the heads of the responses are too large"
             )
 
+    def _count_interim_response(self, head: response_head.ResponseHead) -> None:
+        self._interim_responses += head.is_interim
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            raise httpcore.RemoteProtocolError("there are too many interim responses")
+
     def _filter_body(self, data: bytes) -> bytes:
         self._body_bytes += len(data)
         return data if self._merger is None else self._merger.feed(data)
--- a/tests/upstream/test_endless_responses.py
+++ b/tests/upstream/test_endless_responses.py
@@ -24,6 +24,7 @@
 BUFFERED = 8 * MEBIBYTE
 
 # Name, first bytes, and the bytes that follow without end.
+CHUNKED = OWN + b"Transfer-Encoding: chunked\r\n\r\n"
 HEADS = [
     ("garbage", b"", b"\x00\xff garbage"),
     ("lines", b"", b"\r\n"),
@@ -247,3 +248,33 @@
         kinds, _ = exchange(data, b"", keep=lambda exc: exc.kind)
     assert kinds == [kind.ErrorKind.ANSWER_BROKEN]
     assert errors == []
+
+
+# Guards against heads and trailers of which the HTTP library handles thousands of lines
+# in one iteration of the event loop, with many times their size in objects.
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 100 \r\n\r\n" * 101 + OWN + b"Content-Length: 0\r\n\r\n",
+        OWN + b"a:\r\n" * 1000 + b"Content-Length: 0\r\n\r\n",
+        CHUNKED + b"0\r\n" + b"a:\r\n" * 1100 + b"\r\n",
+    ],
+    ids=["interim responses", "header lines", "trailers"],
+)
+def test_a_response_in_very_many_small_units_is_rejected(data):
+    results, _ = exchange(data, b"")
+    assert [each.kind for each in results] == [kind.ErrorKind.ANSWER_BROKEN]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 100 \r\n\r\n" * 100 + OWN + b"Content-Length: 0\r\n\r\n",
+        OWN + b"a:\r\n" * 900 + b"Content-Length: 0\r\n\r\n",
+        CHUNKED + b"0\r\n" + b"a:\r\n" * 1000 + b"\r\n",
+    ],
+    ids=["interim responses", "header lines", "trailers"],
+)
+def test_a_response_in_many_small_units_is_passed_on(data):
+    results, _ = exchange(data, b"")
+    assert [each.answer.status for each in results] == [200]
