Read large chunks in large parts, and accept more small ones

And a sound stream in chunks of 10 bytes was given up after 19,418 of them.

A body may have 65,536 small chunks. The line with a chunk's size is limited to about 250 bytes in whole lines too; extensions of 4 kB took 67 MB for a body of 17 kB.

--- a/src/rattanlug/upstream/chunked.py
+++ b/src/rattanlug/upstream/chunked.py
@@ -9,17 +9,21 @@
 
 import httpcore
 
-# Longest line with the size of a chunk, extensions included.
-MAX_SIZE_LINE_BYTES = 4096
+# A line with the size of a chunk is at most about this long, extensions included.
+MAX_SIZE_LINE_BYTES = 250
 # Limit for the trailers after a body.
 MAX_TRAILER_BYTES = 4096
 # A body may have this many chunks of any size, and one more for each
 # `BYTES_PER_FURTHER_CHUNK` bytes, so that its cost is bounded by its bytes.
-MAX_SMALL_CHUNKS = 16 * 1024
+MAX_SMALL_CHUNKS = 64 * 1024
 BYTES_PER_FURTHER_CHUNK = 64
+# Chunks above this mean size cost little more than their bytes.
+_LARGE_CHUNK_BYTES = 1024
 _LINE_END = b"\r\n"
-_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,20})[ \t]*(?:;[^\r\n\x00]*)?\r\n")
-_SIZE_LINE_START = re.compile(rb"(?:[0-9A-Fa-f]{1,20}[ \t]*(?:;[^\r\n\x00]*)?\r?)?\Z")
+# The longest blanks and extension make a line of `MAX_SIZE_LINE_BYTES`.
+_EXTENSION = rb"[ \t]{0,8}(?:;[^\r\n\x00]{0,219})?"
+_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,20})" + _EXTENSION + rb"\r\n")
+_SIZE_LINE_START = re.compile(rb"(?:[0-9A-Fa-f]{1,20}" + _EXTENSION + rb"\r?)?\Z")
 
 
 class _Part(enum.Enum):
@@ -54,6 +58,11 @@
         self._body_bytes = 0
         self._trailer_bytes = 0
 
+    @property
+    def has_large_chunks(self) -> bool:
+        """Whether the chunks so far are large on average, and there are any."""
+        return self._body_bytes > _LARGE_CHUNK_BYTES * self._chunks
+
     @property
     def has_clean_end(self) -> bool:
         """Whether the body was received in full, without trailers or further bytes."""
@@ -132,7 +141,7 @@
         self._next = _Part.CONTENT if size else _Part.END
 
     def _keep_size_line(self, start: bytes) -> None:
-        if len(start) > MAX_SIZE_LINE_BYTES or not _SIZE_LINE_START.match(start):
+        if not _SIZE_LINE_START.match(start):
             raise httpcore.RemoteProtocolError("the size of a chunk is malformed")
         self._pending = start
 
--- a/src/rattanlug/upstream/merging_stream.py
+++ b/src/rattanlug/upstream/merging_stream.py
@@ -45,9 +45,7 @@
         """
         self._has_read = True
         while True:
-            if self._in_head or self._merger is not None:
-                max_bytes = min(max_bytes, _READ_BYTES)
-            data = await self._inner.read(max_bytes, timeout)
+            data = await self._inner.read(self._part_bytes(max_bytes), timeout)
             if not data:
                 return data
             passed_on = self._pass_on(data)
@@ -72,6 +70,13 @@
         """Return the inner stream's value."""
         return self._inner.get_extra_info(info)
 
+    def _part_bytes(self, max_bytes: int) -> int:
+        if not self._in_head and (
+            self._merger is None or self._merger.has_large_chunks
+        ):
+            return max_bytes
+        return min(max_bytes, _READ_BYTES)
+
     def _pass_on(self, data: bytes) -> bytes:
         if not self._in_head:
             return self._pass_on_body(data)
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -19,8 +19,8 @@
 MAX_DROPPED_BYTES = 4 << 20
 # A chunk that is larger is not accepted.
 MAX_CHUNK_BYTES = 64 << 20
-# Heads and chunked bodies, which cost more time for each byte, are read in parts of
-# this size.
+# Heads and small chunks, which cost more time for each byte, are read in parts of this
+# size.
 _READ_BYTES = 16 * 1024
 # What a small response takes. Parts that are larger, or that follow, are handled in
 # turns with other work.
@@ -143,7 +143,7 @@
             The received bytes are not an HTTP response, or too many of them precede
             the response to the current request.
         """
-        if self._in_head or self._merger is not None:
+        if self._in_head or not (self._merger is None or self._merger.has_large_chunks):
             max_bytes = min(max_bytes, _READ_BYTES)
         while True:
             data = await self._inner.read(max_bytes)
--- a/tests/upstream/test_chunked.py
+++ b/tests/upstream/test_chunked.py
@@ -121,6 +121,28 @@
             merger.feed(chunk)
 
 
+@pytest.mark.parametrize("size, is_large", [(1, False), (1024, False), (1100, True)])
+def test_large_chunks_are_told_from_small_ones(size, is_large):
+    merger = chunked.ChunkMerger(_LIMIT)
+    assert not merger.has_large_chunks
+    for _ in range(3):
+        merger.feed(b"%x\r\n%b\r\n" % (size, b"x" * size))
+        assert merger.has_large_chunks == is_large
+    # A chunk of which most is still to come.
+    merger.feed(b"ffff\r\n")
+    assert not merger.has_large_chunks
+
+
+# Guards against a body that consists of the extensions of its chunks.
+def test_the_extensions_of_chunks_are_limited():
+    chunk = b"1;" + b"x" * 219 + b"\r\nx\r\n"
+    assert len(chunk.partition(b"\r\n")[0]) <= chunked.MAX_SIZE_LINE_BYTES
+    _, passed_on = merge(chunk * 3)
+    assert passed_on == b"3\r\nxxx\r\n"
+    with pytest.raises(httpcore.RemoteProtocolError):
+        merge(chunk.replace(b";", b";x"))
+
+
 def test_a_long_body_may_have_many_chunks():
     size = chunked.BYTES_PER_FURTHER_CHUNK
     chunk = b"%x\r\n%b\r\n" % (size, b"x" * size)
