Reject a chunk that may never be kept at its size

One of 60 MiB that stalls used up the budget of a VM of 300 MB; 54 of 56 sound responses of 300 kB beside it were refused until it ended.

Two cases of the test fail before. The forms played for all tests contain endless header lines and trailers as well.

--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -252,7 +252,10 @@
         origin = httpcore.Origin(b"http", host.encode(), port)
         connected_socket = upstream_socket.UpstreamSocket(raw, self._clock)
         stream = response_stream.ResponseStream(
-            connected_socket, self._identifier_header, self._take_turn
+            connected_socket,
+            self._identifier_header,
+            self._take_turn,
+            min(response_stream.MAX_BODY_BYTES, self._memory.largest_body),
         )
         return pooled_connection.PooledConnection(
             stream, origin, self._clock(), self._memory
--- a/src/rattanlug/upstream/pooled_connection.py
+++ b/src/rattanlug/upstream/pooled_connection.py
@@ -14,7 +14,6 @@
     upstream_socket,
 )
 
-_MAX_RESPONSE_BYTES = 64 << 20
 # Their responses have no body, whatever length they state.
 _EMPTY_STATUSES = frozenset({204, 304})
 # Bounds the memory for identifiers, with a new connection for one in 1024 requests.
@@ -154,7 +153,7 @@
 
     def _check_length(self, length: int) -> None:
         """Reject a response that states a length that may never be kept."""
-        if length > min(_MAX_RESPONSE_BYTES, self._memory.largest_body):
+        if length > min(response_stream.MAX_BODY_BYTES, self._memory.largest_body):
             raise error.UpstreamError(
                 kind.ErrorKind.ANSWER_TOO_LARGE,
                 "the response states a length above the limit",
@@ -171,7 +170,10 @@
         async with contextlib.aclosing(chunks):
             with received_body.ReceivedBody(self._memory) as body:
                 async for chunk in chunks:
-                    if not body.add(chunk) or body.size > _MAX_RESPONSE_BYTES:
+                    if (
+                        not body.add(chunk)
+                        or body.size > response_stream.MAX_BODY_BYTES
+                    ):
                         raise _not_kept(states_length)
                 await http_response.aclose()
                 return body.content()
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -17,8 +17,8 @@
 MAX_INTERIM_RESPONSES = 100
 # Limit for responses to earlier requests that are dropped before the current one.
 MAX_DROPPED_BYTES = 4 << 20
-# A chunk that is larger is not accepted.
-MAX_CHUNK_BYTES = 64 << 20
+# Largest body that is accepted.
+MAX_BODY_BYTES = 64 << 20
 # Heads and small chunks, which cost more time for each byte, are read in parts of this
 # size.
 _READ_BYTES = 16 * 1024
@@ -46,6 +46,8 @@
     identifier_header : bytes
         Header that each response copies from its request, in lower case.
     take_turn : callable, optional
+    max_chunk_bytes : int
+        Size of the largest chunk that is accepted.
     """
 
     def __init__(
@@ -53,8 +55,10 @@
         inner: upstream_socket.UpstreamSocket,
         identifier_header: bytes,
         take_turn: TakeTurn = trio.lowlevel.checkpoint,
+        max_chunk_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self._inner = inner
+        self._max_chunk_bytes = max_chunk_bytes
         self._take_turn = take_turn
         self._identifier_header = identifier_header
         self._expected = b""
@@ -202,7 +206,7 @@
             self._in_head = parsed.is_interim
             self._count_interim_response(parsed)
             if parsed.is_chunked and self._has_body:
-                self._merger = chunked.ChunkMerger(MAX_CHUNK_BYTES)
+                self._merger = chunked.ChunkMerger(self._max_chunk_bytes)
         rest = bytes(self._head)
         self._head.clear()
         return passed_on + self._filter_body(rest)
--- a/tests/upstream/test_endless_responses.py
+++ b/tests/upstream/test_endless_responses.py
@@ -199,6 +199,14 @@
     assert sent <= BUFFERED
 
 
+# The same for a chunk.
+@pytest.mark.parametrize("size", [int(MEMORY) + 1, 60 * MEBIBYTE])
+def test_a_chunk_that_may_never_be_kept_is_rejected_at_its_size(size):
+    results, sent = exchange(CHUNKED + b"%x\r\n" % size, b"x")
+    assert [each.kind for each in results] == [kind.ErrorKind.ANSWER_BROKEN]
+    assert sent <= BUFFERED
+
+
 def test_the_largest_length_that_may_be_kept_is_not_rejected_at_the_head():
     head = OWN + b"Content-Length: %d\r\n\r\n" % int(MEMORY)
     results, _ = exchange(head, b"x")
--- a/trial/shared_platform/endless_response.py
+++ b/trial/shared_platform/endless_response.py
@@ -62,9 +62,11 @@
 
 FORMS: dict[str, Form] = {
     "header_line": Form("X: ", b"", b"x", ends_head=False),
+    "header_lines": Form("", b"", b"a:\r\n", ends_head=False),
     "chunk_size_junk": Form(_CHUNKED, b"", b"\x00\xff junk"),
     "one_chunk": Form(_CHUNKED, b"fffffff\r\n", b"x"),
     "one_byte_chunks": Form(_CHUNKED, b"", b"1\r\nx\r\n"),
+    "trailers": Form(_CHUNKED, b"0\r\n", b"a:\r\n"),
     "told_length_100_megabytes": Form("Content-Length: 100000000\r\n", b"", b"x"),
     "told_length_terabyte": Form("Content-Length: 1000000000000\r\n", b"", b"x"),
     "told_length_64_bits": Form("Content-Length: 9223372036854775807\r\n", b"", b"x"),
