Let other tasks run between two frames of a peer

A peer that sends small frames without end, here responses of 25 bytes to no call, kept the event loop of `rattanlug daemon` from other work for 92 ms of processor time at once.

Cause: a receive takes up to 64 KiB, and FrameReader returned each frame in its buffer without a checkpoint; the client of peers handles responses in a loop that waits for nothing else. The server of peers has a checkpoint of its own for each request.

A frame that is taken from the buffer is a checkpoint now, as each receive of trio is.

Evidence, one run each of a call for 1 s: 34,368 responses were handled instead of 64,050, and the longest iteration took 0.5 ms of processor time. The test failed before.

--- a/src/rattanlug/peer/framing.py
+++ b/src/rattanlug/peer/framing.py
@@ -59,7 +59,11 @@
         trio.BrokenResourceError, trio.ClosedResourceError
             If the connection fails.
         """
-        if not self._buffer and not await self._fill():
+        if self._buffer:
+            # Without this checkpoint, a peer that sends many small frames blocks the
+            # event loop.
+            await trio.lowlevel.checkpoint()
+        elif not await self._fill():
             return None
         with trio.move_on_after(_FRAME_TIMEOUT_S):
             await self._fill_to(_LENGTH_BYTES)
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -141,3 +141,20 @@
     # Fails if one peer can make another buffer a frame of more than 1 MiB.
     with pytest.raises(ValueError, match="exceeds"):
         framing.frame(bytes(framing.MAX_FRAME_BYTES + 1))
+
+
+# Guards against a peer that keeps the event loop from all other work by sending many
+# small frames, such as responses to no call.
+def test_each_frame_is_a_checkpoint():
+    class Stream:
+        async def receive_some(self, max_bytes):
+            await trio.lowlevel.checkpoint()
+            return framing.frame(b"x") * 3
+
+    async def main():
+        reader = framing.FrameReader(Stream())
+        for _ in range(3):
+            with trio.testing.assert_checkpoints():
+                assert await reader.receive() == b"x"
+
+    trio.run(main)
