Don't parse the rest of an upload after its response

Cause: until a response is sent, each piece of a body waits for room in the application's queue, which lets other tasks run. After it, hypercorn drops the pieces, as the connection is about to close, and handles a whole part with no checkpoint, 2,700 events of h11.

After a response that came before the end of the body, the parser takes no further bytes and returns no events. Hypercorn doesn't use the connection for another request then.

--- a/src/rattanlug/caller/library_connection.py
+++ b/src/rattanlug/caller/library_connection.py
@@ -3,6 +3,9 @@
 import h11
 from hypercorn.trio import tcp_server
 
+# States after the end of a response.
+_RESPONDED = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
+
 
 class RequestLineRecorder(h11.Connection):
     """Parser of a connection that keeps the latest request line as received.
@@ -36,6 +39,16 @@
         """Whether the latest request asks to change to HTTP/2."""
         return self._asks_for_http_2
 
+    @property
+    def _has_responded(self) -> bool:
+        """Whether a response was sent before the end of the body."""
+        return self.their_state is h11.SEND_BODY and self.our_state in _RESPONDED
+
+    def receive_data(self, data: bytes) -> None:
+        """Add received bytes; the rest of a body is dropped after its response."""
+        if not self._has_responded:
+            super().receive_data(data)
+
     def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Return the next event.
 
@@ -44,6 +57,10 @@
         request is being served, or close the connection before the rest of the
         response.
         """
+        if self._has_responded:
+            # The connection closes. Nothing else waits for the pieces of the body, so
+            # that small ones would block the event loop.
+            return h11.NEED_DATA
         if (
             self.their_state is h11.MUST_CLOSE
             and self.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
