Limit the size of the platform's responses in the daemon

A platform that answers `rattanlug daemon` without end was read until the timeout of the call, 1.5 s: in 0.3 s, 215 MB were sent in one chunk and the process grew to 231 MB.

Cause: PlatformClient let the HTTP library read each body as a whole; only the time was limited.

It now reads bodies itself and gives up those above 16 MiB.

--- a/src/rattanlug/table_service/client.py
+++ b/src/rattanlug/table_service/client.py
@@ -21,6 +21,8 @@
 # server is just closing would have an unknown outcome.
 KEEPALIVE_EXPIRY_S = 3.0
 MAX_CONNECTIONS = 16
+# Protects against a faulty platform; rules and tables take far less.
+MAX_RESPONSE_BYTES = 16 << 20
 
 # Statuses with which the platform states that it did not accept the request.
 _NOT_APPLIED = frozenset({400, 401, 403, 404, 405, 411, 413, 414, 415, 422, 429, 431})
@@ -203,7 +205,7 @@
         )
         try:
             with trio.fail_after(limit):
-                response = await self._pool.request(
+                async with self._pool.stream(
                     method,
                     url,
                     headers={"Host": _host_header(self._address)},
@@ -215,7 +217,8 @@
                         },
                         "trace": send_trace.trace,
                     },
-                )
+                ) as response:
+                    content = await _read_body(response, writes_data)
         except trio.TooSlowError as exc:
             raise error.PlatformError(
                 f"platform did not answer {method} in {limit:g} s",
@@ -230,7 +233,16 @@
                 f"platform request {method} failed: {type(exc).__name__} {exc}",
                 writes_data and send_trace.sent,
             ) from exc
-        return _Response(response.status, response.content)
+        return _Response(response.status, content)
+
+
+async def _read_body(response: httpcore.Response, maybe_applied: bool) -> bytes:
+    body = bytearray()
+    async for chunk in response.aiter_stream():
+        body += chunk
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise error.PlatformError("platform answer is too large", maybe_applied)
+    return bytes(body)
 
 
 class _MalformedGuard:
