--- a/src/rattanlug/table_service/client.py
+++ b/src/rattanlug/table_service/client.py
@@ -10,6 +10,7 @@
 import trio
 
 from rattanlug.encoding import json_text
+from rattanlug.errors import failure
 from rattanlug.settings import address
 from rattanlug.table_service import error, listed_vm, row, write
 from rattanlug.upstream import counting_stream
@@ -231,6 +232,7 @@
             httpcore.TimeoutException,
             httpcore.ProtocolError,
         ) as exc:
+            failure.drop_tracebacks(exc)
             raise error.PlatformError(
                 f"platform request {method} failed: {type(exc).__name__} {exc}",
                 writes_data and send_trace.sent,
