Let upstreams of the soak send bytes without end

On a site, one, some or all upstreams now answer each request with one form of endless_response behind 200 or 500, for 1 to 5 s, until the VM closes. The run's process begins at most eight blocks in one iteration of its loop. A VM may answer such a request by its own 502 or 504, but a close without an answer is a violation, other than with upstreams that cut a response: the VM is still there.

--- a/soak/history.py
+++ b/soak/history.py
@@ -120,6 +120,8 @@
         self.cold_arrivals: dict[str, list[site_upstream.Arrival]] = {}
         self.cold_limits: dict[str, float] = {}
         self.broken_off: set[str] = set()
+        # Those of them to which an upstream sent without end.
+        self.sent_endlessly: set[str] = set()
         # Service of each upstream.
         self.services: dict[str, str] = {}
         # Intervals in which a process of the run's own did not get a processor, by
@@ -131,8 +133,9 @@
         self.processor: dict[
             str, tuple[processor_reading.Reading, processor_reading.Reading]
         ] = {}
-        # Peak memory of each process.
+        # Peak memory of each process, and the highest reading of its private part.
         self.memory_mb: dict[str, float] = {}
+        self.private_mb: dict[str, float] = collections.defaultdict(float)
 
     def record_event(self, at: float, kind: str, subject: str = "") -> None:
         """Append an event."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -264,6 +264,7 @@
         for begin, end in intervals
     )
     counts["peak MB"] = round(max(observations.memory_mb.values(), default=0))
+    counts["peak private MB"] = round(max(observations.private_mb.values(), default=0))
     if options.site:
         _count_upstreams(deployed, counts)
         share = site_guarantees.most_cold_share(observations)
@@ -354,6 +355,7 @@
         observations.cold_arrivals[name] = cold
         observations.cold_limits[name] = stand_in.cold_limit
         observations.broken_off.update(stand_in.broken_off)
+        observations.sent_endlessly.update(stand_in.sent_endlessly)
 
 
 def _count_upstreams(
@@ -364,6 +366,8 @@
         counts["refused by upstreams"] += each.stand_in.refused
         counts["cold periods"] += each.stand_in.cold_periods
         counts["broken off"] += len(each.stand_in.broken_off)
+        counts["sent without end"] += len(each.stand_in.sent_endlessly)
+        counts["MB sent without end"] += each.stand_in.endless_bytes // 1_000_000
 
 
 async def run_for(observations: history.History, seconds: float) -> None:
--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -7,6 +7,7 @@
 
 from soak import deployment as deployment_module
 from soak import faults, proxy, site_callers, site_upstream
+from trial.shared_platform import endless_response
 
 FAULTS: dict[str, faults.Fault] = {}
 # A start takes this long at most, while the store answers.
@@ -348,6 +349,30 @@
     _faulty_answers(_kind, _shares)
 
 
+@fault
+async def upstreams_send_without_end(
+    deployed: deployment_module.Deployment, rng: random.Random
+) -> None:
+    """Make one, some or all upstreams send bytes without end to each request."""
+    names = sorted(deployed.upstreams)
+    count = rng.choice((1, rng.randint(1, len(names)), len(names)))
+    endless = site_upstream.Endless(
+        rng.choice(sorted(endless_response.FORMS)),
+        rng.choice(endless_response.STATUSES),
+    )
+    chosen = [deployed.upstreams[each].stand_in for each in rng.sample(names, count)]
+    subject = f"{endless.form} {endless.status} from {count} of {len(names)}"
+    now = trio.current_time()
+    deployed.observations.record_event(now, "responses without end", subject)
+    for each in chosen:
+        each.endless = endless
+    await trio.sleep(rng.uniform(1.0, 5.0))
+    for each in chosen:
+        # A later fault of this kind may have set another.
+        if each.endless is endless:
+            each.endless = None
+
+
 @fault
 async def callers_press(
     deployed: deployment_module.Deployment, rng: random.Random
--- a/soak/site_guarantees.py
+++ b/soak/site_guarantees.py
@@ -34,8 +34,8 @@
     """Check that no VM that runs, or stops as planned, drops a request.
 
     Neither a disturbed store nor an earlier disturbance of the VM is an excuse.
-    Requests that a VM did not read, and those whose upstream broke off, are not judged;
-    `unjudged_closes` counts them.
+    Requests that a VM did not read, and those whose upstream broke off, are not judged,
+    unless that sent without end; `unjudged_closes` counts them.
     """
     for each, reason in _closes(observations, executions):
         if not reason:
@@ -75,7 +75,7 @@
         reason = _disturbance(observations, each, bool(runs))
         if reason:
             yield each, reason
-        elif _upstream_broke_off(observations, each, runs):
+        elif _broke_off_excuses(observations, each, runs):
             yield each, "upstream broke off"
         elif runs:
             yield each, ""
@@ -93,7 +93,31 @@
     exchange: history.Exchange,
     runs: Sequence[upstream.Execution],
 ) -> bool:
-    return exchange.request_id in observations.broken_off or any(
+    broken_off = exchange.request_id in observations.broken_off
+    return broken_off or _way_was_disturbed(observations, exchange, runs)
+
+
+def _broke_off_excuses(
+    observations: history.History,
+    exchange: history.Exchange,
+    runs: Sequence[upstream.Execution],
+) -> bool:
+    """Return whether a close is excused by an upstream that broke off.
+
+    One that sent without end doesn't excuse it: its VM is still there to answer.
+    """
+    return (
+        exchange.request_id not in observations.sent_endlessly
+        and exchange.request_id in observations.broken_off
+    ) or _way_was_disturbed(observations, exchange, runs)
+
+
+def _way_was_disturbed(
+    observations: history.History,
+    exchange: history.Exchange,
+    runs: Sequence[upstream.Execution],
+) -> bool:
+    return any(
         history.overlap(
             observations.disturbances[run.upstream], run.at, exchange.ended_at
         )
@@ -352,8 +376,10 @@
 def processes_stay_within_their_memory(
     observations: history.History, executions: guarantees.ExecutionsById
 ) -> Iterable[str]:
-    """Check the peak memory of each process against its limit."""
+    """Check the peak memory of each process, all and private, against its limit."""
     limit = observations.site.limits.get("memory_mb", _MEMORY_MB)
-    for name, most in observations.memory_mb.items():
-        if most > limit:
-            yield f"{name} used {most:.0f} MB of {limit}"
+    for name in observations.memory_mb.keys() | observations.private_mb.keys():
+        most = observations.memory_mb.get(name, 0.0)
+        private = observations.private_mb.get(name, 0.0)
+        if max(most, private) > limit:
+            yield f"{name} used {most:.0f} MB of {limit}, {private:.0f} of it private"
--- a/soak/site_upstream.py
+++ b/soak/site_upstream.py
@@ -4,12 +4,12 @@
 import contextlib
 import random
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import NamedTuple, NoReturn
 
 import trio
 
 from soak import proxy, sites
-from trial.shared_platform import upstream
+from trial.shared_platform import endless_response, upstream
 
 _HEAD_END = b"\r\n\r\n"
 _READ_BYTES = 65536
@@ -22,6 +22,24 @@
 _REPEAT_SECONDS = 0.05
 # Longest pause between two parts of a response.
 _PAUSE_SECONDS = 0.05
+# Blocks of endless responses that a process begins to send in one iteration of its
+# event loop, so that all else that it plays gets its turn.
+_MAX_BLOCKS = 8
+_turns = trio.CapacityLimiter(_MAX_BLOCKS)
+
+
+class Endless(NamedTuple):
+    """A response that is sent until the peer closes the connection.
+
+    Attributes
+    ----------
+    form : str
+        Name in `endless_response.FORMS`.
+    status : int
+    """
+
+    form: str
+    status: int
 
 
 class Arrival(NamedTuple):
@@ -50,7 +68,8 @@
     Faults are set by a run: ``fault`` is one of ``short``, ``close``, ``cut`` (which
     ends a response in its head), ``duplicate``, ``stray``, ``late`` (which repeats a
     response after a moment) and ``again`` (which repeats each refusal before the next
-    response); ``share`` is the share of the responses with that fault.
+    response); ``share`` is the share of the responses with that fault. ``endless``,
+    unless None, is what it sends to each request in the place of a response.
 
     Parameters
     ----------
@@ -78,9 +97,13 @@
         self.arrivals: list[Arrival] = []
         # Requests whose response it did not send in full.
         self.broken_off: set[str] = set()
+        # Those of them to which it sent without end.
+        self.sent_endlessly: set[str] = set()
         self.refused = 0
         self.cold_periods = 0
         self.cold_reported = True
+        self.endless: Endless | None = None
+        self.endless_bytes = 0
         self.fault = ""
         self.share = 1.0
         self.slowness = 1.0
@@ -161,6 +184,8 @@
                 nursery.cancel_scope.cancel()
         if data is None:
             return False
+        if self.endless:
+            await self._send_endlessly(connection, request, self.endless)
         fault = self.fault if self._rng.random() < self.share else ""
         if fault == "again":
             pending, connection.pending = connection.pending, b""
@@ -185,6 +210,27 @@
             await connection.send(data)
         return fault != "duplicate"
 
+    async def _send_endlessly(
+        self, connection: "_Connection", request: "_Request", endless: Endless
+    ) -> NoReturn:
+        """Send until the peer closes the connection, also once the fault has ended.
+
+        Raises
+        ------
+        OSError or trio.BrokenResourceError
+            The peer has closed it.
+        """
+        self.broken_off.add(request.request_id)
+        self.sent_endlessly.add(request.request_id)
+        form = endless_response.FORMS[endless.form]
+        await connection.send(form.head(endless.status, request.request_id))
+        block = form.block
+        while True:
+            async with _turns:
+                pass
+            await connection.send(block)
+            self.endless_bytes += len(block)
+
     @contextlib.contextmanager
     def _noting_crash(self, request: "_Request") -> Iterator[None]:
         try:
--- a/soak/upstream_worker.py
+++ b/soak/upstream_worker.py
@@ -70,7 +70,15 @@
     ) -> tuple[dict[int, dict[str, Any]], dict[int, list], list]:
         """Return what each upstream and each gate recorded, and the stalls."""
         await stalls.settle()
-        names = ("executions", "arrivals", "broken_off", "refused", "cold_periods")
+        names = (
+            "executions",
+            "arrivals",
+            "broken_off",
+            "sent_endlessly",
+            "refused",
+            "cold_periods",
+            "endless_bytes",
+        )
         records = {
             number: {name: getattr(each, name) for name in names}
             for number, each in self._stand_ins.items()
@@ -106,6 +114,7 @@
     service : sites.Service
     """
 
+    endless = _Forwarded()
     fault = _Forwarded()
     share = _Forwarded()
     slowness = _Forwarded()
@@ -124,7 +133,8 @@
         self.executions: list = []
         self.arrivals: list[site_upstream.Arrival] = []
         self.broken_off: set[str] = set()
-        self.refused = self.cold_periods = 0
+        self.sent_endlessly: set[str] = set()
+        self.refused = self.cold_periods = self.endless_bytes = 0
         self._cold_until = float("-inf")
 
     def turn_cold(self, reported: bool) -> None:
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -7,6 +7,7 @@
 from trio import testing
 
 from soak import deployment, faults, history, proxy, site_faults, sites
+from trial.shared_platform import endless_response
 
 
 class _Proxy:
@@ -84,3 +85,40 @@
                 nursery.cancel_scope.cancel()
 
     assert trio.run(play, clock=testing.MockClock(rate=20.0)) == b""
+
+
+def test_each_form_without_end_is_played_from_one_some_and_all_upstreams():
+    played, counts = set(), set()
+
+    async def play(seed):
+        upstreams = {
+            f"u{index}": types.SimpleNamespace(
+                stand_in=types.SimpleNamespace(endless=None)
+            )
+            for index in range(4)
+        }
+        deployed = types.SimpleNamespace(
+            upstreams=upstreams, observations=history.History()
+        )
+        stand_ins = [each.stand_in for each in upstreams.values()]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                site_faults.upstreams_send_without_end, deployed, random.Random(seed)
+            )
+            await trio.sleep(0.9)
+            found = {each.endless for each in stand_ins} - {None}
+            counts.add(sum(each.endless in found for each in stand_ins))
+        assert len(found) == 1
+        played.update(found)
+        assert 1.0 <= trio.current_time() <= 5.0
+        assert not any(each.endless for each in stand_ins)
+
+    for seed in range(200):
+        clock = testing.MockClock(autojump_threshold=0)
+        trio.run(play, seed, clock=clock)
+    assert played == {
+        (form, status)
+        for form in endless_response.FORMS
+        for status in endless_response.STATUSES
+    }
+    assert counts == {1, 2, 3, 4}
--- a/tests/soak/test_site_guarantees.py
+++ b/tests/soak/test_site_guarantees.py
@@ -51,6 +51,39 @@
     assert violated(observations, RUN) == set()
 
 
+# Guards against LOST that bytes without end excuse: their VM can answer all the same.
+@pytest.mark.parametrize(
+    ("disturbances", "sent_endlessly", "reason"),
+    [
+        ([], set(), "upstream broke off"),
+        ([], {"r1"}, ""),
+        ([[100.3, 100.3]], {"r1"}, "upstream broke off"),
+    ],
+)
+def test_bytes_without_end_excuse_no_close(disturbances, sent_endlessly, reason):
+    observations = site_history()
+    observations.exchanges.append(CUT)
+    observations.broken_off.add("r1")
+    observations.sent_endlessly.update(sent_endlessly)
+    observations.disturbances["u1"].extend(disturbances)
+    counts = site_guarantees.unjudged_closes(observations, {"r1": [RUN]})
+    assert counts == ({reason: 1} if reason else {})
+    assert violated(observations, RUN) == (
+        set() if reason else {"every_request_is_answered"}
+    )
+
+
+def test_bytes_without_end_excuse_an_own_answer_at_a_stop():
+    observations = site_history()
+    own = CUT._replace(status=502, closed_by_vm=False, limit=2.0)
+    observations.exchanges.append(own)
+    observations.stops["vm-1"].append([100.2, 106.0])
+    assert violated(observations, RUN) == {"stops_replace_no_answer"}
+    for seen in (observations.broken_off, observations.sent_endlessly):
+        seen.add("r1")
+    assert violated(observations, RUN) == set()
+
+
 @pytest.mark.parametrize(
     ("disturbed_since", "kills", "runs", "reason"),
     [
@@ -287,3 +320,7 @@
     observations = site_history()
     observations.memory_mb = {"vm-1-1": 301.0}
     assert violated(observations) == {"processes_stay_within_their_memory"}
+    observations.memory_mb = {"vm-1-1": 299.0}
+    assert violated(observations) == set()
+    observations.private_mb["vm-1-1"] = 301.0
+    assert violated(observations) == {"processes_stay_within_their_memory"}
--- a/tests/soak/test_site_upstream.py
+++ b/tests/soak/test_site_upstream.py
@@ -6,6 +6,7 @@
 import trio
 
 from soak import site_upstream, sites
+from trial.shared_platform import endless_response
 
 SITE = sites.SITES["txiki-swap"]
 
@@ -99,3 +100,61 @@
         assert stand_in.broken_off == set()
 
     with_upstream(check)
+
+
+async def read_some(port, name, size):
+    """Send one request; return the first bytes of the response, then close."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    async with stream:
+        head = f"GET /view/x HTTP/1.1\r\nRattanlug-Request-Id: {name}\r\n\r\n"
+        await stream.send_all(head.encode())
+        data = b""
+        while len(data) < size:
+            data += await stream.receive_some(65536)
+    return data
+
+
+@pytest.mark.parametrize("status", endless_response.STATUSES)
+@pytest.mark.parametrize("form", endless_response.FORMS)
+def test_bytes_are_sent_until_the_caller_closes(form, status):
+    async def check(stand_in, port):
+        stand_in.slowness = 0.1
+        stand_in.endless = site_upstream.Endless(form, status)
+        data = await read_some(port, "r1", 1_000_000)
+        assert data.startswith(endless_response.FORMS[form].head(status, "r1"))
+        assert stand_in.broken_off == stand_in.sent_endlessly == {"r1"}
+        assert len(stand_in.executions) == 1
+        assert stand_in.endless_bytes > 500_000
+        stand_in.endless = None
+        assert (await ask(port, "r2")).endswith(b"u1 r2")
+        assert stand_in.broken_off == {"r1"}
+
+    with_upstream(check)
+
+
+class _Iterations(trio.abc.Instrument):
+    count = 0
+
+    def before_io_wait(self, timeout):
+        self.count += 1
+
+
+# Guards against a run whose store and callers stall because it sends without end.
+def test_few_blocks_are_sent_in_one_iteration_of_the_loop():
+    callers, size = 60, 5_000_000
+
+    async def check(stand_in, port):
+        stand_in.slowness = 0.1
+        stand_in.endless = site_upstream.Endless("one_chunk", 200)
+        iterations = _Iterations()
+        trio.lowlevel.add_instrument(iterations)
+        async with trio.open_nursery() as nursery:
+            for index in range(callers):
+                nursery.start_soon(read_some, port, f"r{index}", size)
+        block = len(endless_response.FORMS["one_chunk"].block)
+        assert len(stand_in.sent_endlessly) == callers
+        # A block whose reader is slow is sent in parts, at most one for each reader.
+        assert stand_in.endless_bytes > callers * (size - 2 * block)
+        assert stand_in.endless_bytes <= block * (8 * iterations.count + callers)
+
+    with_upstream(check)
--- a/tests/soak/test_worker.py
+++ b/tests/soak/test_worker.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from soak import history, sites, stepped_clock, upstream_worker, worker
+from soak import history, site_upstream, sites, stepped_clock, upstream_worker, worker
 from trial import http_client
 
 
@@ -68,3 +68,28 @@
     processes = [stand_in.executions[0].process for stand_in, _ in started]
     assert processes == ["upstreams 0", "upstreams 1"]
     assert set(observations.stalls) == set(processes)
+
+
+def test_a_worker_sends_without_end_as_it_is_told():
+    trio.run(_send_without_end)
+
+
+async def _send_without_end():
+    site = sites.SITES["nool-stitch-full"]
+    workers = upstream_worker.UpstreamWorkers(site, "127.0.0.1")
+    try:
+        stand_in, gate = await workers.start("u0", site.services[0].name, 0.5, 0)
+        stand_in.endless = site_upstream.Endless("no_length", 500)
+        stream = await trio.open_tcp_stream("127.0.0.1", gate.port)
+        received = 0
+        async with stream:
+            await stream.send_all(
+                b"GET /view/x HTTP/1.1\r\nRattanlug-Request-Id: r1\r\n\r\n"
+            )
+            while received < 1_000_000:
+                received += len(await stream.receive_some(65536))
+        await workers.collect(history.History(site))
+    finally:
+        workers.end()
+    assert stand_in.sent_endlessly == stand_in.broken_off == {"r1"}
+    assert stand_in.endless_bytes > 0
