Play endless responses at a stop, a reload, a start and other moments

Change: trial/cases/plays/endless_moments.py plays them. The bytes that were not read are now counted in a thread and with pauses: the table of sockets had 30,000 rows, took 0.15 s to read, and held up the callers of the plays by up to 0.85 s.

--- a/tests/upstream/test_endless_responses.py
+++ b/tests/upstream/test_endless_responses.py
@@ -286,3 +286,12 @@
 def test_a_response_in_many_small_units_is_passed_on(data):
     results, _ = exchange(data, b"")
     assert [each.answer.status for each in results] == [200]
+
+
+# Guards against a daemon that stands still while 120 attempts at a time each read
+# thousands of interim responses: they cost far more time than a head of their size, and
+# a readiness check must be answered within a second.
+def test_a_thousand_interim_responses_are_not_read():
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n" * 1000
+    results, _ = exchange(interim + OWN + b"Content-Length: 2\r\n\r\nok", b"x")
+    assert [isinstance(each, error.UpstreamError) for each in results] == [True]
--- a/trial/cases/lab.py
+++ b/trial/cases/lab.py
@@ -3,10 +3,10 @@
 import contextlib
 import functools
 import json
-import operator
 import os
 import pathlib
 import random
+import re
 import resource
 import signal
 import socket
@@ -30,6 +30,10 @@
 SLACK_SECONDS = 0.2
 _NETWORKS = 40 * 256
 _TCP_SOCKETS = pathlib.Path("/proc/net/tcp")
+# Size of the receive queue of a socket with a local address.
+_UNREAD_PATTERN = (
+    r": {:08X}:[0-9A-F]{{4}} [0-9A-F:]+ [0-9A-F]{{2}} [0-9A-F]{{8}}:([0-9A-F]{{8}}) "
+)
 _TAIL_CHARACTERS = 1500
 _FAILED_CONNECTION = "connection of a caller failed"
 
@@ -79,15 +83,13 @@
         """Return the private memory as of now, MB; 0 if the process has ended."""
         return self._status_mb("RssAnon")
 
-    def unread_mb(self) -> float:
+    async def unread_mb(self) -> float:
         """Return the bytes that were received and not read, MB."""
         address = int.from_bytes(socket.inet_aton(self.host), sys.byteorder)
-        total = 0
-        for line in _TCP_SOCKETS.read_text().splitlines()[1:]:
-            local, queues = operator.itemgetter(1, 4)(line.split())
-            if int(local.partition(":")[0], 16) == address:
-                total += int(queues.partition(":")[2], 16)
-        return total / (1 << 20)
+        # The table lists all sockets of the machine, which may take long.
+        table = await trio.to_thread.run_sync(_TCP_SOCKETS.read_text)
+        queues = re.findall(_UNREAD_PATTERN.format(address), table)
+        return sum(int(each, 16) for each in queues) / (1 << 20)
 
     def _status_mb(self, field: str) -> float:
         with contextlib.suppress(OSError):
--- a/trial/cases/plays/__init__.py
+++ b/trial/cases/plays/__init__.py
@@ -2,6 +2,7 @@
 
 from trial.cases.plays import callers as callers
 from trial.cases.plays import endless as endless
+from trial.cases.plays import endless_moments as endless_moments
 from trial.cases.plays import fuzz as fuzz
 from trial.cases.plays import late_answers as late_answers
 from trial.cases.plays import orders as orders
--- a/trial/shared_platform/endless_response.py
+++ b/trial/shared_platform/endless_response.py
@@ -45,19 +45,36 @@
         ).encode() + (end + self.first)
 
     async def send(
-        self, stream: trio.SocketStream, status: int, request_id: str
+        self,
+        stream: trio.SocketStream,
+        status: int,
+        request_id: str,
+        block: bytes = b"",
+        pause_seconds: float = 0.0,
     ) -> None:
         """Send until the peer closes the connection.
 
+        Parameters
+        ----------
+        stream : trio.SocketStream
+        status : int
+        request_id : str
+        block : bytes
+            Sent again and again; many repetitions by default.
+        pause_seconds : float
+            Time between two blocks.
+
         Raises
         ------
         trio.BrokenResourceError
             The peer has closed it.
         """
         await stream.send_all(self.head(status, request_id))
-        block = self.block
+        block = block or self.block
         while True:
             await stream.send_all(block)
+            if pause_seconds:
+                await trio.sleep(pause_seconds)
 
 
 FORMS: dict[str, Form] = {
