--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -61,7 +61,7 @@
     memory : memory_budget.MemoryBudget
         Limits the bodies of all responses together.
     take_turn : callable, optional
-        Waits until a part of a large response may be read.
+        Waits until a part of a large response may be handled.
     """
 
     def __init__(
--- a/src/rattanlug/upstream/merging_stream.py
+++ b/src/rattanlug/upstream/merging_stream.py
@@ -7,7 +7,7 @@
 from rattanlug.upstream import chunked, response_head
 
 # Larger parts of heads and chunked bodies would take too much time at once.
-_READ_BYTES = 16 * 1024
+_SMALL_PART_BYTES = 16 * 1024
 _HEAD_END = b"\r\n\r\n"
 _HEAD_METHOD = b"HEAD "
 # Without a name, no header counts as the identifier of the response.
@@ -71,11 +71,13 @@
         return self._inner.get_extra_info(info)
 
     def _part_bytes(self, max_bytes: int) -> int:
-        if not self._in_head and (
-            self._merger is None or self._merger.has_large_chunks
-        ):
-            return max_bytes
-        return min(max_bytes, _READ_BYTES)
+        """Return how many bytes to read at most."""
+        has_small_chunks = (
+            self._merger is not None and not self._merger.has_large_chunks
+        )
+        if self._in_head or has_small_chunks:
+            return min(max_bytes, _SMALL_PART_BYTES)
+        return max_bytes
 
     def _pass_on(self, data: bytes) -> bytes:
         if not self._in_head:
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -21,7 +21,7 @@
 MAX_BODY_BYTES = 64 << 20
 # Heads and small chunks, which cost more time for each byte, are read in parts of this
 # size.
-_READ_BYTES = 16 * 1024
+_SMALL_PART_BYTES = 16 * 1024
 # What a small response takes. Parts that are larger, or that follow, are handled in
 # turns with other work.
 _UNPACED_BYTES = 4 * 1024
@@ -46,6 +46,7 @@
     identifier_header : bytes
         Header that each response copies from its request, in lower case.
     take_turn : callable, optional
+        Waits until a part of a large response may be handled.
     max_chunk_bytes : int
         Size of the largest chunk that is accepted.
     """
@@ -147,13 +148,11 @@
             The received bytes are not an HTTP response, or too many of them precede
             the response to the current request.
         """
-        if self._in_head or not (self._merger is None or self._merger.has_large_chunks):
-            max_bytes = min(max_bytes, _READ_BYTES)
         while True:
-            data = await self._inner.read(max_bytes)
+            data = await self._inner.read(self._part_bytes(max_bytes))
             self._received += len(data)
             if self._received > _UNPACED_BYTES:
-                # After reading, which may wait: what follows takes the time.
+                # Not before reading, after which other tasks run first.
                 await self._take_turn()
             if not data:
                 if self._head:
@@ -180,6 +179,15 @@
         """Return for ``is_readable`` whether bytes are waiting, else None."""
         return self._inner.is_readable if info == "is_readable" else None
 
+    def _part_bytes(self, max_bytes: int) -> int:
+        """Return how many bytes to read at most."""
+        has_small_chunks = (
+            self._merger is not None and not self._merger.has_large_chunks
+        )
+        if self._in_head or has_small_chunks:
+            return min(max_bytes, _SMALL_PART_BYTES)
+        return max_bytes
+
     def _filter(self, data: bytes) -> bytes:
         if not self._in_head:
             return self._filter_body(data)
