End the wait for a turn when the request has no time left

Each response took its turns, one part of 16 KiB in an iteration, and noticed its deadline only at its next part, behind those of all others; and up to 24 parts came before the limit on small chunks ended it.

The wait for a turn now checks the deadline of the request.

--- a/src/rattanlug/gateway/reading_gate.py
+++ b/src/rattanlug/gateway/reading_gate.py
@@ -5,6 +5,8 @@
 for all of them.
 """
 
+from collections.abc import Callable
+
 import trio
 
 from rattanlug.daemon import clock
@@ -28,10 +30,17 @@
         self._last_iteration = -1
         self._first_at = 0.0
 
-    async def take_turn(self) -> None:
-        """Wait until a part may be handled, and record that it is."""
+    async def take_turn(self, check_deadline: Callable[[], None]) -> None:
+        """Wait until a part may be handled, and record that it is.
+
+        Parameters
+        ----------
+        check_deadline : callable
+            Called while waiting; it raises when the request has no time left.
+        """
         while not self.try_begin(clock.now()):
             await trio.lowlevel.checkpoint()
+            check_deadline()
 
     def try_begin(self, now: float) -> bool:
         """Tell whether a part may be handled now, and record it if so.
--- a/src/rattanlug/upstream/chunked.py
+++ b/src/rattanlug/upstream/chunked.py
@@ -15,8 +15,8 @@
 MAX_TRAILER_BYTES = 4096
 # A body may have this many chunks of any size, and one more for each
 # `BYTES_PER_FURTHER_CHUNK` bytes, so that its cost is bounded by its bytes.
-MAX_SMALL_CHUNKS = 64 * 1024
-BYTES_PER_FURTHER_CHUNK = 64
+MAX_SMALL_CHUNKS = 16 * 1024
+BYTES_PER_FURTHER_CHUNK = 16
 # Chunks above this mean size cost little more than their bytes.
 _LARGE_CHUNK_BYTES = 1024
 _LINE_END = b"\r\n"
--- a/src/rattanlug/upstream/connection_pools.py
+++ b/src/rattanlug/upstream/connection_pools.py
@@ -71,7 +71,7 @@
         clock: Callable[[], float],
         all_counters: counters.Counters,
         memory: memory_budget.MemoryBudget,
-        take_turn: response_stream.TakeTurn = trio.lowlevel.checkpoint,
+        take_turn: response_stream.TakeTurn = response_stream.take_turn_at_once,
     ) -> None:
         self._local_host = local_host
         self._identifier_header = identifier_header
--- a/src/rattanlug/upstream/response_stream.py
+++ b/src/rattanlug/upstream/response_stream.py
@@ -26,8 +26,14 @@
 # turns with other work.
 _UNPACED_BYTES = 4 * 1024
 
-# Waits until a part of a large response may be handled.
-TakeTurn = Callable[[], Awaitable[None]]
+# Waits until a part of a large response may be handled; meanwhile, it calls a function
+# that raises when the request has no time left.
+TakeTurn = Callable[[Callable[[], None]], Awaitable[None]]
+
+
+async def take_turn_at_once(check_deadline: Callable[[], None]) -> None:
+    """Let every part be handled in the next iteration of the event loop."""
+    await trio.lowlevel.checkpoint()
 
 
 class ResponseStream(httpcore.AsyncNetworkStream):
@@ -55,7 +61,7 @@
         self,
         inner: upstream_socket.UpstreamSocket,
         identifier_header: bytes,
-        take_turn: TakeTurn = trio.lowlevel.checkpoint,
+        take_turn: TakeTurn = take_turn_at_once,
         max_chunk_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self._inner = inner
@@ -153,7 +159,7 @@
             self._received += len(data)
             if self._received > _UNPACED_BYTES:
                 # Not before reading, after which other tasks run first.
-                await self._take_turn()
+                await self._take_turn(self._inner.check_deadline)
             if not data:
                 if self._head:
                     raise httpcore.RemoteProtocolError(
--- a/src/rattanlug/upstream/upstream_socket.py
+++ b/src/rattanlug/upstream/upstream_socket.py
@@ -76,6 +76,16 @@
         self._later_deadline = later_deadline
         self._request_bytes = 0
 
+    def check_deadline(self) -> None:
+        """Check that the current request has time left, or is hardly late.
+
+        Raises
+        ------
+        httpcore.ReadTimeout
+        """
+        if self._clock() > self._deadline + DEADLINE_GRACE_SECONDS:
+            raise httpcore.ReadTimeout("no complete response by the deadline")
+
     async def read(self, max_bytes: int) -> bytes:
         """Receive bytes; empty at the end of the connection.
 
@@ -83,8 +93,7 @@
         ------
         httpcore.ReadTimeout, httpcore.ReadError
         """
-        if self._clock() > self._deadline + DEADLINE_GRACE_SECONDS:
-            raise httpcore.ReadTimeout("no complete response by the deadline")
+        self.check_deadline()
         try:
             data = self._raw.recv(max_bytes)
         except BlockingIOError:
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -42,11 +42,19 @@
     deployment.register("u1", address=f"127.0.0.1:{port}")
 
 
+def held():
+    """Return the errors that are alive."""
+    return [each for each in gc.get_objects() if isinstance(each, _HELD)]
+
+
 async def send_requests(send, path, method):
     """Send requests to a VM with such an upstream; return what they leave behind."""
     async with fleet.open_fleet() as deployment, trio.open_nursery() as nursery:
         await add_upstream(deployment, nursery, send)
         vm = await deployment.add_vm(limits={"memory_mb": 8, "max_fds": 1024})
+        # Other tests may have left some.
+        before = held()
+        known = {id(each) for each in before}
         with reference_cycles.found() as left:
             for _ in range(_REQUESTS):
                 _, answer = await caller.send(vm, path, method)
@@ -55,7 +63,7 @@
                 while vm.node.memory.reserved:
                     await trio.sleep(0.01)
             await trio.sleep(0.1)
-            left += [each for each in gc.get_objects() if isinstance(each, _HELD)]
+            left += [each for each in held() if id(each) not in known]
         nursery.cancel_scope.cancel()
         return [type(each).__name__ for each in left]
 
--- a/tests/gateway/test_reading_gate.py
+++ b/tests/gateway/test_reading_gate.py
@@ -26,7 +26,7 @@
 
         async def work():
             for _ in range(5):
-                await gate.take_turn()
+                await gate.take_turn(lambda: None)
                 started[utilisation.iterations] += 1
                 began = time.monotonic()
                 while time.monotonic() - began < 0.004:
@@ -119,3 +119,34 @@
     # On a busy machine, few parts are handled before the deadline.
     assert sum(handled.values()) >= 20
     assert max(handled.values()) <= 3
+
+
+# Guards against a caller that gets no answer by its deadline, since the response waits
+# for its turn behind those of many others.
+def test_a_wait_for_a_turn_ends_when_the_request_has_no_time_left():
+    async def main():
+        utilisation = loop_utilisation.LoopUtilisation()
+        trio.lowlevel.add_instrument(utilisation)
+        gate = reading_gate.ReadingGate(utilisation)
+        deadline = time.monotonic() + 0.2
+        ended_at = []
+
+        def check():
+            if time.monotonic() > deadline:
+                raise httpcore.ReadTimeout
+
+        async def read():
+            with contextlib.suppress(httpcore.ReadTimeout):
+                while True:
+                    await gate.take_turn(check)
+                    time.sleep(0.02)
+            ended_at.append(time.monotonic())
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(100):
+                nursery.start_soon(read)
+        assert len(ended_at) == 100
+        # A turn for each of them would take 2 s.
+        assert max(ended_at) - deadline < 1.0
+
+    trio.run(main)
--- a/tests/upstream/faulty_responses.py
+++ b/tests/upstream/faulty_responses.py
@@ -48,6 +48,9 @@
     def set_deadline(self, deadline, later_deadline=None):
         pass
 
+    def check_deadline(self):
+        pass
+
     async def read(self, max_bytes):
         if not self.data:
             if self.end == "close":
--- a/tests/upstream/test_chunked.py
+++ b/tests/upstream/test_chunked.py
@@ -112,7 +112,7 @@
     assert passed_on == b"%x\r\n%b\r\n" % (7000, b"data: x" * 1000)
 
 
-@pytest.mark.parametrize("size", [1, 7, 63])
+@pytest.mark.parametrize("size", [1, 7, 15])
 def test_tiny_chunks_without_end_are_rejected(size):
     chunk = b"%x\r\n%b\r\n" % (size, b"x" * size)
     merger = chunked.ChunkMerger(_LIMIT)
--- a/tests/upstream/test_endless_responses.py
+++ b/tests/upstream/test_endless_responses.py
@@ -79,7 +79,7 @@
     rest,
     count=1,
     method="GET",
-    take_turn=trio.lowlevel.checkpoint,
+    take_turn=response_stream.take_turn_at_once,
     keep=lambda exc: exc,
 ):
     """Return the results of concurrent requests and the number of bytes sent.
@@ -228,7 +228,7 @@
 def test_further_parts_of_a_large_response_are_read_in_turns(size, turns):
     taken = 0
 
-    async def take_turn():
+    async def take_turn(check_deadline):
         nonlocal taken
         taken += 1
         await trio.lowlevel.checkpoint()
