Drop the review case of a success without a stamp

Case 1 of the earlier review shows the same: nothing checks that a 2xx bears the stamp of a backend.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,6 +8,6 @@
     build=$(python3 -c 'import tomllib; print(tomllib.load(open("deploy/system.toml", "rb"))["build"])')
     sh -c "$build"
 fi
-for file in review/rig2.py review/[6-9]/case.py review/10/case.py; do
+for file in review/rig2.py review/[6-9]/case.py; do
     [ ! -f "$file" ] || python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
